Start the package: interfaces, and a thin path from caller to upstream

One daemon takes HTTP/1.1 from callers, chooses an upstream and answers with outcome, result code and request id; the tool checks settings files and reports every fault with its place. Decisions are pure functions over tables.

--- /dev/null
+++ b/src/daemon.rs
@@ -0,0 +1,110 @@
+//! One daemon from start to exit.
+
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::{Context, Result};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::MissedTickBehavior;
+
+use crate::entry::{admin, caller};
+use crate::event::{EventCode, Subject};
+use crate::forward::probe;
+use crate::node::{Node, Phase};
+use crate::settings::Settings;
+use crate::{peer, platform};
+
+/// Time between two runs of the systems over the tables.
+const TICK: Duration = Duration::from_millis(10);
+
+/// Runs a daemon until SIGTERM or SIGINT and the end of all requests in flight.
+///
+/// # Errors
+///
+/// If a listener can't be bound or served.
+pub fn run(settings: Settings) -> Result<()> {
+    let caller = bind(settings.caller, "caller")?;
+    let admin = bind(settings.admin, "admin")?;
+    let peer = settings.peer.map(|a| bind(a, "peer")).transpose()?;
+    let node = Node::new(settings);
+    node.events.record(EventCode::Started, Subject::default(), None);
+    spawn("admin", {
+        let node = node.clone();
+        move || admin::run(node, admin)
+    })?;
+    spawn("control", {
+        let node = node.clone();
+        move || control(node, peer)
+    })?;
+    caller::run(node.clone(), caller)?;
+    node.events.record(EventCode::Stopped, Subject::default(), None);
+    Ok(())
+}
+
+fn spawn(name: &'static str, part: impl FnOnce() -> Result<()> + Send + 'static) -> Result<()> {
+    let run = move || part().unwrap_or_else(|e| log::error!("{name}: {e:#}"));
+    std::thread::Builder::new().name(name.to_owned()).spawn(run).context(name)?;
+    Ok(())
+}
+
+fn bind(address: SocketAddr, name: &str) -> Result<TcpListener> {
+    TcpListener::bind(address).with_context(|| format!("{name} address {address}"))
+}
+
+fn control(node: Arc<Node>, peer: Option<TcpListener>) -> Result<()> {
+    let rt = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let local = LocalSet::new();
+    local.block_on(&rt, async move {
+        spawn_local(platform::run(node.clone()));
+        if let Some(listener) = peer {
+            let part = peer::run(node.clone(), listener);
+            spawn_local(async { part.await.unwrap_or_else(|e| log::error!("peer: {e:#}")) });
+        }
+        spawn_local(tick(node.clone()));
+        if node.settings.platform.is_none() {
+            node.enter(Phase::Ready);
+            node.events.record(EventCode::Ready, Subject::default(), None);
+        }
+        stop_on_signal(node).await
+    })
+}
+
+async fn stop_on_signal(node: Arc<Node>) -> Result<()> {
+    let mut term = signal(SignalKind::terminate())?;
+    let mut int = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = int.recv() => {}
+    }
+    node.enter(Phase::Draining);
+    node.events.record(EventCode::Stopping, Subject::default(), None);
+    tokio::time::sleep(Duration::from_millis(node.settings.limits.grace_ms)).await;
+    node.enter(Phase::Stopping);
+    std::future::pending().await
+}
+
+/// Runs the systems over the tables, sends probes, and hands out decisions.
+async fn tick(node: Arc<Node>) {
+    let mut rng = SmallRng::from_os_rng();
+    let mut interval = tokio::time::interval(TICK);
+    interval.set_missed_tick_behavior(MissedTickBehavior::Skip);
+    loop {
+        interval.tick().await;
+        let now = node.clock.now();
+        let ticked = {
+            let members = node.members.lock();
+            let owned = |service: &str, upstream: &str| {
+                members.owns(&format!("probe/{service}/{upstream}"), now)
+            };
+            node.tables.lock().tick(now, &mut rng, owned)
+        };
+        node.deliver(ticked.released);
+        for (service, target) in ticked.probes {
+            spawn_local(probe::send(node.clone(), service, target));
+        }
+    }
+}
--- /dev/null
+++ b/src/decide/admit.rs
@@ -0,0 +1,58 @@
+//! Who runs now, who waits, who is refused.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use derive_more::{Display, From};
+
+use crate::config::Priority;
+use crate::decide::upstream::UpstreamId;
+use crate::error::Code;
+use crate::time::Time;
+
+/// What admission needs to know of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Request {
+    /// Its place among those that wait.
+    pub priority: Priority,
+    /// When its answer is too late.
+    pub deadline: Time,
+    /// Until when it may wait for a slot.
+    pub wait_until: Time,
+}
+
+/// Identifies a request that waits.
+#[derive(Clone, Copy, Debug, Display, From, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Ticket(u64);
+
+/// The upstream that an attempt goes to. Its in-flight count is already raised.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Target {
+    /// The upstream's identity.
+    pub id: UpstreamId,
+    /// Its name.
+    pub name: Arc<str>,
+    /// Its address.
+    pub address: SocketAddr,
+}
+
+/// A refusal, final and at once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// Why.
+    pub code: Code,
+    /// When to come back.
+    pub retry_after: Duration,
+}
+
+/// The decision on a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Admission {
+    /// It runs now.
+    Run(Target),
+    /// It waits; [`release`](crate::decide::service::ServiceTable::release) decides later.
+    Wait(Ticket),
+    /// It is refused.
+    Refuse(Refusal),
+}
--- /dev/null
+++ b/src/decide/attempt.rs
@@ -0,0 +1,1 @@
+//! May a request be sent again, hedged or refused, and what may the caller be told.
--- /dev/null
+++ b/src/decide/tick.rs
@@ -0,0 +1,79 @@
+//! The tables of all services, and the systems that run over them each tick.
+
+use std::sync::Arc;
+
+use rand::Rng;
+
+use crate::config::Service;
+use crate::decide::admit::{Admission, Target, Ticket};
+use crate::decide::service::{HostFacts, ServiceTable};
+use crate::time::Time;
+
+/// The tables of all services, sorted by name.
+#[derive(Debug)]
+pub struct Tables {
+    facts: HostFacts,
+    services: Vec<ServiceTable>,
+}
+
+/// What a tick decided.
+#[derive(Debug, Default)]
+pub struct Ticked {
+    /// Decisions on requests that waited, with the service's name.
+    pub released: Vec<(Arc<str>, Ticket, Admission)>,
+    /// Probes to send, with the service's record.
+    pub probes: Vec<(Arc<Service>, Target)>,
+}
+
+impl Tables {
+    /// Makes an empty set of tables.
+    pub fn new(facts: HostFacts) -> Tables {
+        Tables { facts, services: Vec::new() }
+    }
+
+    /// Returns all services, sorted by name.
+    pub fn services(&self) -> &[ServiceTable] {
+        &self.services
+    }
+
+    /// Finds a service by name.
+    pub fn service(&mut self, name: &str) -> Option<&mut ServiceTable> {
+        let at = self.services.binary_search_by(|s| (*s.cfg().name).cmp(name)).ok()?;
+        Some(&mut self.services[at])
+    }
+
+    /// Puts a service record into force.
+    pub fn put(&mut self, cfg: Arc<Service>, now: Time) {
+        match self.services.binary_search_by(|s| s.cfg().name.cmp(&cfg.name)) {
+            Ok(at) => {
+                self.services[at].reconfigure(cfg.clone(), now);
+                self.services[at].set_upstreams(&cfg.upstreams, now);
+            }
+            Err(at) => {
+                let table = ServiceTable::new(cfg, self.facts.clone(), now);
+                self.services.insert(at, table);
+            }
+        }
+    }
+
+    /// Runs the systems over every table. `owned` tells which upstreams of which service are this
+    /// host's to probe.
+    pub fn tick(
+        &mut self,
+        now: Time,
+        rng: &mut impl Rng,
+        owned: impl Fn(&str, &str) -> bool,
+    ) -> Ticked {
+        let mut out = Ticked::default();
+        for service in &mut self.services {
+            service.tick(now);
+            let name = service.cfg().name.clone();
+            let released = service.release(now, rng);
+            out.released.extend(released.into_iter().map(|(t, a)| (name.clone(), t, a)));
+            let cfg = service.cfg().clone();
+            let probes = service.probes(now, |upstream| owned(&name, upstream));
+            out.probes.extend(probes.into_iter().map(|t| (cfg.clone(), t)));
+        }
+        out
+    }
+}
--- /dev/null
+++ b/src/decide/upstream.rs
@@ -0,0 +1,132 @@
+//! The table of a service's upstreams: state, load, and the age of what is known.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use derive_more::{Display, From};
+use serde::{Deserialize, Serialize};
+
+use crate::config;
+use crate::time::Time;
+
+/// Identifies an upstream within its service, for the life of the process.
+#[derive(
+    Clone, Copy, Debug, Display, From, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct UpstreamId(u32);
+
+/// Whether an upstream takes new work.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum State {
+    /// It does.
+    #[default]
+    Live,
+    /// It is leaving: requests in flight finish, new ones go elsewhere.
+    Leaving,
+}
+
+/// How an attempt ended, as far as the choice of upstream is concerned.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Ended {
+    /// With an answer that is no server error.
+    Answered,
+    /// With a declared refusal.
+    Refused,
+    /// With an undeclared server error.
+    Failed,
+    /// Without a connection.
+    Unconnected,
+    /// With a reset or a broken answer.
+    Lost,
+    /// Without an answer in time.
+    Silent,
+    /// By cornelferry: the caller left, or a hedge answered first.
+    Cancelled,
+}
+
+/// What an attempt taught about its upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    /// How it ended.
+    pub ended: Ended,
+    /// The time from the first byte sent to the end.
+    pub latency: Duration,
+    /// The requests in flight that the upstream reported with its answer.
+    pub load: Option<u32>,
+    /// Whether the upstream said that it is leaving.
+    pub draining: bool,
+}
+
+/// What other hosts know about an upstream, as digests carry it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Shared {
+    /// The service's name.
+    pub service: Arc<str>,
+    /// The upstream's name.
+    pub upstream: Arc<str>,
+    /// The sender's own requests in flight there.
+    pub in_flight: u32,
+    /// The newest load reading, by header or probe, with its age when sent.
+    pub load: Option<(u32, Duration)>,
+    /// Whether the sender knows that the upstream is leaving.
+    pub leaving: bool,
+}
+
+/// A figure and the time at which it was true.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Reading {
+    /// The figure.
+    pub value: u32,
+    /// When it was true.
+    pub at: Time,
+}
+
+/// One row of the table.
+#[derive(Clone, Debug)]
+pub struct Row {
+    /// The row's identity.
+    pub id: UpstreamId,
+    /// The name in the service record or host list.
+    pub name: Arc<str>,
+    /// The IP address and port.
+    pub address: SocketAddr,
+    /// The data centre.
+    pub data_centre: Arc<str>,
+    /// Whether it takes new work.
+    pub state: State,
+    /// When it joined.
+    pub joined: Time,
+    /// This host's attempts in flight.
+    pub in_flight: u32,
+    /// The newest load that the upstream itself reported.
+    pub load: Option<Reading>,
+}
+
+impl Row {
+    /// Makes the row of an upstream that has just joined.
+    pub(crate) fn new(id: UpstreamId, upstream: &config::Upstream, now: Time) -> Row {
+        Row {
+            id,
+            name: upstream.name.clone(),
+            address: upstream.address,
+            data_centre: upstream.data_centre.clone(),
+            state: State::Live,
+            joined: now,
+            in_flight: 0,
+            load: None,
+        }
+    }
+}
+
+/// Finds a row by identity in a table sorted by identity.
+pub fn find(rows: &[Row], id: UpstreamId) -> Option<&Row> {
+    rows.binary_search_by_key(&id, |r| r.id).ok().map(|i| &rows[i])
+}
+
+/// Finds a row to change by identity in a table sorted by identity.
+pub fn find_mut(rows: &mut [Row], id: UpstreamId) -> Option<&mut Row> {
+    rows.binary_search_by_key(&id, |r| r.id).ok().map(|i| &mut rows[i])
+}
--- /dev/null
+++ b/src/entry/mod.rs
@@ -0,0 +1,5 @@
+//! The caller side and the admin listener.
+
+pub(crate) mod admin;
+pub(crate) mod caller;
+pub(crate) mod waiting;
--- /dev/null
+++ b/src/hlc.rs
@@ -0,0 +1,80 @@
+//! A hybrid logical clock: wall time where clocks agree, cause before effect where they don't.
+//!
+//! Published in Kulkarni and others, "Logical Physical Clocks", OPODIS 2014.
+
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use derive_more::Display;
+use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
+
+/// A reading of the hybrid logical clock.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Display,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
+)]
+#[display("{millis}.{count:04}")]
+pub struct Stamp {
+    /// Milliseconds since the Unix epoch: the largest wall time heard of.
+    pub millis: u64,
+    /// Count of events within that millisecond.
+    pub count: u32,
+}
+
+/// The clock of one process.
+#[derive(Debug)]
+pub struct Hlc {
+    last: Mutex<Stamp>,
+    wall: fn() -> u64,
+}
+
+impl Default for Hlc {
+    fn default() -> Hlc {
+        Hlc::new(wall_millis)
+    }
+}
+
+impl Hlc {
+    /// Makes a clock over a source of wall time in milliseconds since the Unix epoch.
+    pub fn new(wall: fn() -> u64) -> Hlc {
+        Hlc { last: Mutex::new(Stamp::default()), wall }
+    }
+
+    /// Stamps a local event or a message to be sent.
+    pub fn tick(&self) -> Stamp {
+        let wall = (self.wall)();
+        let mut last = self.last.lock();
+        *last = after(*last, wall);
+        *last
+    }
+
+    /// Takes note of a stamp received from another process, and returns the receipt's stamp.
+    pub fn observe(&self, remote: Stamp) -> Stamp {
+        let wall = (self.wall)();
+        let mut last = self.last.lock();
+        *last = after((*last).max(remote), wall);
+        *last
+    }
+}
+
+fn after(seen: Stamp, wall: u64) -> Stamp {
+    if wall > seen.millis {
+        return Stamp { millis: wall, count: 0 };
+    }
+    Stamp { millis: seen.millis, count: seen.count.saturating_add(1) }
+}
+
+fn wall_millis() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,67 @@
+//! cornelferry: a load balancer for servers whose load shifts in milliseconds.
+//!
+//! The crate is both the two programs (`cornelferryd`, `cornelferry`) and a library of
+//! coordination parts that others embed. The decisions are pure: tables in, decisions out, with
+//! the present time and the random generator as arguments.
+//!
+//! ```
+//! use std::sync::Arc;
+//! use cornelferry::admit::{Admission, Request};
+//! use cornelferry::config::{Priority, Service, Upstream};
+//! use cornelferry::route::Policy;
+//! use cornelferry::service::{HostFacts, ServiceTable};
+//! use cornelferry::Time;
+//!
+//! let upstream = Upstream {
+//!     name: "dispatch-1".into(),
+//!     address: "127.0.0.1:9001".parse().unwrap(),
+//!     data_centre: "palermo".into(),
+//! };
+//! let service = Service {
+//!     name: "crew-dispatch".into(),
+//!     upstreams: vec![upstream],
+//!     ..Service::default()
+//! };
+//! let facts = HostFacts {
+//!     host: "entry-1".into(),
+//!     data_centre: "palermo".into(),
+//!     fleet_size_max: 18,
+//!     policy: Policy::default(),
+//!     waiting_max: 1_000,
+//! };
+//! let now = Time::from_millis(0);
+//! let mut table = ServiceTable::new(Arc::new(service), facts, now);
+//! let req = Request {
+//!     priority: Priority::Urgent,
+//!     deadline: Time::from_millis(500),
+//!     wait_until: Time::from_millis(100),
+//! };
+//! let admission = table.admit(&req, now, &mut rand::rng());
+//! assert!(matches!(admission, Admission::Run(t) if &*t.name == "dispatch-1"));
+//! ```
+
+#![warn(unreachable_pub)]
+
+pub mod cli;
+pub mod config;
+pub mod daemon;
+pub mod error;
+pub mod event;
+pub mod header;
+pub mod hlc;
+pub mod settings;
+pub mod tool;
+
+pub use decide::{
+    admit, attempt, matching, measure, member, profile, route, service, tick, upstream,
+};
+pub use time::{Clock, Time};
+
+mod decide;
+mod entry;
+mod forward;
+mod metrics;
+mod node;
+mod peer;
+mod platform;
+mod time;
--- /dev/null
+++ b/src/node.rs
@@ -0,0 +1,149 @@
+//! What all parts of one daemon share: settings, clocks, tables, records, members and events.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU8, Ordering};
+
+use parking_lot::{Mutex, RwLock};
+
+use crate::decide::admit::{Admission, Ticket};
+use crate::decide::matching::Routes;
+use crate::decide::member::Members;
+use crate::decide::profile::{Body, Catalog, Offered, Record};
+use crate::decide::service::HostFacts;
+use crate::decide::tick::Tables;
+use crate::entry::waiting::Waiting;
+use crate::event::{EventCode, Ring, Subject};
+use crate::hlc::Hlc;
+use crate::metrics::Metrics;
+use crate::settings::Settings;
+use crate::time::Clock;
+
+/// Where a host is between start and exit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[repr(u8)]
+pub(crate) enum Phase {
+    /// It has not yet learnt the newest records.
+    Starting,
+    /// It serves.
+    Ready,
+    /// It fails its readiness check and still serves.
+    Draining,
+    /// It accepts no more and finishes what is in flight.
+    Stopping,
+}
+
+/// The shared state of one daemon.
+///
+/// Locks are held for one decision and never across an await. Whoever needs two takes `catalog`
+/// before `members` before `tables`.
+pub(crate) struct Node {
+    pub(crate) settings: Settings,
+    pub(crate) clock: Clock,
+    pub(crate) events: Arc<Ring>,
+    pub(crate) metrics: Metrics,
+    pub(crate) catalog: Mutex<Catalog>,
+    pub(crate) members: Mutex<Members>,
+    pub(crate) tables: Mutex<Tables>,
+    pub(crate) waiting: Waiting,
+    routes: RwLock<Arc<Routes>>,
+    phase: AtomicU8,
+}
+
+impl Node {
+    /// Makes the state of a daemon that has just started, with the records of its settings.
+    pub(crate) fn new(settings: Settings) -> Arc<Node> {
+        let hlc = Arc::new(Hlc::default());
+        let facts = HostFacts {
+            host: settings.host.clone(),
+            data_centre: settings.data_centre.clone(),
+            fleet_size_max: settings.fleet_size_max,
+            policy: settings.policy,
+            waiting_max: settings.limits.waiting,
+        };
+        let node = Node {
+            clock: Clock::start(),
+            events: Arc::new(Ring::new(settings.limits.events, hlc)),
+            metrics: Metrics::default(),
+            catalog: Mutex::default(),
+            members: Mutex::new(Members::new(facts.host.clone(), facts.data_centre.clone())),
+            tables: Mutex::new(Tables::new(facts)),
+            waiting: Waiting::default(),
+            routes: RwLock::default(),
+            phase: AtomicU8::new(Phase::Starting as u8),
+            settings,
+        };
+        node.offer(node.inline_records());
+        Arc::new(node)
+    }
+
+    /// Offers records to the catalog and puts the newer ones into force. Returns what became of
+    /// each, in order.
+    pub(crate) fn offer(&self, records: Vec<Record>) -> Vec<Offered> {
+        let mut catalog = self.catalog.lock();
+        let offered: Vec<Offered> =
+            records.iter().map(|r| self.offer_one(&mut catalog, r.clone())).collect();
+        if offered.contains(&Offered::InForce) {
+            *self.routes.write() = Arc::new(Routes::new(&catalog.services(), &catalog.profiles()));
+        }
+        offered
+    }
+
+    /// Returns the routes in force.
+    pub(crate) fn routes(&self) -> Arc<Routes> {
+        self.routes.read().clone()
+    }
+
+    /// Hands decisions to the requests that waited for them.
+    pub(crate) fn deliver(&self, released: Vec<(Arc<str>, Ticket, Admission)>) {
+        for (service, ticket, admission) in released {
+            self.waiting.deliver(&service, ticket, admission);
+        }
+    }
+
+    /// Returns where the host is between start and exit.
+    pub(crate) fn phase(&self) -> Phase {
+        match self.phase.load(Ordering::Acquire) {
+            0 => Phase::Starting,
+            1 => Phase::Ready,
+            2 => Phase::Draining,
+            _ => Phase::Stopping,
+        }
+    }
+
+    /// Moves on to a later phase. A host never goes back to an earlier one.
+    pub(crate) fn enter(&self, phase: Phase) {
+        self.phase.fetch_max(phase as u8, Ordering::AcqRel);
+    }
+
+    fn offer_one(&self, catalog: &mut Catalog, record: Record) -> Offered {
+        let offered = catalog.offer(record.clone());
+        let code = match offered {
+            Offered::InForce => EventCode::InForce,
+            Offered::Older => EventCode::OlderIgnored,
+            Offered::Same => return offered,
+        };
+        let name = format!("{}/{}", record.kind(), record.name);
+        let subject = Subject { record: Some(name.into()), ..Subject::default() };
+        self.events.record(code, subject, Some(record.version));
+        if let (Offered::InForce, Body::Service(service)) = (offered, record.body) {
+            self.tables.lock().put(service, self.clock.now());
+        }
+        offered
+    }
+
+    fn inline_records(&self) -> Vec<Record> {
+        let record = |name: &Arc<str>, body: Body| Record {
+            name: name.clone(),
+            version: 0,
+            change: "settings".into(),
+            author: self.settings.host.clone(),
+            body,
+        };
+        let profiles = self.settings.profiles.iter();
+        let services = self.settings.services.iter();
+        profiles
+            .map(|p| record(&p.name, Body::Profile(Arc::new(p.clone()))))
+            .chain(services.map(|s| record(&s.name, Body::Service(Arc::new(s.clone())))))
+            .collect()
+    }
+}
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,305 @@
+//! A daemon's settings: one JSON file, checked whole at start-up.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+
+use derive_more::Display;
+use schemars::JsonSchema;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+use crate::config::{Profile, Service, Treatment};
+use crate::decide::route::Policy;
+use crate::error::{Code, Error};
+
+/// The settings of one entry host.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// The host's name, unique in the fleet.
+    pub host: Arc<str>,
+    /// The data centre that the host stands in.
+    pub data_centre: Arc<str>,
+    /// Where callers connect.
+    pub caller: SocketAddr,
+    /// Where operators connect: health, status, metrics and events.
+    pub admin: SocketAddr,
+    /// Where other entry hosts connect.
+    #[serde(default)]
+    pub peer: Option<SocketAddr>,
+    /// The most entry hosts that the fleet may ever have; it divides the measuring budget.
+    #[serde(default = "default_fleet_size_max")]
+    pub fleet_size_max: u32,
+    /// Other entry hosts known from the start, beside those that the host list names.
+    #[serde(default)]
+    pub peers: Vec<Peer>,
+    /// The platform's services; absent for a host that runs on this file alone.
+    #[serde(default)]
+    pub platform: Option<Platform>,
+    /// Services given in this file, as version 0.
+    #[serde(default)]
+    pub services: Vec<Service>,
+    /// Profiles given in this file, as version 0.
+    #[serde(default)]
+    pub profiles: Vec<Profile>,
+    /// Bounds and times of the process.
+    #[serde(default)]
+    pub limits: Limits,
+    /// How an upstream is chosen.
+    #[serde(default)]
+    pub policy: Policy,
+    /// A file to which decisions are recorded as a trace; absent for none.
+    #[serde(default)]
+    pub record: Option<String>,
+}
+
+fn default_fleet_size_max() -> u32 {
+    18
+}
+
+/// Another entry host.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Peer {
+    /// The host's name.
+    pub host: Arc<str>,
+    /// Its data centre.
+    pub data_centre: Arc<str>,
+    /// Its peer address.
+    pub address: SocketAddr,
+}
+
+/// Where the platform's services are.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Platform {
+    /// Addresses of the key-value service's JSON gateway, tried in turn.
+    pub key_value: Vec<SocketAddr>,
+    /// The address of the host list.
+    #[serde(default)]
+    pub host_list: Option<SocketAddr>,
+    /// The prefix of every key.
+    #[serde(default = "default_prefix")]
+    pub prefix: String,
+    /// Calls a second that this host may make to the platform.
+    #[serde(default = "default_calls_per_second")]
+    pub calls_per_second: f64,
+}
+
+fn default_prefix() -> String {
+    "/cornelferry/".to_owned()
+}
+
+fn default_calls_per_second() -> f64 {
+    5.0
+}
+
+/// Bounds and times of one process.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct Limits {
+    /// Worker threads that serve callers.
+    pub workers: usize,
+    /// Milliseconds from failing readiness to refusing connections.
+    pub grace_ms: u64,
+    /// Milliseconds for which a connection that has answered counts as alive.
+    pub proof_age_ms: u64,
+    /// Milliseconds allowed for a new connection.
+    pub connect_timeout_ms: u64,
+    /// Requests that may wait for a slot, over all services.
+    pub waiting: usize,
+    /// Bytes of request and answer bodies that may be held at once.
+    pub body_bytes: u64,
+    /// Events that the ring holds.
+    pub events: usize,
+    /// Header fields that a request may have.
+    pub headers: usize,
+    /// Bytes that a request head may have.
+    pub head_bytes: usize,
+    /// Caller connections that may be open at once.
+    pub caller_connections: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Limits {
+        Limits {
+            workers: 1,
+            grace_ms: 2_000,
+            proof_age_ms: 200,
+            connect_timeout_ms: 250,
+            waiting: 4_096,
+            body_bytes: 32 << 20,
+            events: 8_192,
+            headers: 64,
+            head_bytes: 32 << 10,
+            caller_connections: 8_192,
+        }
+    }
+}
+
+/// A fault in a document: its place as a JSON pointer, and what is wrong.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+#[display("{place}: {reason}")]
+pub struct Fault {
+    /// The JSON pointer, `/` for the document itself.
+    pub place: String,
+    /// What is wrong there.
+    pub reason: String,
+}
+
+impl Settings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// [`Code::Unreadable`] if the file can't be read, [`Code::Invalid`] with every fault of the
+    /// document, each on a line of its own.
+    pub fn load(path: &Path) -> Result<Settings, Error> {
+        let text = std::fs::read_to_string(path)
+            .map_err(|e| Error::new(Code::Unreadable, format!("{}: {e}", path.display())))?;
+        Settings::parse(&text).map_err(|faults| invalid(&path.display().to_string(), &faults))
+    }
+
+    /// Parses and checks a settings document.
+    ///
+    /// # Errors
+    ///
+    /// Every fault of the document.
+    pub fn parse(text: &str) -> Result<Settings, Vec<Fault>> {
+        let settings: Settings = parse_document(text)?;
+        let faults = settings.faults();
+        if faults.is_empty() { Ok(settings) } else { Err(faults) }
+    }
+
+    fn faults(&self) -> Vec<Fault> {
+        let mut out = Vec::new();
+        if self.host.is_empty() {
+            out.push(fault("/host", "must not be empty"));
+        }
+        if self.fleet_size_max == 0 {
+            out.push(fault("/fleet_size_max", "must be at least 1"));
+        }
+        if self.limits.workers == 0 {
+            out.push(fault("/limits/workers", "must be at least 1"));
+        }
+        let at = |i: usize| format!("/services/{i}");
+        for (i, service) in self.services.iter().enumerate() {
+            out.extend(service_faults(service, &at(i)));
+            let known = self.profiles.iter().any(|p| p.name == service.profile);
+            if !known && self.platform.is_none() {
+                let reason = format!("profile {:?} does not exist", service.profile);
+                out.push(fault(&format!("{}/profile", at(i)), &reason));
+            }
+        }
+        for (i, profile) in self.profiles.iter().enumerate() {
+            out.extend(profile_faults(profile, &format!("/profiles/{i}")));
+        }
+        out.extend(repeated("/services", self.services.iter().map(|s| &*s.name)));
+        out.extend(repeated("/profiles", self.profiles.iter().map(|p| &*p.name)));
+        out
+    }
+}
+
+/// Returns the faults of a service record that its types don't rule out.
+pub fn service_faults(service: &Service, place: &str) -> Vec<Fault> {
+    let mut out = Vec::new();
+    let mut check = |ok: bool, field: &str, reason: &str| {
+        if !ok {
+            out.push(fault(&format!("{place}/{field}"), reason));
+        }
+    };
+    check(!service.name.is_empty(), "name", "must not be empty");
+    check(!service.profile.is_empty(), "profile", "must not be empty");
+    check(service.path_prefix.starts_with('/'), "path_prefix", "must begin with /");
+    check(service.slots > 0, "slots", "must be at least 1");
+    check(service.connections > 0, "connections", "must be at least 1");
+    check((0.0..=1.0).contains(&service.retry_share), "retry_share", "must be from 0 to 1");
+    let probes = service.measure.probes_per_second;
+    check(probes.is_finite() && probes >= 0.0, "measure/probes_per_second", "must be 0 or more");
+    for (i, refusal) in service.refusals.iter().enumerate() {
+        let status = (400..600).contains(&refusal.status);
+        check(status, &format!("refusals/{i}/status"), "must be from 400 to 599");
+        check(!refusal.header.is_empty(), &format!("refusals/{i}/header"), "must not be empty");
+    }
+    let names = service.upstreams.iter().map(|u| &*u.name);
+    out.extend(repeated(&format!("{place}/upstreams"), names));
+    out
+}
+
+/// Returns the faults of a profile that its types don't rule out.
+pub fn profile_faults(profile: &Profile, place: &str) -> Vec<Fault> {
+    let mut out = Vec::new();
+    if profile.name.is_empty() {
+        out.push(fault(&format!("{place}/name"), "must not be empty"));
+    }
+    for (i, rule) in profile.rules.iter().enumerate() {
+        let place = format!("{place}/rules/{i}");
+        if !rule.path.starts_with(['/', '*']) {
+            out.push(fault(&format!("{place}/path"), "must begin with / or *"));
+        }
+        out.extend(treatment_faults(&rule.treatment, &format!("{place}/treatment")));
+    }
+    out.extend(treatment_faults(&profile.otherwise, &format!("{place}/otherwise")));
+    out
+}
+
+fn treatment_faults(treatment: &Treatment, place: &str) -> Vec<Fault> {
+    let mut out = Vec::new();
+    if treatment.deadline_ms == 0 {
+        out.push(fault(&format!("{place}/deadline_ms"), "must be at least 1"));
+    }
+    if treatment.attempts == 0 {
+        out.push(fault(&format!("{place}/attempts"), "must be at least 1"));
+    }
+    if treatment.hedge && !treatment.idempotent {
+        out.push(fault(&format!("{place}/hedge"), "only idempotent requests may be hedged"));
+    }
+    out
+}
+
+/// Parses a JSON document, reporting every mismatch of shape at once.
+///
+/// # Errors
+///
+/// Every fault, each with its place.
+pub fn parse_document<T: DeserializeOwned + JsonSchema>(text: &str) -> Result<T, Vec<Fault>> {
+    let value: Value = serde_json::from_str(text).map_err(|e| vec![fault("/", &e.to_string())])?;
+    let schema = schemars::schema_for!(T).to_value();
+    let validator = jsonschema::validator_for(&schema)
+        .map_err(|e| vec![fault("/", &format!("schema: {e}"))])?;
+    let faults: Vec<Fault> = validator
+        .iter_errors(&value)
+        .map(|e| fault(&e.instance_path.to_string(), &e.to_string()))
+        .collect();
+    if !faults.is_empty() {
+        return Err(faults);
+    }
+    serde_json::from_value(value).map_err(|e| vec![fault("/", &e.to_string())])
+}
+
+/// Makes one error of a document's faults.
+pub fn invalid(document: &str, faults: &[Fault]) -> Error {
+    let lines: Vec<String> = faults.iter().map(|f| format!("\n  {f}")).collect();
+    Error::new(Code::Invalid, format!("{document}{}", lines.concat()))
+}
+
+fn fault(place: &str, reason: &str) -> Fault {
+    let place = if place.is_empty() { "/" } else { place };
+    Fault { place: place.to_owned(), reason: reason.to_owned() }
+}
+
+fn repeated<'a>(place: &str, names: impl Iterator<Item = &'a str>) -> Vec<Fault> {
+    let mut seen: Vec<&str> = Vec::new();
+    let mut out = Vec::new();
+    for (i, name) in names.enumerate() {
+        match seen.binary_search(&name) {
+            Ok(_) => {
+                out.push(fault(&format!("{place}/{i}/name"), &format!("{name:?} stands twice")))
+            }
+            Err(at) => seen.insert(at, name),
+        }
+    }
+    out
+}
--- /dev/null
+++ b/src/time.rs
@@ -0,0 +1,75 @@
+//! Points in time, as the decision functions take them.
+
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+
+/// A point on a process's monotonic clock, in microseconds since the clock's origin.
+///
+/// Decision functions take the present as an argument of this type and never read a clock.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Time(u64);
+
+impl Time {
+    /// The origin of the clock.
+    pub const ZERO: Time = Time(0);
+
+    /// Returns the point `micros` microseconds after the origin.
+    pub const fn from_micros(micros: u64) -> Time {
+        Time(micros)
+    }
+
+    /// Returns the point `millis` milliseconds after the origin.
+    pub const fn from_millis(millis: u64) -> Time {
+        Time(millis * 1_000)
+    }
+
+    /// Returns the microseconds since the origin.
+    pub const fn as_micros(self) -> u64 {
+        self.0
+    }
+
+    /// Returns the time elapsed since `earlier`, or zero if `earlier` is in the future.
+    pub const fn since(self, earlier: Time) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(earlier.0))
+    }
+
+    /// Returns the time left until `later`, or zero if `later` has passed.
+    pub const fn until(self, later: Time) -> Duration {
+        later.since(self)
+    }
+}
+
+impl std::ops::Add<Duration> for Time {
+    type Output = Time;
+
+    fn add(self, d: Duration) -> Time {
+        Time(self.0.saturating_add(u64::try_from(d.as_micros()).unwrap_or(u64::MAX)))
+    }
+}
+
+/// The process's monotonic clock. Adapters read it; decision functions are given the result.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    origin: Instant,
+}
+
+impl Clock {
+    /// Starts a clock whose origin is the present.
+    pub fn start() -> Clock {
+        Clock { origin: Instant::now() }
+    }
+
+    /// Returns the present.
+    pub fn now(&self) -> Time {
+        Time::ZERO + self.origin.elapsed()
+    }
+
+    /// Converts a point in time to the runtime's own representation, for timers.
+    pub fn instant(&self, at: Time) -> Instant {
+        self.origin + Duration::from_micros(at.0)
+    }
+}
