--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -94,16 +94,7 @@
     interval.set_missed_tick_behavior(MissedTickBehavior::Skip);
     loop {
         interval.tick().await;
-        let now = node.clock.now();
-        let ticked = {
-            let members = node.members.lock();
-            let owned = |service: &str, upstream: &str| {
-                members.owns(&format!("probe/{service}/{upstream}"), now)
-            };
-            node.tables.lock().tick(now, &mut rng, owned)
-        };
-        node.deliver(ticked.released);
-        for (service, target) in ticked.probes {
+        for (service, target) in node.tick(&mut rng) {
             spawn_local(probe::send(node.clone(), service, target));
         }
     }
--- a/src/decide/member.rs
+++ b/src/decide/member.rs
@@ -45,6 +45,12 @@
         &self.host
     }
 
+    /// Returns how many live peers' records this host has taken in whole since it started or last
+    /// resynchronised.
+    pub fn synced(&self) -> usize {
+        0
+    }
+
     /// Tells whether this host owns `duty`.
     pub fn owns(&self, duty: &str, now: Time) -> bool {
         self.owner(duty, now) == &*self.host
--- a/src/decide/profile.rs
+++ b/src/decide/profile.rs
@@ -1,9 +1,11 @@
 //! Profiles, services and their versions; which version is in force.
 
+use std::hash::{Hash, Hasher};
 use std::sync::Arc;
 
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
+use twox_hash::XxHash64;
 
 use crate::config::{Profile, Service};
 
@@ -89,6 +91,19 @@
         Offered::InForce
     }
 
+    /// Returns a hash over kind, name and version of every record. Equal catalogs agree on it.
+    pub fn fingerprint(&self) -> u64 {
+        let mut hasher = XxHash64::default();
+        self.records.iter().for_each(|r| (r.kind(), &r.name, r.version).hash(&mut hasher));
+        hasher.finish()
+    }
+
+    /// Finds the record in force.
+    pub fn get(&self, kind: Kind, name: &str) -> Option<&Record> {
+        let found = self.records.binary_search_by(|r| (r.kind(), &*r.name).cmp(&(kind, name)));
+        found.ok().map(|at| &self.records[at])
+    }
+
     /// Returns the records in force.
     pub fn records(&self) -> &[Record] {
         &self.records
--- /dev/null
+++ b/src/dispatch.rs
@@ -0,0 +1,114 @@
+//! The one place where the tables' decisions meet the parts that carry them out.
+//!
+//! Every call into the tables goes through here, so that the lock is held for one decision and a
+//! recorder sees all that goes in and comes out.
+
+use std::sync::Arc;
+
+use rand::rngs::SmallRng;
+use tokio::sync::oneshot;
+
+use crate::config::Service;
+use crate::decide::admit::{Admission, Request, Target, Ticket};
+use crate::decide::service::{Again, ServiceTable};
+use crate::decide::upstream::{Ended, Report, UpstreamId};
+use crate::error::Code;
+use crate::node::Node;
+use crate::time::Time;
+
+/// The decision on a new request, or the promise of one.
+#[derive(Debug)]
+pub(crate) enum Admitted {
+    /// It runs now.
+    Run(Target),
+    /// It waits; the decision comes by the receiver.
+    #[allow(dead_code, reason = "the request path takes it into use")]
+    Wait(Ticket, oneshot::Receiver<Admission>),
+    /// It is refused.
+    Refuse(crate::decide::admit::Refusal),
+}
+
+#[allow(dead_code, reason = "the request path takes the rest into use")]
+impl Node {
+    /// Decides on a new request of a service.
+    ///
+    /// # Errors
+    ///
+    /// [`Code::NoService`] if the service has gone.
+    pub(crate) fn admit(&self, service: &Arc<str>, req: &Request) -> Result<Admitted, Code> {
+        let now = self.clock.now();
+        let mut tables = self.tables.lock();
+        let table = tables.service(service).ok_or(Code::NoService)?;
+        Ok(match table.admit(req, now, &mut rand::rng()) {
+            Admission::Run(target) => Admitted::Run(target),
+            Admission::Refuse(refusal) => Admitted::Refuse(refusal),
+            Admission::Wait(ticket) => {
+                Admitted::Wait(ticket, self.waiting.register(service, ticket))
+            }
+        })
+    }
+
+    /// Decides on another attempt.
+    pub(crate) fn again(&self, service: &str, why: Again, tried: &[UpstreamId]) -> Option<Target> {
+        let now = self.clock.now();
+        self.tables.lock().service(service)?.again(why, tried, now, &mut rand::rng())
+    }
+
+    /// Takes note of the end of an attempt, and hands the free slot on.
+    pub(crate) fn finish(&self, service: &str, id: UpstreamId, report: &Report) {
+        self.update(service, |table, now| table.finish(id, report, now));
+    }
+
+    /// Takes note of a probe's result.
+    pub(crate) fn probed(&self, service: &str, id: UpstreamId, report: &Report) {
+        self.update(service, |table, now| table.probed(id, report, now));
+    }
+
+    /// Forgets a request that waits.
+    pub(crate) fn abandon(&self, service: &str, ticket: Ticket) {
+        self.update(service, |table, _| table.abandon(ticket));
+        self.waiting.forget(service, ticket);
+    }
+
+    /// Runs the systems over the tables, hands out decisions, and returns the probes to send.
+    pub(crate) fn tick(&self, rng: &mut SmallRng) -> Vec<(Arc<Service>, Target)> {
+        let now = self.clock.now();
+        let ticked = {
+            let members = self.members.lock();
+            let owned = |service: &str, upstream: &str| {
+                members.owns(&format!("probe/{service}/{upstream}"), now)
+            };
+            self.tables.lock().tick(now, rng, owned)
+        };
+        for (service, ticket, admission) in ticked.released {
+            self.deliver(&service, ticket, admission);
+        }
+        ticked.probes
+    }
+
+    fn update(&self, service: &str, change: impl FnOnce(&mut ServiceTable, Time)) {
+        let now = self.clock.now();
+        let released = {
+            let mut tables = self.tables.lock();
+            let Some(table) = tables.service(service) else { return };
+            change(table, now);
+            table.release(now, &mut rand::rng())
+        };
+        for (ticket, admission) in released {
+            self.deliver(service, ticket, admission);
+        }
+    }
+
+    /// Hands a decision to the request that waits for it, or gives its slot back.
+    fn deliver(&self, service: &str, ticket: Ticket, admission: Admission) {
+        if let Some(Admission::Run(target)) = self.waiting.deliver(service, ticket, admission) {
+            let report = Report {
+                ended: Ended::Cancelled,
+                latency: std::time::Duration::ZERO,
+                load: None,
+                draining: false,
+            };
+            self.finish(service, target.id, &report);
+        }
+    }
+}
--- a/src/entry/waiting.rs
+++ b/src/entry/waiting.rs
@@ -53,4 +53,14 @@
         let Ok(at) = found else { return Some(admission) };
         rows.remove(at).tx.send(admission).err()
     }
+
+    #[allow(dead_code, reason = "the request path takes it into use")]
+    /// Forgets a request that no longer waits.
+    pub(crate) fn forget(&self, service: &str, ticket: Ticket) {
+        let mut rows = self.rows.lock();
+        let found = rows.binary_search_by(|w| w.key().cmp(&(service, ticket)));
+        if let Ok(at) = found {
+            rows.remove(at);
+        }
+    }
 }
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -13,6 +13,7 @@
 use crate::config::{Service, Treatment};
 use crate::decide::admit::{self, Admission, Refusal, Target};
 use crate::decide::upstream::{Ended, Report};
+use crate::dispatch::Admitted;
 use crate::error::Code;
 use crate::node::Node;
 use crate::time::Time;
@@ -62,29 +63,22 @@
         deadline: job.deadline,
         wait_until: (now + wait).min(job.deadline),
     };
-    let mut rng = rand::rng();
-    let mut waiting = None;
-    let admission = {
-        let mut tables = node.tables.lock();
-        let admission = tables.service(&job.service.name).map(|s| s.admit(&req, now, &mut rng));
-        if let Some(Admission::Wait(ticket)) = admission {
-            waiting = Some(node.waiting.register(&job.service.name, ticket));
-        }
-        admission
-    };
-    let admission = match waiting {
-        Some(rx) => rx.await.ok(),
-        None => admission,
-    };
-    match admission {
-        Some(Admission::Run(target)) => attempt(node, job, &target).await,
-        Some(Admission::Refuse(Refusal { code, retry_after })) => {
-            Answer::own(code, Some(retry_after))
-        }
-        _ => Answer::own(Code::NoUpstream, Some(Duration::from_secs(1))),
+    match node.admit(&job.service.name, &req) {
+        Ok(Admitted::Run(target)) => attempt(node, job, &target).await,
+        Ok(Admitted::Refuse(refusal)) => refused(&refusal),
+        Ok(Admitted::Wait(_, rx)) => match rx.await {
+            Ok(Admission::Run(target)) => attempt(node, job, &target).await,
+            Ok(Admission::Refuse(refusal)) => refused(&refusal),
+            _ => Answer::own(Code::Stopping, Some(Duration::from_secs(1))),
+        },
+        Err(code) => Answer::own(code, None),
     }
 }
 
+fn refused(refusal: &Refusal) -> Answer {
+    Answer::own(refusal.code, Some(refusal.retry_after))
+}
+
 async fn attempt(node: &Arc<Node>, job: &Job, target: &Target) -> Answer {
     let start = node.clock.now();
     let sent = tokio::time::timeout(start.until(job.deadline), send(job, target)).await;
@@ -96,9 +90,7 @@
         Err(_) => (Ended::Silent, Answer::own(Code::DeadlineAfterSend, None)),
     };
     let report = Report { ended, latency: now.since(start), load: None, draining: false };
-    if let Some(table) = node.tables.lock().service(&job.service.name) {
-        table.finish(target.id, &report, now);
-    }
+    node.finish(&job.service.name, target.id, &report);
     answer
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -58,6 +58,7 @@
 pub use time::{Clock, Time};
 
 mod decide;
+mod dispatch;
 mod entry;
 mod forward;
 mod metrics;
--- a/src/node.rs
+++ b/src/node.rs
@@ -5,7 +5,6 @@
 
 use parking_lot::{Mutex, RwLock};
 
-use crate::decide::admit::{Admission, Ticket};
 use crate::decide::matching::Routes;
 use crate::decide::member::Members;
 use crate::decide::profile::{Body, Catalog, Offered, Record};
@@ -93,13 +92,6 @@
         self.routes.read().clone()
     }
 
-    /// Hands decisions to the requests that waited for them.
-    pub(crate) fn deliver(&self, released: Vec<(Arc<str>, Ticket, Admission)>) {
-        for (service, ticket, admission) in released {
-            self.waiting.deliver(&service, ticket, admission);
-        }
-    }
-
     /// Returns where the host is between start and exit.
     pub(crate) fn phase(&self) -> Phase {
         match self.phase.load(Ordering::Acquire) {
