Show a host's state and merge the events of a fleet

Operators had health and readiness alone. The admin listener now answers /status (records, services, upstreams with the age of their load, use of the measuring budget, members, the ring) and /events (filtered by the host, newest 10,000 at most, unknown query fields are a 400). If some hosts answer, the exit code is 0 and the rest is named on standard error and in the JSON; if none does, it is 5.

Metrics gained latency by service and outcome, attempts and probes by ending, control bytes, calls to the platform and two gauges. Service labels are bounded at 256, the rest share one.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -56,11 +56,13 @@
 
     /// Takes note of the end of an attempt, and hands the free slot on.
     pub(crate) fn finish(&self, service: &str, id: UpstreamId, report: &Report) {
+        self.metrics.attempt(service, report.ended);
         self.update(service, |table, now| table.finish(id, report, now));
     }
 
     /// Takes note of a probe's result.
     pub(crate) fn probed(&self, service: &str, id: UpstreamId, report: &Report) {
+        self.metrics.probe(service, report.ended);
         self.update(service, |table, now| table.probed(id, report, now));
     }
 
--- /dev/null
+++ b/src/entry/admin/mod.rs
@@ -0,0 +1,92 @@
+//! The admin listener: health, readiness, status, metrics and events.
+
+mod status;
+
+use std::convert::Infallible;
+use std::sync::Arc;
+
+use anyhow::{Context, Result};
+use http::HeaderValue;
+use http::header::CONTENT_TYPE;
+use serde::Serialize;
+use xitca_web::WebContext;
+use xitca_web::body::ResponseBody;
+use xitca_web::http::{StatusCode, WebResponse};
+use xitca_web::service::fn_service;
+
+use crate::event::Filter;
+use crate::node::Node;
+use crate::status::Phase;
+
+const TEXT: HeaderValue = HeaderValue::from_static("text/plain; charset=utf-8");
+const JSON: HeaderValue = HeaderValue::from_static("application/json");
+const METRICS: HeaderValue = HeaderValue::from_static("text/plain; version=0.0.4");
+
+/// Serves operators on a bound listener until the process exits. Blocks its thread.
+///
+/// # Errors
+///
+/// If the listener can't be served.
+pub(crate) fn run(node: Arc<Node>, listener: std::net::TcpListener) -> Result<()> {
+    xitca_web::App::new()
+        .with_state(node)
+        .at("/healthz", fn_service(health))
+        .at("/readyz", fn_service(ready))
+        .at("/metrics", fn_service(metrics))
+        .at("/status", fn_service(show_status))
+        .at("/events", fn_service(events))
+        .serve()
+        .worker_threads(1)
+        .disable_signal()
+        .listen(listener)
+        .context("admin listener")?
+        .run()
+        .wait()
+        .context("admin listener")
+}
+
+async fn health(_: WebContext<'_, Arc<Node>>) -> Result<WebResponse, Infallible> {
+    Ok(answer(StatusCode::OK, TEXT, "ok\n".to_owned()))
+}
+
+async fn ready(cx: WebContext<'_, Arc<Node>>) -> Result<WebResponse, Infallible> {
+    let phase = status::phase(cx.state());
+    let status = match phase {
+        Phase::Ready => StatusCode::OK,
+        _ => StatusCode::SERVICE_UNAVAILABLE,
+    };
+    Ok(answer(status, TEXT, format!("{phase}\n")))
+}
+
+async fn metrics(cx: WebContext<'_, Arc<Node>>) -> Result<WebResponse, Infallible> {
+    let node = cx.state();
+    status::gauges(node);
+    Ok(answer(StatusCode::OK, METRICS, node.metrics.text()))
+}
+
+async fn show_status(cx: WebContext<'_, Arc<Node>>) -> Result<WebResponse, Infallible> {
+    Ok(json(&status::of(cx.state())))
+}
+
+async fn events(cx: WebContext<'_, Arc<Node>>) -> Result<WebResponse, Infallible> {
+    let node = cx.state();
+    let query = cx.req().uri().query().unwrap_or_default();
+    Ok(match serde_urlencoded::from_str::<Filter>(query) {
+        Ok(filter) => json(&node.events.page(node.settings.host.clone(), &filter)),
+        Err(e) => answer(StatusCode::BAD_REQUEST, TEXT, format!("query {query:?}: {e}\n")),
+    })
+}
+
+fn json(value: &impl Serialize) -> WebResponse {
+    match serde_json::to_string(value) {
+        Ok(body) => answer(StatusCode::OK, JSON, body),
+        Err(e) => answer(StatusCode::INTERNAL_SERVER_ERROR, TEXT, format!("{e}\n")),
+    }
+}
+
+fn answer(status: StatusCode, kind: HeaderValue, body: String) -> WebResponse {
+    let mut res = WebResponse::new(ResponseBody::bytes(body));
+    *res.status_mut() = status;
+    res.headers_mut().insert(CONTENT_TYPE, kind);
+    res
+}
--- /dev/null
+++ b/src/entry/admin/status.rs
@@ -0,0 +1,107 @@
+//! Reads the state of a host off its tables.
+
+use std::time::Duration;
+
+use crate::decide::member::Member;
+use crate::decide::profile::Record;
+use crate::decide::service::ServiceTable;
+use crate::decide::upstream::Row;
+use crate::node::{self, Node};
+use crate::status::{
+    EventStatus, Measuring, MemberStatus, Phase, RecordStatus, ServiceStatus, Status,
+    UpstreamStatus,
+};
+use crate::time::Time;
+
+/// Returns the state of a host.
+pub(crate) fn of(node: &Node) -> Status {
+    let now = node.clock.now();
+    Status {
+        host: node.settings.host.clone(),
+        data_centre: node.settings.data_centre.clone(),
+        phase: phase(node),
+        incarnation: None,
+        policy: node.settings.policy,
+        records: node.catalog.lock().records().iter().map(record).collect(),
+        services: node.tables.lock().services().iter().map(|s| service(node, s, now)).collect(),
+        members: node.members.lock().members().iter().map(|m| member(m, now)).collect(),
+        events: events(node),
+    }
+}
+
+/// Brings the gauges of a host's metrics up to date.
+pub(crate) fn gauges(node: &Node) {
+    for service in node.tables.lock().services() {
+        let name = &service.cfg().name;
+        let in_flight = service.rows().iter().map(|r| u64::from(r.in_flight)).sum();
+        node.metrics.set_gauges(name, node.waiting.count(name), in_flight);
+    }
+}
+
+/// Returns where a host is between start and exit.
+pub(crate) fn phase(node: &Node) -> Phase {
+    match node.phase() {
+        node::Phase::Starting => Phase::Starting,
+        node::Phase::Ready => Phase::Ready,
+        node::Phase::Draining => Phase::Draining,
+        node::Phase::Stopping => Phase::Stopping,
+    }
+}
+
+fn events(node: &Node) -> EventStatus {
+    let (held, dropped) = node.events.size();
+    EventStatus { held, dropped }
+}
+
+fn record(record: &Record) -> RecordStatus {
+    RecordStatus {
+        kind: record.kind(),
+        name: record.name.clone(),
+        version: record.version,
+        readable: true,
+    }
+}
+
+fn service(node: &Node, table: &ServiceTable, now: Time) -> ServiceStatus {
+    let cfg = table.cfg();
+    let fleet_per_second = cfg.measure.probes_per_second;
+    let host_per_second = fleet_per_second / f64::from(node.settings.fleet_size_max.max(1));
+    ServiceStatus {
+        name: cfg.name.clone(),
+        waiting: node.waiting.count(&cfg.name),
+        slots: cfg.slots,
+        measuring: Measuring {
+            fleet_per_second,
+            host_per_second,
+            sent: node.metrics.probes_sent(&cfg.name),
+            allowed: host_per_second * now.since(Time::ZERO).as_secs_f64(),
+        },
+        upstreams: table.rows().iter().map(|r| upstream(r, now)).collect(),
+    }
+}
+
+fn upstream(row: &Row, now: Time) -> UpstreamStatus {
+    UpstreamStatus {
+        name: row.name.clone(),
+        address: row.address,
+        data_centre: row.data_centre.clone(),
+        state: row.state,
+        in_flight: row.in_flight,
+        load: row.load.map(|l| l.value),
+        load_age_ms: row.load.map(|l| millis(now.since(l.at))),
+    }
+}
+
+fn member(member: &Member, now: Time) -> MemberStatus {
+    MemberStatus {
+        host: member.host.clone(),
+        data_centre: member.data_centre.clone(),
+        address: member.address,
+        incarnation: member.incarnation,
+        heard_age_ms: member.heard.map(|at| millis(now.since(at))),
+    }
+}
+
+fn millis(d: Duration) -> u64 {
+    u64::try_from(d.as_millis()).unwrap_or(u64::MAX)
+}
--- a/src/entry/caller.rs
+++ b/src/entry/caller.rs
@@ -60,10 +60,13 @@
         service: Some(job.service.name.clone()),
         ..Subject::default()
     };
+    let start = node.clock.now();
     node.events.record(EventCode::Accepted, subject.clone(), None);
     let answer = forward::run(node, job).await;
     node.events.record(EventCode::Finished, subject, Some(answer.code.number().into()));
     node.metrics.answered(&job.service.name, answer.code);
+    let took = node.clock.now().since(start);
+    node.metrics.took(&job.service.name, answer.code.outcome(), took);
     answer
 }
 
--- a/src/entry/waiting.rs
+++ b/src/entry/waiting.rs
@@ -54,6 +54,13 @@
         rows.remove(at).tx.send(admission).err()
     }
 
+    /// Returns how many requests of a service wait.
+    pub(crate) fn count(&self, service: &str) -> usize {
+        let rows = self.rows.lock();
+        let from = rows.partition_point(|w| *w.service < *service);
+        rows[from..].partition_point(|w| *w.service <= *service)
+    }
+
     #[allow(dead_code, reason = "the request path takes it into use")]
     /// Forgets a request that no longer waits.
     pub(crate) fn forget(&self, service: &str, ticket: Ticket) {
--- a/src/event.rs
+++ b/src/event.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 use std::sync::Arc;
 
+use derive_more::Display;
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 
@@ -90,15 +91,53 @@
     PeerLinkReplaced = 6004, "peer link replaced";
 }
 
+/// The first number of the events of single requests.
+const FIRST_OF_REQUESTS: u16 = 2000;
+/// The first number after them.
+const FIRST_OF_UPSTREAMS: u16 = 3000;
+
 impl EventCode {
     /// Returns the kind's number.
     pub const fn number(self) -> u16 {
         self as u16
     }
+
+    /// Returns the kind with the given number, if there is one.
+    pub fn from_number(number: u16) -> Option<EventCode> {
+        EventCode::ALL.iter().copied().find(|c| c.number() == number)
+    }
+
+    /// Returns what the number with an event of this kind is.
+    pub const fn value_name(self) -> &'static str {
+        match self {
+            EventCode::Accepted => "deadline_ms",
+            EventCode::Sent | EventCode::Retried | EventCode::Hedged => "attempt",
+            EventCode::AttemptFailed | EventCode::Finished => "code",
+            EventCode::InForce | EventCode::RecordUnreadable | EventCode::OlderIgnored => "version",
+            _ => "value",
+        }
+    }
+
+    /// Returns the level at which events of this kind are logged: those of single requests are
+    /// for debugging.
+    pub const fn level(self) -> log::Level {
+        match self.number() {
+            FIRST_OF_REQUESTS..FIRST_OF_UPSTREAMS => log::Level::Debug,
+            _ => log::Level::Info,
+        }
+    }
 }
 
 /// What an event is about. Empty fields don't apply.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, Display, PartialEq, Eq, Serialize, Deserialize)]
+#[display(
+    "{}{}{}{}{}",
+    field("request", request),
+    field("service", service),
+    field("upstream", upstream),
+    field("record", record),
+    field("peer", peer)
+)]
 #[serde(default)]
 pub struct Subject {
     /// The request id.
@@ -118,6 +157,11 @@
     pub peer: Option<Arc<str>>,
 }
 
+/// Returns ` name=value`, or nothing for an empty field.
+fn field(name: &str, value: &Option<Arc<str>>) -> String {
+    value.as_ref().map_or_else(String::new, |v| format!(" {name}={v}"))
+}
+
 /// One event.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Event {
@@ -135,6 +179,80 @@
     pub value: Option<u64>,
 }
 
+impl Event {
+    /// Returns the text of the event's kind.
+    pub fn text(&self) -> &'static str {
+        EventCode::from_number(self.code).map_or("event of an unknown kind", EventCode::text)
+    }
+
+    /// Returns what the event is about, as ` name=value` for each field.
+    pub fn about(&self) -> String {
+        let value = EventCode::from_number(self.code).map(|code| value_field(code, self.value));
+        format!("{}{}", self.subject, value.unwrap_or_default())
+    }
+}
+
+fn value_field(code: EventCode, value: Option<u64>) -> String {
+    value.map_or_else(String::new, |v| format!(" {}={v}", code.value_name()))
+}
+
+/// Which events to read. Empty fields accept every event.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Filter {
+    /// Only events of the last so many milliseconds, by the answering host's clock.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub since_ms: Option<u64>,
+    /// Only events of this request.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub request: Option<String>,
+    /// Only events of this service.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub service: Option<String>,
+    /// Only events of this upstream.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub upstream: Option<String>,
+    /// Only events of this record, as `kind/name`.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub record: Option<String>,
+    /// Only events of this peer.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub peer: Option<String>,
+    /// Only the newest so many events that match; at most [`PAGE_MAX`].
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub limit: Option<usize>,
+}
+
+/// The most events that one page holds.
+pub const PAGE_MAX: usize = 10_000;
+
+impl Filter {
+    /// Tells whether an event's subject matches.
+    pub fn accepts(&self, subject: &Subject) -> bool {
+        let same = |wanted: &Option<String>, value: &Option<Arc<str>>| {
+            wanted.as_deref().is_none_or(|w| value.as_deref() == Some(w))
+        };
+        same(&self.request, &subject.request)
+            && same(&self.service, &subject.service)
+            && same(&self.upstream, &subject.upstream)
+            && same(&self.record, &subject.record)
+            && same(&self.peer, &subject.peer)
+    }
+}
+
+/// Events of one process, oldest first.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Page {
+    /// The host that they are of.
+    pub host: Arc<str>,
+    /// Events that the ring no longer holds.
+    pub dropped: u64,
+    /// Events that match and were left out for the limit.
+    pub omitted: u64,
+    /// The events.
+    pub events: Vec<Event>,
+}
+
 /// The bounded ring of a process's newest events.
 #[derive(Debug)]
 pub struct Ring {
@@ -150,17 +268,21 @@
 }
 
 impl Ring {
-    /// Makes a ring that holds the newest `capacity` events.
+    /// Makes a ring that holds the newest `capacity` events, and at least one.
     pub fn new(capacity: usize, hlc: Arc<Hlc>) -> Ring {
-        let inner = Inner { capacity, next: 1, events: VecDeque::with_capacity(capacity) };
+        let capacity = capacity.max(1);
+        let inner = Inner { capacity, next: 1, events: VecDeque::new() };
         Ring { hlc, inner: Mutex::new(inner) }
     }
 
     /// Records an event, and logs it when `log` is enabled for its level.
     pub fn record(&self, code: EventCode, subject: Subject, value: Option<u64>) {
-        let stamp = self.hlc.tick();
-        log::debug!("{} {} {:?} {:?}", code.number(), code.text(), subject, value);
+        if log::log_enabled!(code.level()) {
+            let value = value_field(code, value);
+            log::log!(code.level(), "{} {}{subject}{value}", code.number(), code.text());
+        }
         let mut inner = self.inner.lock();
+        let stamp = self.hlc.tick();
         let seq = inner.next;
         inner.next += 1;
         if inner.events.len() == inner.capacity {
@@ -175,4 +297,21 @@
         let dropped = inner.events.front().map_or(0, |e| e.seq - 1);
         (inner.events.iter().filter(|e| keep(e)).cloned().collect(), dropped)
     }
+
+    /// Returns how many events the ring holds, and how many it has dropped.
+    pub fn size(&self) -> (usize, u64) {
+        let inner = self.inner.lock();
+        (inner.events.len(), inner.events.front().map_or(0, |e| e.seq - 1))
+    }
+
+    /// Returns the newest events that a filter accepts.
+    pub fn page(&self, host: Arc<str>, filter: &Filter) -> Page {
+        let oldest = filter.since_ms.map_or(0, |ms| self.hlc.tick().millis.saturating_sub(ms));
+        let limit = filter.limit.unwrap_or(PAGE_MAX).min(PAGE_MAX);
+        let (mut events, dropped) =
+            self.read(|e| e.stamp.millis >= oldest && filter.accepts(&e.subject));
+        let omitted = events.len().saturating_sub(limit);
+        events.drain(..omitted);
+        Page { host, dropped, omitted: omitted as u64, events }
+    }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -50,6 +50,7 @@
 pub mod header;
 pub mod hlc;
 pub mod settings;
+pub mod status;
 pub mod tool;
 
 pub use decide::{
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -1,34 +1,212 @@
-//! Counters and histograms, as `/metrics` shows them.
+//! Counters, gauges and histograms, as `/metrics` shows them.
 
-use prometheus::{IntCounterVec, Opts, Registry, TextEncoder};
+use std::sync::Arc;
+use std::time::Duration;
 
-use crate::error::Code;
+use parking_lot::RwLock;
+use prometheus::core::Collector;
+use prometheus::{
+    HistogramOpts, HistogramVec, IntCounterVec, IntGaugeVec, Opts, Registry, TextEncoder,
+};
+
+use crate::decide::upstream::Ended;
+use crate::error::{Code, Outcome};
+
+/// The most services that have labels of their own; the rest share [`OTHER`].
+const SERVICES_MAX: usize = 256;
+/// The label of the services beyond [`SERVICES_MAX`].
+const OTHER: &str = "other";
+/// Upper bounds of the latency histogram's buckets, in seconds.
+const LATENCY_SECONDS: &[f64] =
+    &[0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0];
+
+/// Which way bytes between entry hosts go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[allow(dead_code, reason = "the link between entry hosts counts its bytes")]
+pub(crate) enum Direction {
+    /// To a peer.
+    Sent,
+    /// From a peer.
+    Received,
+}
 
 /// The metrics of one daemon.
 #[derive(Debug)]
 pub(crate) struct Metrics {
     registry: Registry,
+    services: RwLock<Vec<Arc<str>>>,
     requests: IntCounterVec,
+    latency: HistogramVec,
+    attempts: IntCounterVec,
+    probes: IntCounterVec,
+    control_bytes: IntCounterVec,
+    platform_calls: IntCounterVec,
+    waiting: IntGaugeVec,
+    in_flight: IntGaugeVec,
 }
 
 impl Default for Metrics {
     fn default() -> Metrics {
         let registry = Registry::new();
-        let opts = Opts::new("cornelferry_requests_total", "Requests answered");
-        let requests = IntCounterVec::new(opts, &["service", "code"]).expect("constant options");
-        registry.register(Box::new(requests.clone())).expect("registered once");
-        Metrics { registry, requests }
+        let counter = |name, help, labels: &[&str]| {
+            let made = IntCounterVec::new(Opts::new(name, help), labels);
+            register(&registry, made.expect("constant options"))
+        };
+        let gauge = |name, help| {
+            let made = IntGaugeVec::new(Opts::new(name, help), &["service"]);
+            register(&registry, made.expect("constant options"))
+        };
+        Metrics {
+            requests: counter(
+                "cornelferry_requests_total",
+                "Requests answered, by service and result code",
+                &["service", "code"],
+            ),
+            latency: latency(&registry),
+            attempts: counter(
+                "cornelferry_attempts_total",
+                "Attempts ended, by service and ending",
+                &["service", "ended"],
+            ),
+            probes: counter(
+                "cornelferry_probes_total",
+                "Probes ended, by service and ending",
+                &["service", "ended"],
+            ),
+            control_bytes: counter(
+                "cornelferry_control_bytes_total",
+                "Bytes exchanged with other entry hosts",
+                &["direction"],
+            ),
+            platform_calls: counter(
+                "cornelferry_platform_calls_total",
+                "Calls to the platform's services, by kind",
+                &["kind"],
+            ),
+            waiting: gauge("cornelferry_waiting", "Requests that wait for a slot"),
+            in_flight: gauge("cornelferry_in_flight", "Attempts in flight"),
+            services: RwLock::default(),
+            registry,
+        }
     }
 }
 
 impl Metrics {
     /// Counts an answered request.
     pub(crate) fn answered(&self, service: &str, code: Code) {
-        self.requests.with_label_values(&[service, &code.number().to_string()]).inc();
+        let label = self.service(service);
+        self.requests.with_label_values(&[&*label, &code.number().to_string()]).inc();
+    }
+
+    /// Takes note of the time from a request's acceptance to its answer.
+    pub(crate) fn took(&self, service: &str, outcome: Outcome, time: Duration) {
+        let label = self.service(service);
+        let histogram = self.latency.with_label_values(&[&*label, outcome_label(outcome)]);
+        histogram.observe(time.as_secs_f64());
+    }
+
+    /// Counts an attempt that has ended.
+    pub(crate) fn attempt(&self, service: &str, ended: Ended) {
+        let label = self.service(service);
+        self.attempts.with_label_values(&[&*label, ended_label(ended)]).inc();
+    }
+
+    /// Counts a probe that has ended.
+    pub(crate) fn probe(&self, service: &str, ended: Ended) {
+        let label = self.service(service);
+        self.probes.with_label_values(&[&*label, ended_label(ended)]).inc();
+    }
+
+    /// Counts bytes exchanged with another entry host.
+    #[allow(dead_code, reason = "the link between entry hosts counts its bytes")]
+    pub(crate) fn control_bytes(&self, direction: Direction, bytes: u64) {
+        let label = match direction {
+            Direction::Sent => "sent",
+            Direction::Received => "received",
+        };
+        self.control_bytes.with_label_values(&[label]).inc_by(bytes);
+    }
+
+    /// Counts a call to the platform. `kind` is one of a few constants.
+    #[allow(dead_code, reason = "the platform client counts its calls")]
+    pub(crate) fn platform_call(&self, kind: &'static str) {
+        self.platform_calls.with_label_values(&[kind]).inc();
+    }
+
+    /// Sets the gauges of a service.
+    pub(crate) fn set_gauges(&self, service: &str, waiting: usize, in_flight: u64) {
+        let label = self.service(service);
+        let gauge = |vec: &IntGaugeVec, n: u64| {
+            vec.with_label_values(&[&*label]).set(i64::try_from(n).unwrap_or(i64::MAX));
+        };
+        gauge(&self.waiting, waiting as u64);
+        gauge(&self.in_flight, in_flight);
+    }
+
+    /// Returns the probes of a service that have ended.
+    pub(crate) fn probes_sent(&self, service: &str) -> u64 {
+        let label = self.service(service);
+        let of = |ended| self.probes.with_label_values(&[&*label, ended_label(ended)]).get();
+        ENDINGS.iter().map(|(ended, _)| of(*ended)).sum()
     }
 
     /// Returns all metrics in the text format.
     pub(crate) fn text(&self) -> String {
         TextEncoder::new().encode_to_string(&self.registry.gather()).unwrap_or_default()
     }
+
+    /// Returns the label of a service, so that the number of labels is bounded.
+    fn service(&self, name: &str) -> Arc<str> {
+        let known = |services: &[Arc<str>]| {
+            services.binary_search_by(|s| (**s).cmp(name)).map(|at| services[at].clone())
+        };
+        if let Ok(label) = known(&self.services.read()) {
+            return label;
+        }
+        let mut services = self.services.write();
+        match services.binary_search_by(|s| (**s).cmp(name)) {
+            Ok(at) => services[at].clone(),
+            Err(_) if services.len() >= SERVICES_MAX => OTHER.into(),
+            Err(at) => {
+                services.insert(at, name.into());
+                services[at].clone()
+            }
+        }
+    }
+}
+
+/// The label of each ending.
+const ENDINGS: &[(Ended, &str)] = &[
+    (Ended::Answered, "answered"),
+    (Ended::Refused, "refused"),
+    (Ended::Failed, "failed"),
+    (Ended::Unconnected, "unconnected"),
+    (Ended::Lost, "lost"),
+    (Ended::Silent, "silent"),
+    (Ended::Cancelled, "cancelled"),
+];
+
+fn ended_label(ended: Ended) -> &'static str {
+    ENDINGS.iter().find(|(e, _)| *e == ended).map_or(OTHER, |(_, label)| label)
+}
+
+fn outcome_label(outcome: Outcome) -> &'static str {
+    match outcome {
+        Outcome::Answered => "answered",
+        Outcome::NotRun => "not-run",
+        Outcome::Unknown => "unknown",
+    }
+}
+
+fn latency(registry: &Registry) -> HistogramVec {
+    let help = "Time from acceptance to answer, by service and outcome";
+    let opts = HistogramOpts::new("cornelferry_request_seconds", help);
+    let opts = opts.buckets(LATENCY_SECONDS.to_vec());
+    let made = HistogramVec::new(opts, &["service", "outcome"]);
+    register(registry, made.expect("constant options"))
+}
+
+fn register<C: Collector + Clone + 'static>(registry: &Registry, metric: C) -> C {
+    registry.register(Box::new(metric.clone())).expect("registered once");
+    metric
 }
--- /dev/null
+++ b/src/tool/fetch.rs
@@ -0,0 +1,50 @@
+//! Asks entry hosts and the platform's host list over HTTP.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use anyhow::{anyhow, bail};
+use bytes::Bytes;
+use http::{StatusCode, Uri};
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::TokioExecutor;
+use serde::de::DeserializeOwned;
+
+use crate::error::{Code, Error};
+
+/// The time allowed for one answer.
+const TIMEOUT: Duration = Duration::from_secs(3);
+/// The largest answer taken in, in bytes.
+const ANSWER_MAX_BYTES: usize = 16 << 20;
+
+/// Gets a JSON document.
+///
+/// # Errors
+///
+/// [`Code::Unreachable`] if there is no whole answer in time, or it isn't such a document.
+pub(crate) async fn json<T: DeserializeOwned>(
+    address: SocketAddr,
+    path_and_query: &str,
+) -> Result<T, Error> {
+    let url = format!("http://{address}{path_and_query}");
+    let failed = |reason: String| Error::new(Code::Unreachable, format!("{url}: {reason}"));
+    let uri: Uri = url.parse().map_err(|e| failed(format!("{e}")))?;
+    let body = tokio::time::timeout(TIMEOUT, whole(uri))
+        .await
+        .map_err(|_| failed(format!("no answer in {} s", TIMEOUT.as_secs())))?
+        .map_err(|e| failed(format!("{e:#}")))?;
+    serde_json::from_slice(&body).map_err(|e| failed(e.to_string()))
+}
+
+async fn whole(uri: Uri) -> anyhow::Result<Bytes> {
+    let client = Client::builder(TokioExecutor::new()).build_http::<Empty<Bytes>>();
+    let res = client.get(uri).await?;
+    let status = res.status();
+    let body = Limited::new(res.into_body(), ANSWER_MAX_BYTES).collect().await;
+    let body = body.map_err(|e| anyhow!(e))?.to_bytes();
+    if status != StatusCode::OK {
+        bail!("{status}: {}", String::from_utf8_lossy(&body).trim());
+    }
+    Ok(body)
+}
--- /dev/null
+++ b/src/tool/fleet.rs
@@ -0,0 +1,147 @@
+//! Asks every entry host of a fleet the same thing.
+
+use std::future::Future;
+use std::io::{IsTerminal, Write};
+use std::net::SocketAddr;
+
+use derive_more::Display;
+use futures_util::{StreamExt, stream};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+
+use crate::cli::FleetArgs;
+use crate::error::{Code, Error};
+use crate::tool::fetch;
+
+/// Hosts that are asked at the same time.
+const ASKED_AT_ONCE: usize = 32;
+
+/// An entry host that gave no answer.
+#[derive(Clone, Debug, Display, Serialize)]
+#[display("no answer from {name}: {reason}")]
+pub(crate) struct Silent {
+    /// Its name in the host list, or its admin address.
+    pub(crate) name: String,
+    /// Its admin address.
+    pub(crate) admin: SocketAddr,
+    /// Why there is no answer.
+    pub(crate) reason: String,
+}
+
+/// The answers of a fleet.
+#[derive(Debug)]
+pub(crate) struct Answers<T> {
+    /// The answers, in the order of the hosts asked.
+    pub(crate) given: Vec<T>,
+    /// The hosts that gave none.
+    pub(crate) silent: Vec<Silent>,
+}
+
+#[derive(Clone, Debug)]
+struct Asked {
+    name: String,
+    admin: SocketAddr,
+}
+
+#[derive(Debug, Deserialize)]
+struct HostList {
+    hosts: Vec<Listed>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Listed {
+    name: String,
+    role: String,
+    #[serde(default)]
+    admin: Option<SocketAddr>,
+}
+
+/// Gets a path's JSON document from every host.
+///
+/// # Errors
+///
+/// [`Code::Unreachable`] if the host list or every host gives no answer; [`Code::Invalid`] if the
+/// arguments name no host.
+pub(crate) async fn ask<T: DeserializeOwned>(
+    args: &FleetArgs,
+    path_and_query: &str,
+) -> Result<Answers<T>, Error> {
+    let hosts = hosts(args).await?;
+    let total = hosts.len();
+    let asks = hosts.into_iter().map(|host| ask_one(host, path_and_query));
+    let replies = with_progress(asks, total).await;
+    let mut answers = Answers { given: Vec::new(), silent: Vec::new() };
+    for reply in replies {
+        match reply {
+            Ok(answer) => answers.given.push(answer),
+            Err(silent) => answers.silent.push(silent),
+        }
+    }
+    if answers.given.is_empty() {
+        let lines: Vec<String> = answers.silent.iter().map(|s| format!("\n  {s}")).collect();
+        let detail = format!("none of {total} hosts answered{}", lines.concat());
+        return Err(Error::new(Code::Unreachable, detail));
+    }
+    Ok(answers)
+}
+
+async fn hosts(args: &FleetArgs) -> Result<Vec<Asked>, Error> {
+    let given = args.admin.iter().map(|admin| Asked { name: admin.to_string(), admin: *admin });
+    let mut out: Vec<Asked> = given.collect();
+    if let Some(address) = args.host_list {
+        let list: HostList = fetch::json(address, "/hosts").await?;
+        let entries = list.hosts.into_iter().filter(|h| h.role == "entry");
+        out.extend(entries.filter_map(|h| Some(Asked { name: h.name, admin: h.admin? })));
+    }
+    out.sort_by_key(|h| h.admin);
+    out.dedup_by_key(|h| h.admin);
+    if out.is_empty() {
+        let detail = "no host to ask: --admin ADDR or --host-list ADDR names them";
+        return Err(Error::new(Code::Invalid, detail));
+    }
+    Ok(out)
+}
+
+async fn ask_one<T: DeserializeOwned>(host: Asked, path: &str) -> Result<T, Silent> {
+    let Asked { name, admin } = host;
+    fetch::json(admin, path).await.map_err(|e| Silent { name, admin, reason: e.detail })
+}
+
+/// Awaits all, in order, with a line on a terminal that counts them.
+async fn with_progress<F: Future>(asks: impl Iterator<Item = F>, total: usize) -> Vec<F::Output> {
+    let mut replies = stream::iter(asks).buffered(ASKED_AT_ONCE);
+    let mut out = Vec::with_capacity(total);
+    let mut progress = Progress::new();
+    progress.show(&format!("0 of {total} hosts answered"));
+    while let Some(reply) = replies.next().await {
+        out.push(reply);
+        progress.show(&format!("{} of {total} hosts answered", out.len()));
+    }
+    out
+}
+
+/// A line on a terminal's standard error that is replaced as the work goes on.
+#[derive(Debug)]
+pub(crate) struct Progress {
+    terminal: bool,
+}
+
+impl Progress {
+    /// Makes a line that shows nothing yet, and never does if standard error is no terminal.
+    pub(crate) fn new() -> Progress {
+        Progress { terminal: std::io::stderr().is_terminal() }
+    }
+
+    /// Replaces the line.
+    pub(crate) fn show(&mut self, text: &str) {
+        if self.terminal {
+            let _ = write!(std::io::stderr(), "\r\x1b[K{text}");
+        }
+    }
+}
+
+impl Drop for Progress {
+    fn drop(&mut self) {
+        self.show("");
+    }
+}
--- a/src/tool/mod.rs
+++ b/src/tool/mod.rs
@@ -1,5 +1,11 @@
 //! The work of the command-line tool.
 
+mod fetch;
+mod fleet;
+mod status;
+mod table;
+mod timeline;
+
 use std::process::ExitCode;
 
 use anyhow::Result;
@@ -21,9 +27,15 @@
             println!("{}: {services} services, {profiles} profiles, no faults", file.display());
             Ok(())
         }
+        Command::Status(args) => block_on(status::run(&args)),
+        Command::Timeline(args) => block_on(timeline::run(&args)),
     }
 }
 
+fn block_on(work: impl Future<Output = Result<()>>) -> Result<()> {
+    tokio::runtime::Builder::new_current_thread().enable_all().build()?.block_on(work)
+}
+
 /// Prints an error and returns the program's exit code: 0 for success, 2 for a document with
 /// faults, 3 for a conflict, 4 for an unknown result, 5 for an unreachable service, else 1.
 pub fn exit_code(done: Result<()>) -> ExitCode {
