Record a host's decisions as a trace, and replay it

A run could not be held against stated outcomes after the fact. A daemon now streams its trace from /trace while somebody reads it (`cornelferry record`): the records and upstreams in force, every call into the decision tables with its decision, and every event. Each is noted under the lock that it was decided under, so the lines stand in order of decision. A reader that is too slow makes a line that says how much was lost, and such a trace fails.

Weighed: a file named in the settings. Ruled out, since a host keeps no disk state: `record` is gone from the settings. Weighed: an attempt id through the decision library's calls. Ruled out for now: attempts at one upstream are alike to the tables, and the events carry the request ids.

`cornelferry replay TRACE` checks the recorded run (runs at most once, not-run did not run, no new work to a leaving upstream after its bound, probes within the budget, versions rise, no attempt after the deadline, one answer for each accepted request, nothing lost), then feeds the inputs to the decision library with a seeded generator and checks what its new decisions determine.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -36,6 +36,10 @@
     Status(StatusArgs),
     /// Merges the events of every host into one time line
     Timeline(TimelineArgs),
+    /// Prints the trace of a host's decisions as they are made
+    Record(RecordArgs),
+    /// Checks a recorded trace against its stated outcomes
+    Replay(ReplayArgs),
 }
 
 /// Which entry hosts to ask.
@@ -85,3 +89,24 @@
     #[arg(long)]
     pub json: bool,
 }
+
+/// The arguments of `record`.
+#[derive(Debug, Args)]
+pub struct RecordArgs {
+    /// The admin address of the entry host
+    #[arg(long, value_name = "ADDR")]
+    pub admin: SocketAddr,
+    /// Stops after this time span, such as 30s or 5m
+    #[arg(long = "for", value_name = "SPAN", value_parser = humantime::parse_duration)]
+    pub span: Option<Duration>,
+}
+
+/// The arguments of `replay`.
+#[derive(Debug, Args)]
+pub struct ReplayArgs {
+    /// The trace, in JSON Lines
+    pub trace: PathBuf,
+    /// The seed of the random generator
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+}
--- a/src/decide/admit.rs
+++ b/src/decide/admit.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use derive_more::{Display, From};
+use serde::{Deserialize, Serialize};
 
 use crate::config::Priority;
 use crate::decide::upstream::UpstreamId;
@@ -12,7 +13,7 @@
 use crate::time::Time;
 
 /// What admission needs to know of a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Request {
     /// Its place among those that wait.
     pub priority: Priority,
@@ -23,7 +24,9 @@
 }
 
 /// Identifies a request that waits.
-#[derive(Clone, Copy, Debug, Display, From, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(
+    Clone, Copy, Debug, Display, From, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
 pub struct Ticket(u64);
 
 /// The upstream that an attempt goes to. Its in-flight count is already raised.
--- a/src/decide/profile.rs
+++ b/src/decide/profile.rs
@@ -62,7 +62,8 @@
 }
 
 /// What became of an offered record.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum Offered {
     /// It is newer and now in force.
     InForce,
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -11,10 +11,12 @@
 use crate::config::Service;
 use crate::decide::admit::{Admission, Request, Target, Ticket};
 use crate::decide::service::{Again, ServiceTable};
+use crate::decide::tick::Ticked;
 use crate::decide::upstream::{Ended, Report, UpstreamId};
 use crate::error::Code;
 use crate::node::Node;
 use crate::time::Time;
+use crate::trace::{Entry, Probe};
 
 /// The decision on a new request, or the promise of one.
 #[derive(Debug)]
@@ -39,7 +41,9 @@
         let now = self.clock.now();
         let mut tables = self.tables.lock();
         let table = tables.service(service).ok_or(Code::NoService)?;
-        Ok(match table.admit(req, now, &mut rand::rng()) {
+        let admission = table.admit(req, now, &mut rand::rng());
+        self.recorder.note_at(now, || Entry::admit(service, req, &admission));
+        Ok(match admission {
             Admission::Run(target) => Admitted::Run(target),
             Admission::Refuse(refusal) => Admitted::Refuse(refusal),
             Admission::Wait(ticket) => {
@@ -51,24 +55,39 @@
     /// Decides on another attempt.
     pub(crate) fn again(&self, service: &str, why: Again, tried: &[UpstreamId]) -> Option<Target> {
         let now = self.clock.now();
-        self.tables.lock().service(service)?.again(why, tried, now, &mut rand::rng())
+        let mut tables = self.tables.lock();
+        let table = tables.service(service)?;
+        let target = table.again(why, tried, now, &mut rand::rng());
+        let upstream = target.as_ref().map(|t| t.name.clone());
+        self.recorder.note_at(now, || Entry::again(table, why, tried, upstream));
+        target
     }
 
     /// Takes note of the end of an attempt, and hands the free slot on.
     pub(crate) fn finish(&self, service: &str, id: UpstreamId, report: &Report) {
         self.metrics.attempt(service, report.ended);
-        self.update(service, |table, now| table.finish(id, report, now));
+        self.update(service, |table, now| {
+            self.recorder.note_at(now, || Entry::finish(table, id, report));
+            table.finish(id, report, now);
+        });
     }
 
     /// Takes note of a probe's result.
     pub(crate) fn probed(&self, service: &str, id: UpstreamId, report: &Report) {
         self.metrics.probe(service, report.ended);
-        self.update(service, |table, now| table.probed(id, report, now));
+        self.update(service, |table, now| {
+            self.recorder.note_at(now, || Entry::probed(table, id, report));
+            table.probed(id, report, now);
+        });
     }
 
     /// Forgets a request that waits.
     pub(crate) fn abandon(&self, service: &str, ticket: Ticket) {
-        self.update(service, |table, _| table.abandon(ticket));
+        self.update(service, |table, now| {
+            let service = table.cfg().name.clone();
+            self.recorder.note_at(now, || Entry::Abandon { service, ticket });
+            table.abandon(ticket);
+        });
         self.waiting.forget(service, ticket);
     }
 
@@ -80,7 +99,10 @@
             let owned = |service: &str, upstream: &str| {
                 members.owns(&format!("probe/{service}/{upstream}"), now)
             };
-            self.tables.lock().tick(now, rng, owned)
+            let mut tables = self.tables.lock();
+            let ticked = tables.tick(now, rng, owned);
+            self.note_tick(&ticked, now);
+            ticked
         };
         for (service, ticket, admission) in ticked.released {
             self.deliver(&service, ticket, admission);
@@ -94,13 +116,29 @@
             let mut tables = self.tables.lock();
             let Some(table) = tables.service(service) else { return };
             change(table, now);
-            table.release(now, &mut rand::rng())
+            let released = table.release(now, &mut rand::rng());
+            for (ticket, admission) in &released {
+                self.recorder.note_at(now, || Entry::release(service, *ticket, admission));
+            }
+            released
         };
         for (ticket, admission) in released {
             self.deliver(service, ticket, admission);
         }
     }
 
+    fn note_tick(&self, ticked: &Ticked, now: Time) {
+        let probe = |(service, target): &(Arc<Service>, Target)| Probe {
+            service: service.name.clone(),
+            upstream: target.name.clone(),
+        };
+        let probes = || ticked.probes.iter().map(probe).collect();
+        self.recorder.note_at(now, || Entry::Tick { probes: probes() });
+        for (service, ticket, admission) in &ticked.released {
+            self.recorder.note_at(now, || Entry::release(service, *ticket, admission));
+        }
+    }
+
     /// Hands a decision to the request that waits for it, or gives its slot back.
     fn deliver(&self, service: &str, ticket: Ticket, admission: Admission) {
         if let Some(Admission::Run(target)) = self.waiting.deliver(service, ticket, admission) {
--- a/src/entry/admin/mod.rs
+++ b/src/entry/admin/mod.rs
@@ -1,6 +1,7 @@
 //! The admin listener: health, readiness, status, metrics and events.
 
 mod status;
+mod stream;
 
 use std::convert::Infallible;
 use std::sync::Arc;
@@ -14,12 +15,14 @@
 use xitca_web::http::{StatusCode, WebResponse};
 use xitca_web::service::fn_service;
 
+use crate::entry::admin::stream::Lines;
 use crate::event::Filter;
 use crate::node::Node;
 use crate::status::Phase;
 
 const TEXT: HeaderValue = HeaderValue::from_static("text/plain; charset=utf-8");
 const JSON: HeaderValue = HeaderValue::from_static("application/json");
+const JSON_LINES: HeaderValue = HeaderValue::from_static("application/jsonl");
 const METRICS: HeaderValue = HeaderValue::from_static("text/plain; version=0.0.4");
 
 /// Serves operators on a bound listener until the process exits. Blocks its thread.
@@ -35,6 +38,7 @@
         .at("/metrics", fn_service(metrics))
         .at("/status", fn_service(show_status))
         .at("/events", fn_service(events))
+        .at("/trace", fn_service(trace))
         .serve()
         .worker_threads(1)
         .disable_signal()
@@ -77,6 +81,16 @@
     })
 }
 
+async fn trace(cx: WebContext<'_, Arc<Node>>) -> Result<WebResponse, Infallible> {
+    let Some(rx) = cx.state().start_recording() else {
+        let reason = "the host is being recorded already\n".to_owned();
+        return Ok(answer(StatusCode::CONFLICT, TEXT, reason));
+    };
+    let mut res = WebResponse::new(ResponseBody::boxed(Lines::new(rx)));
+    res.headers_mut().insert(CONTENT_TYPE, JSON_LINES);
+    Ok(res)
+}
+
 fn json(value: &impl Serialize) -> WebResponse {
     match serde_json::to_string(value) {
         Ok(body) => answer(StatusCode::OK, JSON, body),
--- a/src/event.rs
+++ b/src/event.rs
@@ -1,7 +1,7 @@
 //! Numbered events, and the bounded ring that a time line is read from.
 
 use std::collections::VecDeque;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 
 use derive_more::Display;
 use parking_lot::Mutex;
@@ -253,10 +253,15 @@
     pub events: Vec<Event>,
 }
 
+/// What else takes note of each event.
+type Observer = Box<dyn Fn(&Event) + Send + Sync>;
+
 /// The bounded ring of a process's newest events.
-#[derive(Debug)]
+#[derive(derive_more::Debug)]
 pub struct Ring {
     hlc: Arc<Hlc>,
+    #[debug(skip)]
+    observer: OnceLock<Observer>,
     inner: Mutex<Inner>,
 }
 
@@ -272,7 +277,12 @@
     pub fn new(capacity: usize, hlc: Arc<Hlc>) -> Ring {
         let capacity = capacity.max(1);
         let inner = Inner { capacity, next: 1, events: VecDeque::new() };
-        Ring { hlc, inner: Mutex::new(inner) }
+        Ring { hlc, observer: OnceLock::new(), inner: Mutex::new(inner) }
+    }
+
+    /// Shows each event from now on to `observer`, in order. Only the first observer counts.
+    pub fn observe(&self, observer: impl Fn(&Event) + Send + Sync + 'static) {
+        let _ = self.observer.set(Box::new(observer));
     }
 
     /// Records an event, and logs it when `log` is enabled for its level.
@@ -288,7 +298,11 @@
         if inner.events.len() == inner.capacity {
             inner.events.pop_front();
         }
-        inner.events.push_back(Event { seq, stamp, code: code.number(), subject, value });
+        let event = Event { seq, stamp, code: code.number(), subject, value };
+        if let Some(observer) = self.observer.get() {
+            observer(&event);
+        }
+        inner.events.push_back(event);
     }
 
     /// Returns the events that `keep` accepts, oldest first, and how many the ring has dropped.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -52,6 +52,7 @@
 pub mod settings;
 pub mod status;
 pub mod tool;
+pub mod trace;
 
 pub use decide::{
     admit, attempt, matching, measure, member, profile, route, service, tick, upstream,
--- a/src/node.rs
+++ b/src/node.rs
@@ -16,6 +16,8 @@
 use crate::metrics::Metrics;
 use crate::settings::Settings;
 use crate::time::Clock;
+use crate::trace::Entry;
+use crate::trace::recorder::Recorder;
 
 /// Where a host is between start and exit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -40,6 +42,7 @@
     pub(crate) clock: Clock,
     pub(crate) events: Arc<Ring>,
     pub(crate) metrics: Metrics,
+    pub(crate) recorder: Arc<Recorder>,
     pub(crate) catalog: Mutex<Catalog>,
     pub(crate) members: Mutex<Members>,
     pub(crate) tables: Mutex<Tables>,
@@ -59,10 +62,13 @@
             policy: settings.policy,
             waiting_max: settings.limits.waiting,
         };
+        let clock = Clock::start();
+        let recorder = Recorder::new(clock);
         let node = Node {
-            clock: Clock::start(),
+            clock,
             events: Arc::new(Ring::new(settings.limits.events, hlc)),
             metrics: Metrics::default(),
+            recorder,
             catalog: Mutex::default(),
             members: Mutex::new(Members::new(facts.host.clone(), facts.data_centre.clone())),
             tables: Mutex::new(Tables::new(facts)),
@@ -71,6 +77,7 @@
             phase: AtomicU8::new(Phase::Starting as u8),
             settings,
         };
+        node.record_events();
         node.offer(node.inline_records());
         Arc::new(node)
     }
@@ -117,8 +124,11 @@
         let name = format!("{}/{}", record.kind(), record.name);
         let subject = Subject { record: Some(name.into()), ..Subject::default() };
         self.events.record(code, subject, Some(record.version));
+        let mut tables = self.tables.lock();
+        let now = self.clock.now();
+        self.recorder.note_at(now, || Entry::Offer { record: record.clone(), offered });
         if let (Offered::InForce, Body::Service(service)) = (offered, record.body) {
-            self.tables.lock().put(service, self.clock.now());
+            tables.put(service, now);
         }
         offered
     }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -50,9 +50,6 @@
     /// How an upstream is chosen.
     #[serde(default)]
     pub policy: Policy,
-    /// A file to which decisions are recorded as a trace; absent for none.
-    #[serde(default)]
-    pub record: Option<String>,
 }
 
 fn default_fleet_size_max() -> u32 {
--- a/src/tool/fetch.rs
+++ b/src/tool/fetch.rs
@@ -37,6 +37,32 @@
     serde_json::from_slice(&body).map_err(|e| failed(e.to_string()))
 }
 
+/// Hands each piece of a document to `take` until the document ends.
+///
+/// # Errors
+///
+/// [`Code::Unreachable`] if there is no answer or it breaks off, and the errors of `take`.
+pub(crate) async fn stream(
+    address: SocketAddr,
+    path: &str,
+    mut take: impl FnMut(&[u8]) -> anyhow::Result<()>,
+) -> anyhow::Result<()> {
+    let url = format!("http://{address}{path}");
+    let failed = |reason: String| Error::new(Code::Unreachable, format!("{url}: {reason}"));
+    let uri: Uri = url.parse().map_err(|e| failed(format!("{e}")))?;
+    let client = Client::builder(TokioExecutor::new()).build_http::<Empty<Bytes>>();
+    let res = client.get(uri).await.map_err(|e| failed(format!("{:#}", anyhow!(e))))?;
+    if res.status() != StatusCode::OK {
+        return Err(failed(res.status().to_string()).into());
+    }
+    let mut body = res.into_body();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|e| failed(e.to_string()))?;
+        frame.data_ref().map_or(Ok(()), |data| take(data))?;
+    }
+    Ok(())
+}
+
 async fn whole(uri: Uri) -> anyhow::Result<Bytes> {
     let client = Client::builder(TokioExecutor::new()).build_http::<Empty<Bytes>>();
     let res = client.get(uri).await?;
--- a/src/tool/mod.rs
+++ b/src/tool/mod.rs
@@ -2,6 +2,8 @@
 
 mod fetch;
 mod fleet;
+mod record;
+mod replay;
 mod status;
 mod table;
 mod timeline;
@@ -29,6 +31,8 @@
         }
         Command::Status(args) => block_on(status::run(&args)),
         Command::Timeline(args) => block_on(timeline::run(&args)),
+        Command::Record(args) => block_on(record::run(&args)),
+        Command::Replay(args) => replay::run(&args),
     }
 }
 
--- /dev/null
+++ b/src/trace/hooks.rs
@@ -0,0 +1,101 @@
+//! Where a daemon's parts are recorded.
+
+use std::sync::Arc;
+
+use tokio::sync::mpsc::Receiver;
+
+use crate::config::Upstream;
+use crate::decide::admit::{Admission, Request, Ticket};
+use crate::decide::profile::Offered;
+use crate::decide::service::{Again, ServiceTable};
+use crate::decide::upstream::{Report, Row, State, UpstreamId};
+use crate::node::Node;
+use crate::trace::{Decision, Entry, FORMAT, Facts, Header, Line, Outcomes};
+
+impl Node {
+    /// Starts recording, with the state of the tables first. Returns nothing if somebody reads
+    /// already.
+    pub(crate) fn start_recording(&self) -> Option<Receiver<Line>> {
+        let catalog = self.catalog.lock();
+        let tables = self.tables.lock();
+        let rx = self.recorder.start()?;
+        self.recorder.note(|| Entry::Header(self.trace_header()));
+        for record in catalog.records() {
+            let (record, offered) = (record.clone(), Offered::InForce);
+            self.recorder.note(|| Entry::Offer { record, offered });
+        }
+        tables.services().iter().for_each(|table| self.record_table(table));
+        Some(rx)
+    }
+
+    /// Shows the events to the recorder.
+    pub(crate) fn record_events(&self) {
+        let recorder = self.recorder.clone();
+        self.events.observe(move |event| recorder.note(|| Entry::Event(event.clone())));
+    }
+
+    fn trace_header(&self) -> Header {
+        let host = Facts {
+            host: self.settings.host.clone(),
+            data_centre: self.settings.data_centre.clone(),
+            fleet_size_max: self.settings.fleet_size_max,
+            policy: self.settings.policy,
+            waiting_max: self.settings.limits.waiting,
+        };
+        Header { format: FORMAT, host, outcomes: Outcomes::default() }
+    }
+
+    fn record_table(&self, table: &ServiceTable) {
+        let service = &table.cfg().name;
+        let upstreams = || table.rows().iter().map(upstream).collect();
+        self.recorder
+            .note(|| Entry::Upstreams { service: service.clone(), upstreams: upstreams() });
+        for row in table.rows().iter().filter(|r| r.state == State::Leaving) {
+            let (service, upstream) = (service.clone(), row.name.clone());
+            self.recorder.note(|| Entry::State { service, upstream, state: State::Leaving });
+        }
+    }
+}
+
+fn upstream(row: &Row) -> Upstream {
+    Upstream { name: row.name.clone(), address: row.address, data_centre: row.data_centre.clone() }
+}
+
+impl Entry {
+    pub(crate) fn admit(service: &Arc<str>, request: &Request, admission: &Admission) -> Entry {
+        Entry::Admit { service: service.clone(), request: *request, decision: admission.into() }
+    }
+
+    pub(crate) fn again(
+        table: &ServiceTable,
+        why: Again,
+        tried: &[UpstreamId],
+        upstream: Option<Arc<str>>,
+    ) -> Entry {
+        Entry::Again {
+            service: table.cfg().name.clone(),
+            hedge: why == Again::Hedge,
+            tried: tried.iter().map(|id| name(table, *id)).collect(),
+            upstream,
+        }
+    }
+
+    pub(crate) fn release(service: &str, ticket: Ticket, admission: &Admission) -> Entry {
+        Entry::Release { service: service.into(), ticket, decision: Decision::from(admission) }
+    }
+
+    pub(crate) fn finish(table: &ServiceTable, id: UpstreamId, report: &Report) -> Entry {
+        let service = table.cfg().name.clone();
+        Entry::Finish { service, upstream: name(table, id), report: *report }
+    }
+
+    pub(crate) fn probed(table: &ServiceTable, id: UpstreamId, report: &Report) -> Entry {
+        let service = table.cfg().name.clone();
+        Entry::Probed { service, upstream: name(table, id), report: *report }
+    }
+}
+
+fn name(table: &ServiceTable, id: UpstreamId) -> Arc<str> {
+    let row = table.rows().iter().find(|r| r.id == id);
+    row.map_or_else(|| format!("upstream {id}").into(), |r| r.name.clone())
+}
--- /dev/null
+++ b/src/trace/outcome.rs
@@ -0,0 +1,217 @@
+//! Holds what a recorded run did against the stated outcomes.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::decide::profile::{Body, Kind, Offered, Record};
+use crate::error::Outcome;
+use crate::event::{Event, EventCode};
+use crate::time::Time;
+use crate::trace::leaving::Leaving;
+use crate::trace::probing::Probing;
+use crate::trace::{Breach, Decision, Entry, Header, Line, Rule, Trace};
+
+/// Returns each stated outcome that the recorded run does not meet, in order of line.
+pub fn recorded(trace: &Trace) -> Vec<Breach> {
+    let mut run = Run::new(&trace.header);
+    trace.numbered().for_each(|(number, line)| run.take(number, line));
+    run.end(trace.lines.len());
+    run.breaches.sort_by_key(|b| b.line);
+    run.breaches
+}
+
+/// A version in force.
+#[derive(Debug)]
+struct Version {
+    kind: Kind,
+    name: Arc<str>,
+    version: u64,
+}
+
+/// What is known of a request.
+#[derive(Debug)]
+struct Request {
+    id: Arc<str>,
+    accepted: u32,
+    line: usize,
+    deadline: Option<Time>,
+    answers: u32,
+    runs: u32,
+}
+
+/// What is known of a run, up to a line.
+#[derive(Debug)]
+struct Run<'a> {
+    header: &'a Header,
+    leaving: Leaving,
+    probing: Probing,
+    versions: Vec<Version>,
+    requests: Vec<Request>,
+    told: Vec<(usize, &'a Entry)>,
+    breaches: Vec<Breach>,
+}
+
+impl<'a> Run<'a> {
+    fn new(header: &'a Header) -> Run<'a> {
+        Run {
+            header,
+            leaving: Leaving::default(),
+            probing: Probing::default(),
+            versions: Vec::new(),
+            requests: Vec::new(),
+            told: Vec::new(),
+            breaches: Vec::new(),
+        }
+    }
+
+    fn take(&mut self, number: usize, line: &'a Line) {
+        let at = line.at;
+        match &line.entry {
+            Entry::Offer { record, offered: Offered::InForce } => {
+                self.in_force(number, record, at);
+            }
+            Entry::Upstreams { service, upstreams } => {
+                self.leaving.set_upstreams(service, upstreams, at);
+            }
+            Entry::State { service, upstream, state } => {
+                self.leaving.set_state(service, upstream, *state, at);
+            }
+            Entry::Import { shared, .. } if shared.leaving => {
+                self.leaving.drain(&shared.service, &shared.upstream, at);
+            }
+            Entry::Admit { service, request, decision } => {
+                if matches!(decision, Decision::Run(_)) && at > request.deadline {
+                    let late = at.since(request.deadline);
+                    self.breach(number, Rule::Deadline, format!("admitted {late:?} late"));
+                }
+                self.work(number, service, decision, at);
+            }
+            Entry::Release { service, decision, .. } => self.work(number, service, decision, at),
+            Entry::Again { service, upstream: Some(upstream), .. } => {
+                self.work(number, service, &Decision::Run(upstream.clone()), at);
+            }
+            Entry::Finish { service, upstream, report }
+            | Entry::Probed { service, upstream, report }
+                if report.draining =>
+            {
+                self.leaving.drain(service, upstream, at);
+            }
+            Entry::Tick { probes } => {
+                for probe in probes {
+                    let burst = self.header.outcomes.probe_burst;
+                    let fault = self.probing.fault(&probe.service, burst, at);
+                    self.breach_if(number, Rule::ProbeBudget, fault);
+                }
+            }
+            Entry::Event(event) => self.event(number, event, at),
+            Entry::Lost { count } => {
+                self.breach(number, Rule::Whole, format!("{count} entries were lost"));
+            }
+            Entry::Ran { request, times, .. } => {
+                let row = self.request(request);
+                row.runs = row.runs.saturating_add(*times);
+            }
+            Entry::Told { .. } => self.told.push((number, &line.entry)),
+            _ => {}
+        }
+    }
+
+    fn in_force(&mut self, number: usize, record: &Record, at: Time) {
+        let key = |v: &Version| (v.kind, v.name.clone());
+        match self.versions.binary_search_by_key(&(record.kind(), record.name.clone()), key) {
+            Ok(i) if self.versions[i].version >= record.version => {
+                let (old, new) = (self.versions[i].version, record.version);
+                let detail = format!("{}/{} went from {old} to {new}", record.kind(), record.name);
+                self.breach(number, Rule::Version, detail);
+            }
+            Ok(i) => self.versions[i].version = record.version,
+            Err(i) => {
+                let (kind, name) = (record.kind(), record.name.clone());
+                self.versions.insert(i, Version { kind, name, version: record.version });
+            }
+        }
+        if let Body::Service(service) = &record.body {
+            let fleet = f64::from(self.header.host.fleet_size_max.max(1));
+            self.probing.set_rate(&service.name, service.measure.probes_per_second / fleet, at);
+            self.leaving.reconfigure(&service.name, &service.upstreams);
+        }
+    }
+
+    /// Checks that an upstream may get new work.
+    fn work(&mut self, number: usize, service: &str, decision: &Decision, at: Time) {
+        let Decision::Run(upstream) = decision else { return };
+        let bound = self.header.outcomes.leaving();
+        let fault = self.leaving.fault(service, upstream, at, bound);
+        self.breach_if(number, Rule::Leaving, fault);
+    }
+
+    fn event(&mut self, number: usize, event: &Event, at: Time) {
+        let (Some(code), Some(id)) = (EventCode::from_number(event.code), &event.subject.request)
+        else {
+            return;
+        };
+        let slack = self.header.outcomes.clock_slack();
+        let row = self.request(id);
+        match code {
+            EventCode::Accepted => {
+                row.accepted += 1;
+                row.line = number;
+                row.deadline = event.value.map(|ms| at + Duration::from_millis(ms));
+            }
+            EventCode::Sent => {
+                let late = row.deadline.map(|d| at.since(d + slack)).filter(|d| !d.is_zero());
+                let fault = late.map(|d| format!("request {id} was sent {d:?} late"));
+                self.breach_if(number, Rule::Deadline, fault);
+            }
+            EventCode::Finished => row.answers += 1,
+            _ => {}
+        }
+    }
+
+    /// Checks what can only be known at the end.
+    fn end(&mut self, last: usize) {
+        for (number, entry) in std::mem::take(&mut self.told) {
+            let Entry::Told { request, idempotent, outcome, .. } = entry else { continue };
+            let runs = self.request(request).runs;
+            if !idempotent && runs > self.header.outcomes.runs_max {
+                self.breach(
+                    number,
+                    Rule::AtMostOnce,
+                    format!("request {request} ran {runs} times"),
+                );
+            }
+            if *outcome == Outcome::NotRun && runs > 0 {
+                let detail = format!("request {request} ran {runs} times and was called not run");
+                self.breach(number, Rule::NotRun, detail);
+            }
+        }
+        for row in std::mem::take(&mut self.requests) {
+            if row.accepted > 0 && row.answers != row.accepted {
+                let Request { id, accepted, answers, .. } = row;
+                let detail = format!("request {id}: {accepted} accepted, {answers} answered");
+                self.breach(if row.line > 0 { row.line } else { last }, Rule::OneAnswer, detail);
+            }
+        }
+    }
+
+    fn request(&mut self, id: &Arc<str>) -> &mut Request {
+        let found = self.requests.binary_search_by(|r| r.id.cmp(id));
+        let at = found.unwrap_or_else(|at| {
+            let id = id.clone();
+            let row = Request { id, accepted: 0, line: 0, deadline: None, answers: 0, runs: 0 };
+            self.requests.insert(at, row);
+            at
+        });
+        &mut self.requests[at]
+    }
+
+    fn breach_if(&mut self, number: usize, rule: Rule, fault: Option<String>) {
+        if let Some(detail) = fault {
+            self.breach(number, rule, detail);
+        }
+    }
+
+    fn breach(&mut self, number: usize, rule: Rule, detail: String) {
+        self.breaches.push(Breach::new(number, rule, detail));
+    }
+}
