--- /dev/null
+++ b/examples/quickstart.rs
@@ -0,0 +1,167 @@
+//! Starts stand-in upstreams and an entry host in one process, and sends requests over sockets.
+//!
+//! While requests run, one upstream becomes ten times slower and another drains. The program
+//! prints what callers were told, how long they waited, and how often bookings were run.
+
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use anyhow::{Context, Result};
+use bytes::Bytes;
+use comfy_table::Table;
+use cornelferry::header;
+use cornelferry::settings::Settings;
+use hdrhistogram::Histogram;
+use http::Request;
+use http_body_util::{BodyExt, Full};
+use hyper_util::client::legacy::{Client, connect::HttpConnector};
+use hyper_util::rt::TokioExecutor;
+use serde_json::json;
+
+mod standin;
+
+use standin::upstream::{Behaviour, Upstream};
+
+/// Upstreams and slots of each, as at Scogliera's crew-dispatch.
+const UPSTREAMS: usize = 12;
+const SLOTS: usize = 6;
+/// Requests sent in each phase, and the time between two of them.
+const REQUESTS: usize = 1_000;
+const PAUSE: Duration = Duration::from_millis(2);
+
+type Sender = Client<HttpConnector, Full<Bytes>>;
+
+/// What one caller saw.
+#[derive(Debug)]
+struct Seen {
+    what: &'static str,
+    outcome: String,
+    code: String,
+    latency: Duration,
+}
+
+#[tokio::main]
+async fn main() -> Result<()> {
+    let local = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    let mut upstreams = Vec::new();
+    for _ in 0..UPSTREAMS {
+        upstreams.push(Upstream::start(local, SLOTS, Behaviour::default()).await);
+    }
+    let caller = free_address()?;
+    let settings = settings(caller, free_address()?, &upstreams)?;
+    std::thread::spawn(move || cornelferry::daemon::run(settings));
+    let client = Client::builder(TokioExecutor::new()).build_http();
+    wait_for(&client, caller).await?;
+
+    println!("{UPSTREAMS} upstreams with {SLOTS} slots each, callers at {caller}\n");
+    let mut table = Table::new();
+    table.set_header(["phase", "request", "outcome", "code", "count", "p50 ms", "p99 ms"]);
+    add_rows(&mut table, "all well", send_all(&client, caller).await);
+    upstreams[0].behaviour.lock().slowness = 10.0;
+    add_rows(&mut table, "one straggles", send_all(&client, caller).await);
+    upstreams[1].behaviour.lock().draining = true;
+    add_rows(&mut table, "and one drains", send_all(&client, caller).await);
+    println!("{table}\n");
+
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let twice = bookings_run_twice(&upstreams);
+    println!("bookings run more than once: {twice}");
+    anyhow::ensure!(twice == 0, "{twice} bookings were run more than once");
+    Ok(())
+}
+
+fn free_address() -> Result<SocketAddr> {
+    Ok(std::net::TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?.local_addr()?)
+}
+
+fn settings(
+    caller: SocketAddr,
+    admin: SocketAddr,
+    upstreams: &[Arc<Upstream>],
+) -> Result<Settings> {
+    let named = |(i, u): (usize, &Arc<Upstream>)| json!({ "name": format!("dispatch-{i}"), "address": u.address, "data_centre": "palermo" });
+    let upstreams: Vec<_> = upstreams.iter().enumerate().map(named).collect();
+    let document = json!({
+        "host": "entry-1", "data_centre": "palermo", "caller": caller, "admin": admin,
+        "services": [{
+            "name": "crew-dispatch", "profile": "dispatch", "slots": SLOTS, "upstreams": upstreams,
+        }],
+        "profiles": [{
+            "name": "dispatch",
+            "rules": [{ "methods": ["GET"], "path": "/tides/*", "treatment": {
+                "idempotent": true, "deadline_ms": 500, "wait_ms": 100,
+                "priority": "urgent", "hedge": true,
+            }}],
+            "otherwise": { "idempotent": false, "deadline_ms": 2_000, "wait_ms": 200 },
+        }],
+    });
+    Settings::parse(&document.to_string()).map_err(|faults| anyhow::anyhow!("{faults:?}"))
+}
+
+async fn wait_for(client: &Sender, caller: SocketAddr) -> Result<()> {
+    for _ in 0..100 {
+        let res = client.get(format!("http://{caller}/tides/0").parse()?).await;
+        if res.is_ok_and(|r| r.status().is_success()) {
+            return Ok(());
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    anyhow::bail!("no answer from the entry host at {caller}")
+}
+
+async fn send_all(client: &Sender, caller: SocketAddr) -> Vec<Seen> {
+    let mut sent = Vec::new();
+    for i in 0..REQUESTS {
+        sent.push(tokio::spawn(send(client.clone(), caller, i)));
+        tokio::time::sleep(PAUSE).await;
+    }
+    let mut seen = Vec::new();
+    for request in sent {
+        seen.extend(request.await.ok().and_then(Result::ok));
+    }
+    seen
+}
+
+/// Sends a booking for every tenth request, else a lookup.
+async fn send(client: Sender, caller: SocketAddr, number: usize) -> Result<Seen> {
+    let booking = number.is_multiple_of(10);
+    let (what, method, path) =
+        if booking { ("booking", "POST", "bookings") } else { ("lookup", "GET", "tides") };
+    let req = Request::builder()
+        .method(method)
+        .uri(format!("http://{caller}/{path}/{number}"))
+        .header(header::REQUEST_ID, format!("{what}-{:016x}", rand::random::<u64>()))
+        .body(Full::new(Bytes::new()))?;
+    let start = Instant::now();
+    let res = client.request(req).await?;
+    let field = |name| {
+        let value = res.headers().get(name).context("field missing")?;
+        anyhow::Ok(value.to_str()?.to_owned())
+    };
+    let (outcome, code) = (field(header::OUTCOME)?, field(header::CODE)?);
+    res.into_body().collect().await?;
+    Ok(Seen { what, outcome, code, latency: start.elapsed() })
+}
+
+fn add_rows(table: &mut Table, phase: &str, seen: Vec<Seen>) {
+    let mut groups: BTreeMap<(&str, String, String), Histogram<u64>> = BTreeMap::new();
+    for s in seen {
+        let new = || Histogram::new_with_bounds(1, 60_000_000, 3).expect("valid bounds");
+        let group = groups.entry((s.what, s.outcome, s.code)).or_insert_with(new);
+        group.saturating_record(u64::try_from(s.latency.as_micros()).unwrap_or(u64::MAX));
+    }
+    for ((what, outcome, code), latency) in groups {
+        let ms = |q| format!("{:.1}", latency.value_at_quantile(q) as f64 / 1_000.0);
+        let count = latency.len().to_string();
+        table.add_row([phase, what, &outcome, &code, &count, &ms(0.5), &ms(0.99)]);
+    }
+}
+
+fn bookings_run_twice(upstreams: &[Arc<Upstream>]) -> usize {
+    let mut runs: Vec<String> = upstreams.iter().flat_map(|u| u.runs.lock().clone()).collect();
+    runs.retain(|id| id.starts_with("booking"));
+    runs.sort_unstable();
+    runs.windows(2).filter(|pair| pair[0] == pair[1]).count()
+}
--- a/examples/standin/upstream.rs
+++ b/examples/standin/upstream.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, Response, StatusCode};
+use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -17,6 +17,9 @@
 use tokio::net::TcpListener;
 use tokio::sync::Semaphore;
 
+/// The request header by which a load program sets the service time, in microseconds.
+pub const SERVICE_TIME_HEADER: &str = "x-standin-us";
+
 /// How the stand-in behaves; may be changed while it runs.
 #[derive(Clone, Debug)]
 pub struct Behaviour {
@@ -86,6 +89,12 @@
     }
 }
 
+/// Returns the service time that a load program asks for, in microseconds.
+fn asked_for(headers: &HeaderMap) -> Option<Duration> {
+    let micros = headers.get(SERVICE_TIME_HEADER)?.to_str().ok()?.parse().ok()?;
+    Some(Duration::from_micros(micros))
+}
+
 async fn serve(
     upstream: Arc<Upstream>,
     req: Request<Incoming>,
@@ -95,6 +104,7 @@
     let id = id.unwrap_or_default().to_owned();
     let probe = req.uri().path() == "/healthz";
     let load = upstream.in_flight.load(Ordering::Relaxed);
+    let service_time = asked_for(req.headers()).unwrap_or(behaviour.service_time);
     let status = behaviour.fail_with.and_then(|s| StatusCode::from_u16(s).ok());
     let mut body = Bytes::from(format!("{id}\n"));
     if !probe && status.is_none() {
@@ -105,7 +115,7 @@
         if !sent.is_empty() {
             body = sent;
         }
-        tokio::time::sleep(behaviour.service_time.mul_f64(behaviour.slowness)).await;
+        tokio::time::sleep(service_time.mul_f64(behaviour.slowness)).await;
         drop(slot);
         upstream.in_flight.fetch_sub(1, Ordering::Relaxed);
     }
