Stop on SIGTERM without cutting off a request

Cause: the daemon ignored SIGTERM, because xitca-web's server only ends by its own signal handling, which cuts requests after 30 s and leaves connections in the accept queue unanswered.

Ruled out: ServerHandle::stop(true), for the same 30 s; HttpServer, because it hides its connections, so idle ones can't be told from busy ones.

Change: an own accept loop drives xitca-http's HTTP/1 service per connection. On SIGTERM readiness fails, answers carry `connection: close`, connections are accepted until the grace time and the accept queue are at their end, idle ones are ended by shutting down their reading side, and the process exits when the last has gone. A request body that ends early is told as such: xitca-http ends the body stream of a cut request like that of a whole one.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -11,7 +11,7 @@
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::MissedTickBehavior;
 
-use crate::entry::{admin, caller};
+use crate::entry::{admin, listener};
 use crate::event::{EventCode, Subject};
 use crate::forward::probe;
 use crate::node::{Node, Phase};
@@ -40,7 +40,7 @@
         let node = node.clone();
         move || control(node, peer)
     })?;
-    caller::run(node.clone(), caller)?;
+    listener::run(&node, caller)?;
     node.events.record(EventCode::Stopped, Subject::default(), None);
     Ok(())
 }
--- a/src/entry/caller.rs
+++ b/src/entry/caller.rs
@@ -1,57 +1,49 @@
 //! The caller side: takes requests from callers and answers them.
 
-use std::convert::Infallible;
 use std::future::poll_fn;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use anyhow::{Context, Result};
 use bytes::{Bytes, BytesMut};
-use http::header::{HOST, RETRY_AFTER};
+use http::header::{CONNECTION, HOST, RETRY_AFTER};
 use http::{HeaderMap, HeaderValue};
-
-use xitca_web::WebContext;
 use xitca_web::body::{Body, RequestBody, ResponseBody};
 use xitca_web::http::{WebRequest, WebResponse};
-use xitca_web::service::fn_service;
 
+use crate::entry::socket::{CALLER, Caller};
 use crate::error::Code;
 use crate::event::{EventCode, Subject};
 use crate::forward::{self, Answer, Job};
 use crate::header;
-use crate::node::Node;
+use crate::node::{Node, Phase};
+
+/// The end of a connection without an answer.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Cut;
 
-/// Serves callers on a bound listener until [`Phase::Stopping`](crate::node::Phase) and the last
-/// request in flight has been answered.
+/// Answers one request of a caller.
 ///
 /// # Errors
 ///
-/// If the listener can't be served.
-pub(crate) fn run(node: Arc<Node>, listener: std::net::TcpListener) -> Result<()> {
-    let workers = node.settings.limits.workers;
-    xitca_web::App::new()
-        .with_state(node)
-        .at("/{*rest}", fn_service(handle))
-        .at("/", fn_service(handle))
-        .serve()
-        .worker_threads(workers)
-        .disable_signal()
-        .listen(listener)
-        .context("caller listener")?
-        .run()
-        .wait()
-        .context("caller listener")
-}
-
-async fn handle(mut cx: WebContext<'_, Arc<Node>>) -> Result<WebResponse, Infallible> {
-    let node = cx.state().clone();
-    let req = cx.take_request();
+/// [`Cut`] if an answer has closed the connection before this request.
+pub(crate) async fn handle(node: &Arc<Node>, req: WebRequest) -> Result<WebResponse, Cut> {
+    let caller = CALLER.with(Rc::clone);
+    if caller.is_last() {
+        return Err(Cut);
+    }
+    let _busy = caller.begin();
     let id = request_id(req.headers());
-    let answer = match take_in(&node, &id, req).await {
-        Ok(job) => accepted(&node, &job).await,
+    let answer = match take_in(node, &caller, &id, req).await {
+        Ok(job) => accepted(node, &job).await,
         Err(code) => Answer::own(code, None),
     };
-    Ok(response(&id, answer))
+    let mut res = response(&id, answer);
+    if node.phase() >= Phase::Draining {
+        caller.set_last();
+        res.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    Ok(res)
 }
 
 async fn accepted(node: &Arc<Node>, job: &Job) -> Answer {
@@ -68,7 +60,12 @@
 }
 
 /// Takes a request in whole.
-async fn take_in(node: &Node, id: &Arc<str>, req: WebRequest<RequestBody>) -> Result<Job, Code> {
+async fn take_in(
+    node: &Node,
+    caller: &Caller,
+    id: &Arc<str>,
+    req: WebRequest,
+) -> Result<Job, Code> {
     let now = node.clock.now();
     let (parts, ext) = req.into_parts();
     let (_, body) = ext.replace_body(());
@@ -78,6 +75,9 @@
     let found =
         routes.find(host, parts.method.as_str(), parts.uri.path()).ok_or(Code::NoService)?;
     let body = whole(body, found.service.body_max_bytes).await?;
+    if caller.has_ended() {
+        return Err(Code::BodyCut);
+    }
     Ok(Job {
         id: id.clone(),
         service: found.service.clone(),
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -2,4 +2,6 @@
 
 pub(crate) mod admin;
 pub(crate) mod caller;
+pub(crate) mod listener;
+pub(crate) mod socket;
 pub(crate) mod waiting;
--- a/src/node.rs
+++ b/src/node.rs
@@ -1,9 +1,9 @@
 //! What all parts of one daemon share: settings, clocks, tables, records, members and events.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU8, Ordering};
 
 use parking_lot::{Mutex, RwLock};
+use tokio::sync::watch;
 
 use crate::decide::matching::Routes;
 use crate::decide::member::Members;
@@ -19,7 +19,6 @@
 
 /// Where a host is between start and exit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-#[repr(u8)]
 pub(crate) enum Phase {
     /// It has not yet learnt the newest records.
     Starting,
@@ -45,7 +44,7 @@
     pub(crate) tables: Mutex<Tables>,
     pub(crate) waiting: Waiting,
     routes: RwLock<Arc<Routes>>,
-    phase: AtomicU8,
+    phase: watch::Sender<Phase>,
 }
 
 impl Node {
@@ -68,7 +67,7 @@
             tables: Mutex::new(Tables::new(facts)),
             waiting: Waiting::default(),
             routes: RwLock::default(),
-            phase: AtomicU8::new(Phase::Starting as u8),
+            phase: watch::Sender::new(Phase::Starting),
             settings,
         };
         node.offer(node.inline_records());
@@ -94,17 +93,22 @@
 
     /// Returns where the host is between start and exit.
     pub(crate) fn phase(&self) -> Phase {
-        match self.phase.load(Ordering::Acquire) {
-            0 => Phase::Starting,
-            1 => Phase::Ready,
-            2 => Phase::Draining,
-            _ => Phase::Stopping,
-        }
+        *self.phase.borrow()
     }
 
     /// Moves on to a later phase. A host never goes back to an earlier one.
     pub(crate) fn enter(&self, phase: Phase) {
-        self.phase.fetch_max(phase as u8, Ordering::AcqRel);
+        self.phase.send_if_modified(|p| {
+            let later = phase > *p;
+            *p = phase.max(*p);
+            later
+        });
+    }
+
+    /// Completes when the host has reached a phase.
+    pub(crate) async fn reached(&self, phase: Phase) {
+        let mut rx = self.phase.subscribe();
+        let _ = rx.wait_for(|p| *p >= phase).await;
     }
 
     fn offer_one(&self, catalog: &mut Catalog, record: Record) -> Offered {
--- /dev/null
+++ b/tests/harness/mod.rs
@@ -0,0 +1,182 @@
+//! Starts daemons as processes, and speaks to them as callers do.
+
+#![allow(dead_code, reason = "each test program uses a part of the harness")]
+
+use std::io::{Read, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::path::Path;
+use std::process::{Child, Command, ExitStatus};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper_util::rt::TokioIo;
+use serde_json::{Value, json};
+
+/// Time after which a test that hangs is given up on.
+pub const HANG: Duration = Duration::from_secs(20);
+
+/// A running daemon, killed when dropped.
+#[derive(Debug)]
+pub struct Daemon {
+    child: Child,
+    pub caller: SocketAddr,
+    pub admin: SocketAddr,
+}
+
+impl Daemon {
+    /// Starts a daemon with one service `s` over the given upstreams, and waits until it is ready.
+    ///
+    /// `service` and `limits` are merged into the service's record and the limits; `profile` holds
+    /// the profile's rules and default treatment.
+    pub fn start(
+        upstreams: &[SocketAddr],
+        service: Value,
+        profile: Value,
+        limits: Value,
+    ) -> Daemon {
+        let (caller, admin) = (free_port(), free_port());
+        let upstreams: Vec<Value> = upstreams
+            .iter()
+            .enumerate()
+            .map(|(i, a)| json!({"name": format!("u{i}"), "address": a, "data_centre": "a"}))
+            .collect();
+        let base = json!({
+            "name": "s", "profile": "p", "upstreams": upstreams, "connections": 10_000,
+            "measure": {"probes_per_second": 0.0}
+        });
+        let settings = json!({
+            "host": "entry-1", "data_centre": "a", "caller": caller, "admin": admin,
+            "services": [merged(base, service)],
+            "profiles": [merged(json!({"name": "p"}), profile)],
+            "limits": merged(json!({"grace_ms": 300}), limits),
+        });
+        let child = launch(&settings);
+        let daemon = Daemon { child, caller, admin };
+        until("the daemon is ready", || daemon.readiness().is_some_and(|s| s == 200));
+        daemon
+    }
+
+    /// Returns the status of the readiness check, or nothing if the daemon can't be reached.
+    pub fn readiness(&self) -> Option<u16> {
+        let req = b"GET /readyz HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n";
+        status_of(&raw(self.admin, req).ok()?)
+    }
+
+    /// Asks the daemon to stop.
+    pub fn terminate(&self) {
+        let pid = self.child.id().to_string();
+        let done = Command::new("kill").args(["-TERM", &pid]).status().expect("kill");
+        assert!(done.success());
+    }
+
+    /// Waits for the daemon's exit.
+    pub fn wait(mut self) -> ExitStatus {
+        let start = Instant::now();
+        loop {
+            if let Some(status) = self.child.try_wait().expect("wait") {
+                return status;
+            }
+            assert!(start.elapsed() < HANG, "the daemon does not exit");
+            std::thread::sleep(Duration::from_millis(10));
+        }
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn launch(settings: &Value) -> Child {
+    static COUNT: AtomicU32 = AtomicU32::new(0);
+    let name = format!("{}-{}.json", std::process::id(), COUNT.fetch_add(1, Ordering::Relaxed));
+    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::write(&path, settings.to_string()).expect("settings file");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_cornelferryd"));
+    command.arg("--settings").arg(&path).env("RUST_LOG", "warn").spawn().expect("daemon")
+}
+
+fn merged(mut base: Value, more: Value) -> Value {
+    let object = base.as_object_mut().expect("object");
+    object.extend(more.as_object().cloned().unwrap_or_default());
+    base
+}
+
+fn free_port() -> SocketAddr {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("port");
+    listener.local_addr().expect("bound")
+}
+
+/// Waits until a condition holds.
+pub fn until(what: &str, holds: impl Fn() -> bool) {
+    let start = Instant::now();
+    while !holds() {
+        assert!(start.elapsed() < HANG, "{what}: never");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// Sends bytes on a new connection, and returns all that comes back until it is closed.
+pub fn raw(address: SocketAddr, bytes: &[u8]) -> std::io::Result<String> {
+    let mut stream = TcpStream::connect(address)?;
+    stream.set_read_timeout(Some(HANG))?;
+    stream.write_all(bytes)?;
+    let mut out = Vec::new();
+    stream.read_to_end(&mut out)?;
+    Ok(String::from_utf8_lossy(&out).into_owned())
+}
+
+/// Returns the status of a raw answer.
+pub fn status_of(answer: &str) -> Option<u16> {
+    answer.split(' ').nth(1)?.parse().ok()
+}
+
+/// A caller's connection.
+pub struct Caller {
+    tx: SendRequest<Full<Bytes>>,
+}
+
+impl Caller {
+    /// Connects to a daemon.
+    pub async fn connect(address: SocketAddr) -> std::io::Result<Caller> {
+        let stream = tokio::net::TcpStream::connect(address).await?;
+        let (tx, conn) = handshake(TokioIo::new(stream)).await.expect("handshake");
+        tokio::spawn(conn);
+        Ok(Caller { tx })
+    }
+
+    /// Sends a request and takes the whole answer in.
+    pub async fn send(&mut self, req: Request<Full<Bytes>>) -> hyper::Result<Response<Bytes>> {
+        let answer = async {
+            self.tx.ready().await?;
+            let (head, body) = self.tx.send_request(req).await?.into_parts();
+            Ok(Response::from_parts(head, body.collect().await?.to_bytes()))
+        };
+        tokio::time::timeout(HANG, answer).await.expect("an answer")
+    }
+}
+
+/// Makes a request with an id.
+pub fn request(method: &str, path: &str, id: &str, body: &str) -> Request<Full<Bytes>> {
+    let builder = Request::builder().method(method).uri(path).header("host", "a");
+    let body = Full::new(Bytes::from(body.to_owned()));
+    builder.header("x-request-id", id).body(body).expect("request")
+}
+
+/// Sends one request on a new connection.
+pub async fn call(daemon: &Daemon, method: &str, path: &str, id: &str) -> Response<Bytes> {
+    let mut caller = Caller::connect(daemon.caller).await.expect("connect");
+    caller.send(request(method, path, id, "")).await.expect("answer")
+}
+
+/// Returns the numbered result code of an answer.
+pub fn code(res: &Response<Bytes>) -> u16 {
+    let value = res.headers().get("x-cornelferry-code").expect("code");
+    value.to_str().expect("text").parse().expect("number")
+}
