Follow records and hosts on the platform

Cause: a host knew only its settings file, so no published change could reach it.

Change: the key-value service's calls are a plain struct of closures, made by the etcd v3 JSON gateway over hyper-util.

A service restored from an older copy: the revision goes back, so the host reads everything and puts back, by compare-and-swap on the revision it read, what is in force and newer. Without that, a fleet whose hosts are all replaced would in the end revert. Two records of one version can then exist; the greater change id wins everywhere, so hosts agree in whatever order they learn.

Ruled out: relying on the watch alone (a silent connection gives no sign); reading everything every few seconds (some 350 KB a read at today's size); clearing a version that can't be read from the status (it would count as in force).

--- a/src/decide/member.rs
+++ b/src/decide/member.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use crate::settings::Peer;
 use crate::time::Time;
 
 /// What is known of another entry host.
@@ -39,6 +40,19 @@
         &self.members
     }
 
+    /// Replaces the set of hosts that are known by name.
+    pub fn set_known(&mut self, hosts: &[Peer], _now: Time) {
+        let member = |p: &Peer| Member {
+            host: p.host.clone(),
+            data_centre: p.data_centre.clone(),
+            address: p.address,
+            incarnation: 0,
+            heard: None,
+        };
+        self.members = hosts.iter().filter(|p| p.host != self.host).map(member).collect();
+        self.members.sort_by(|a, b| a.host.cmp(&b.host));
+    }
+
     /// Returns the name of the host that owns `duty` among the hosts that are alive, this one
     /// included, by rendezvous hashing (Thaler and Ravishankar, 1998).
     pub fn owner(&self, _duty: &str, _now: Time) -> &str {
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -5,11 +5,14 @@
 
 pub mod admit;
 pub mod attempt;
+pub(crate) mod bucket;
+pub mod hosts;
 pub mod matching;
 pub mod measure;
 pub mod member;
 pub mod profile;
 pub mod route;
 pub mod service;
+pub mod stored;
 pub mod tick;
 pub mod upstream;
--- a/src/decide/profile.rs
+++ b/src/decide/profile.rs
@@ -1,5 +1,6 @@
 //! Profiles, services and their versions; which version is in force.
 
+use std::cmp::Ordering;
 use std::hash::{Hash, Hasher};
 use std::sync::Arc;
 
@@ -8,6 +9,7 @@
 use twox_hash::XxHash64;
 
 use crate::config::{Profile, Service};
+use crate::decide::stored::Unreadable;
 
 /// The kind of a record.
 #[derive(
@@ -51,6 +53,11 @@
 }
 
 impl Record {
+    /// Returns what orders the versions of a record.
+    pub(crate) fn order(&self) -> (u64, &str) {
+        (self.version, &self.change)
+    }
+
     /// Returns the record's kind.
     pub fn kind(&self) -> Kind {
         match &self.body {
@@ -70,38 +77,68 @@
     Same,
     /// A newer version is in force.
     Older,
+    /// It is newer and can't be read, so the old one stays.
+    Unreadable,
 }
 
-/// The records in force, sorted by kind and name.
+/// The records in force, sorted by kind and name, and the newer versions that can't be read.
 #[derive(Clone, Debug, Default)]
 pub struct Catalog {
     records: Vec<Record>,
+    unreadable: Vec<Unreadable>,
 }
 
 impl Catalog {
     /// Puts a record into force if it is newer than the one that is.
+    ///
+    /// Two records of one version exist only where the key-value service was restored from an
+    /// older copy and written to again. The greater change id wins on every host, so that hosts
+    /// agree whatever order they learn them in.
     pub fn offer(&mut self, record: Record) -> Offered {
-        let key = |r: &Record| (r.kind(), r.name.clone());
-        match self.records.binary_search_by_key(&key(&record), key) {
+        let (kind, name) = (record.kind(), record.name.clone());
+        let found = self.find(kind, &name);
+        match found.map(|at| (at, record.order().cmp(&self.records[at].order()))) {
+            Ok((_, Ordering::Less)) => return Offered::Older,
+            Ok((_, Ordering::Equal)) => return Offered::Same,
+            Ok((at, Ordering::Greater)) => self.records[at] = record,
             Err(at) => self.records.insert(at, record),
-            Ok(at) if self.records[at].version > record.version => return Offered::Older,
-            Ok(at) if self.records[at].version == record.version => return Offered::Same,
-            Ok(at) => self.records[at] = record,
         }
+        self.forget_unreadable(kind, &name);
         Offered::InForce
     }
 
-    /// Returns a hash over kind, name and version of every record. Equal catalogs agree on it.
+    /// Takes note of a version that can't be read.
+    pub fn refuse(&mut self, unreadable: Unreadable) -> Offered {
+        let in_force = self.get(unreadable.kind, &unreadable.name).map(|r| r.version);
+        if unreadable.version.is_some_and(|v| in_force >= Some(v)) {
+            return Offered::Older;
+        }
+        let key = |u: &Unreadable| (u.kind, u.name.clone());
+        match self.unreadable.binary_search_by_key(&key(&unreadable), key) {
+            Ok(at) if self.unreadable[at] == unreadable => return Offered::Same,
+            Ok(at) => self.unreadable[at] = unreadable,
+            Err(at) => self.unreadable.insert(at, unreadable),
+        }
+        Offered::Unreadable
+    }
+
+    /// Returns the newer versions that can't be read, sorted by kind and name.
+    pub fn unreadable(&self) -> &[Unreadable] {
+        &self.unreadable
+    }
+
+    /// Returns a hash over kind, name, version and change of every record. Equal catalogs agree
+    /// on it.
     pub fn fingerprint(&self) -> u64 {
         let mut hasher = XxHash64::default();
-        self.records.iter().for_each(|r| (r.kind(), &r.name, r.version).hash(&mut hasher));
+        let identity = |r: &Record| (r.kind(), r.name.clone(), r.version, r.change.clone());
+        self.records.iter().for_each(|r| identity(r).hash(&mut hasher));
         hasher.finish()
     }
 
     /// Finds the record in force.
     pub fn get(&self, kind: Kind, name: &str) -> Option<&Record> {
-        let found = self.records.binary_search_by(|r| (r.kind(), &*r.name).cmp(&(kind, name)));
-        found.ok().map(|at| &self.records[at])
+        self.find(kind, name).ok().map(|at| &self.records[at])
     }
 
     /// Returns the records in force.
@@ -126,4 +163,16 @@
         };
         self.records.iter().filter_map(profile).collect()
     }
+
+    fn find(&self, kind: Kind, name: &str) -> Result<usize, usize> {
+        self.records.binary_search_by(|r| (r.kind(), &*r.name).cmp(&(kind, name)))
+    }
+
+    fn forget_unreadable(&mut self, kind: Kind, name: &str) {
+        let in_force = self.get(kind, name).map(|r| r.version);
+        let overtaken = |u: &Unreadable| {
+            u.kind == kind && *u.name == *name && (u.version.is_none() || u.version <= in_force)
+        };
+        self.unreadable.retain(|u| !overtaken(u));
+    }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -53,7 +53,8 @@
 pub mod tool;
 
 pub use decide::{
-    admit, attempt, matching, measure, member, profile, route, service, tick, upstream,
+    admit, attempt, hosts, matching, measure, member, profile, route, service, stored, tick,
+    upstream,
 };
 pub use time::{Clock, Time};
 
@@ -64,5 +65,6 @@
 mod metrics;
 mod node;
 mod peer;
+#[allow(dead_code, reason = "the tool and claims take the rest into use")]
 mod platform;
 mod time;
--- a/src/node.rs
+++ b/src/node.rs
@@ -4,7 +4,9 @@
 use std::sync::atomic::{AtomicU8, Ordering};
 
 use parking_lot::{Mutex, RwLock};
+use tokio::sync::Notify;
 
+use crate::decide::hosts::HostList;
 use crate::decide::matching::Routes;
 use crate::decide::member::Members;
 use crate::decide::profile::{Body, Catalog, Offered, Record};
@@ -14,6 +16,7 @@
 use crate::event::{EventCode, Ring, Subject};
 use crate::hlc::Hlc;
 use crate::metrics::Metrics;
+use crate::platform::client::Client;
 use crate::settings::Settings;
 use crate::time::Clock;
 
@@ -34,7 +37,7 @@
 /// The shared state of one daemon.
 ///
 /// Locks are held for one decision and never across an await. Whoever needs two takes `catalog`
-/// before `members` before `tables`.
+/// before `hosts` before `members` before `tables`.
 pub(crate) struct Node {
     pub(crate) settings: Settings,
     pub(crate) clock: Clock,
@@ -44,6 +47,12 @@
     pub(crate) members: Mutex<Members>,
     pub(crate) tables: Mutex<Tables>,
     pub(crate) waiting: Waiting,
+    /// The newest host list.
+    pub(crate) hosts: Mutex<HostList>,
+    /// The key-value service; absent for a host that runs on its settings file alone.
+    pub(crate) platform: Option<Arc<Client>>,
+    /// Asks for everything to be loaded again, as after a pause.
+    pub(crate) resync: Arc<Notify>,
     routes: RwLock<Arc<Routes>>,
     phase: AtomicU8,
 }
@@ -59,14 +68,20 @@
             policy: settings.policy,
             waiting_max: settings.limits.waiting,
         };
+        let metrics = Metrics::default();
+        let platform = settings.platform.as_ref();
+        let platform = platform.map(|cfg| Arc::new(Client::connect(cfg, metrics.count_calls())));
         let node = Node {
             clock: Clock::start(),
             events: Arc::new(Ring::new(settings.limits.events, hlc)),
-            metrics: Metrics::default(),
+            metrics,
             catalog: Mutex::default(),
             members: Mutex::new(Members::new(facts.host.clone(), facts.data_centre.clone())),
             tables: Mutex::new(Tables::new(facts)),
             waiting: Waiting::default(),
+            hosts: Mutex::default(),
+            platform,
+            resync: Arc::default(),
             routes: RwLock::default(),
             phase: AtomicU8::new(Phase::Starting as u8),
             settings,
@@ -112,13 +127,13 @@
         let code = match offered {
             Offered::InForce => EventCode::InForce,
             Offered::Older => EventCode::OlderIgnored,
-            Offered::Same => return offered,
+            Offered::Same | Offered::Unreadable => return offered,
         };
         let name = format!("{}/{}", record.kind(), record.name);
         let subject = Subject { record: Some(name.into()), ..Subject::default() };
         self.events.record(code, subject, Some(record.version));
-        if let (Offered::InForce, Body::Service(service)) = (offered, record.body) {
-            self.tables.lock().put(service, self.clock.now());
+        if offered == Offered::InForce {
+            self.put_service(&record);
         }
         offered
     }
--- /dev/null
+++ b/src/platform/apply.rs
@@ -0,0 +1,89 @@
+//! Puts what the platform says into the tables.
+
+use std::sync::Arc;
+
+use crate::config::Service;
+use crate::decide::hosts::HostList;
+use crate::decide::profile::{Body, Kind, Offered, Record};
+use crate::decide::stored::{self, Stored, Unreadable};
+use crate::event::{EventCode, Subject};
+use crate::node::Node;
+use crate::platform::call::Entry;
+use crate::platform::keys::Keys;
+
+impl Node {
+    /// Offers stored records to the catalog. Versions that this release can't read are noted and
+    /// leave the older ones in force.
+    pub(crate) fn offer_entries(&self, keys: &Keys, entries: &[Entry]) {
+        let mut readable = Vec::new();
+        for entry in entries {
+            let Some((kind, name)) = keys.parse(&entry.key) else { continue };
+            match stored::read(kind, name, &entry.value) {
+                Stored::Readable(record) => readable.push(record),
+                Stored::Unreadable(unreadable) => self.refuse(unreadable),
+            }
+        }
+        self.offer(readable);
+    }
+
+    /// Puts a newer host list into force. Returns whether it was newer.
+    pub(crate) fn apply_hosts(&self, list: HostList) -> bool {
+        let catalog = self.catalog.lock();
+        let mut held = self.hosts.lock();
+        if !list.replaces(&held) {
+            return false;
+        }
+        let now = self.clock.now();
+        self.members.lock().set_known(&list.peers(&self.settings.host), now);
+        let mut tables = self.tables.lock();
+        for service in catalog.services() {
+            let complete = list.complete(&service);
+            let same = |t: &mut _| Self::has_upstreams(t, &complete);
+            if !tables.service(&service.name).is_some_and(same) {
+                tables.put(Arc::new(complete), now);
+            }
+            let Some(table) = tables.service(&service.name) else { continue };
+            list.changed(&held, &service.name).for_each(|h| table.set_state(&h.name, h.state, now));
+        }
+        *held = list;
+        true
+    }
+
+    /// Puts a record that came into force into the tables. A deleted service keeps its table
+    /// without upstreams, so that requests in flight can end.
+    pub(crate) fn put_service(&self, record: &Record) {
+        let now = self.clock.now();
+        let held = self.hosts.lock();
+        let mut tables = self.tables.lock();
+        match &record.body {
+            Body::Service(service) => tables.put(Arc::new(held.complete(service)), now),
+            Body::Deleted(Kind::Service) => {
+                let Some(table) = tables.service(&record.name) else { return };
+                let cfg = Service::clone(table.cfg());
+                tables.put(Arc::new(Service { upstreams: Vec::new(), ..cfg }), now);
+            }
+            Body::Profile(_) | Body::Deleted(Kind::Profile) => {}
+        }
+        let Some(table) = tables.service(&record.name) else { return };
+        if record.kind() == Kind::Service {
+            let nothing = HostList::default();
+            let leaving = held.changed(&nothing, &record.name);
+            leaving.for_each(|h| table.set_state(&h.name, h.state, now));
+        }
+    }
+
+    fn refuse(&self, unreadable: Unreadable) {
+        let subject = Subject {
+            record: Some(format!("{}/{}", unreadable.kind, unreadable.name).into()),
+            ..Subject::default()
+        };
+        let version = unreadable.version;
+        if self.catalog.lock().refuse(unreadable) == Offered::Unreadable {
+            self.events.record(EventCode::RecordUnreadable, subject, version);
+        }
+    }
+
+    fn has_upstreams(table: &crate::decide::service::ServiceTable, complete: &Service) -> bool {
+        table.cfg().upstreams == complete.upstreams
+    }
+}
--- /dev/null
+++ b/src/platform/http.rs
@@ -0,0 +1,198 @@
+//! JSON over HTTP to one of several addresses: counted, rate-limited, with timeouts.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request, Response};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use parking_lot::Mutex;
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+
+use crate::decide::bucket::Bucket;
+use crate::platform::call::{CallKind, Failure};
+use crate::time::Clock;
+
+/// Time allowed for a new connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time allowed for a whole answer, or for the head of a watch's answer.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time after which an unused connection is closed, shorter than usual idle limits of services.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
+/// Bytes that an answer may have.
+const ANSWER_MAX_BYTES: usize = 64 << 20;
+
+/// Counts a call by kind.
+pub(crate) type Count = Box<dyn Fn(CallKind) + Send + Sync>;
+
+/// A client of a service that answers at several addresses.
+pub(crate) struct Http {
+    client: Client<HttpConnector, Full<Bytes>>,
+    addresses: Vec<SocketAddr>,
+    current: AtomicUsize,
+    clock: Clock,
+    bucket: Mutex<Bucket>,
+    count: Count,
+}
+
+impl Http {
+    /// Makes a client that makes at most `calls_per_second`.
+    pub(crate) fn new(addresses: Vec<SocketAddr>, calls_per_second: f64, count: Count) -> Http {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        connector.set_nodelay(true);
+        let clock = Clock::start();
+        Http {
+            client: Client::builder(TokioExecutor::new())
+                .pool_idle_timeout(IDLE_TIMEOUT)
+                .pool_timer(TokioTimer::new())
+                .build(connector),
+            addresses,
+            current: AtomicUsize::new(0),
+            clock,
+            bucket: Mutex::new(Bucket::new(calls_per_second, clock.now())),
+            count,
+        }
+    }
+
+    /// Makes a call that may be repeated, at each address until one answers.
+    ///
+    /// # Errors
+    ///
+    /// The last address's [`Failure`].
+    pub(crate) async fn read<T: DeserializeOwned>(
+        &self,
+        kind: CallKind,
+        path: &str,
+        body: Option<&Value>,
+    ) -> Result<T, Failure> {
+        let mut failure = Failure::Unsent("no address is known".to_owned());
+        for _ in &self.addresses {
+            match self.once(kind, path, body).await {
+                Err(Failure::Refused(reason)) => return Err(Failure::Refused(reason)),
+                Err(e) => failure = e,
+                done => return done,
+            }
+        }
+        Err(failure)
+    }
+
+    /// Makes a call that takes effect, at each address until one may have been reached.
+    ///
+    /// # Errors
+    ///
+    /// [`Failure::Lost`] if the call may have taken effect.
+    pub(crate) async fn write<T: DeserializeOwned>(
+        &self,
+        kind: CallKind,
+        path: &str,
+        body: &Value,
+    ) -> Result<T, Failure> {
+        let mut failure = Failure::Unsent("no address is known".to_owned());
+        for _ in &self.addresses {
+            match self.once(kind, path, Some(body)).await {
+                Err(Failure::Unsent(reason)) => failure = Failure::Unsent(reason),
+                done => return done,
+            }
+        }
+        Err(failure)
+    }
+
+    /// Starts a call whose answer has no end.
+    ///
+    /// # Errors
+    ///
+    /// A [`Failure`] if the answer doesn't begin.
+    pub(crate) async fn open(
+        &self,
+        kind: CallKind,
+        path: &str,
+        body: &Value,
+    ) -> Result<Response<Incoming>, Failure> {
+        self.permitted(kind).await;
+        let at = self.current.load(Ordering::Relaxed);
+        let sent = self.send(at, path, Some(body));
+        let res = within(sent).await.inspect_err(|_| self.turn(at))?;
+        if res.status().is_success() {
+            return Ok(res);
+        }
+        Err(Failure::Refused(format!("{path}: status {}", res.status())))
+    }
+
+    async fn once<T: DeserializeOwned>(
+        &self,
+        kind: CallKind,
+        path: &str,
+        body: Option<&Value>,
+    ) -> Result<T, Failure> {
+        self.permitted(kind).await;
+        let at = self.current.load(Ordering::Relaxed);
+        let answer = within(self.whole(at, path, body)).await;
+        let text = answer.inspect_err(|e| self.turn_on(at, e))?;
+        serde_json::from_slice(&text).map_err(|e| Failure::Lost(format!("{path}: {e}")))
+    }
+
+    async fn whole(&self, at: usize, path: &str, body: Option<&Value>) -> Result<Bytes, Failure> {
+        let res = self.send(at, path, body).await?;
+        let status = res.status();
+        let body = Limited::new(res.into_body(), ANSWER_MAX_BYTES).collect().await;
+        let text = body.map_err(|e| Failure::Lost(format!("{path}: {e}")))?.to_bytes();
+        if status.is_success() {
+            return Ok(text);
+        }
+        let reason = format!("{path}: status {status}: {}", String::from_utf8_lossy(&text).trim());
+        Err(if status.is_client_error() { Failure::Refused(reason) } else { Failure::Lost(reason) })
+    }
+
+    async fn send(
+        &self,
+        at: usize,
+        path: &str,
+        body: Option<&Value>,
+    ) -> Result<Response<Incoming>, Failure> {
+        let Some(address) = self.addresses.get(at % self.addresses.len().max(1)) else {
+            return Err(Failure::Unsent("no address is known".to_owned()));
+        };
+        let uri = format!("http://{address}{path}");
+        let method = if body.is_some() { Method::POST } else { Method::GET };
+        let text = body.map(ToString::to_string).unwrap_or_default();
+        let req = Request::builder().method(method).uri(&uri).body(Full::new(Bytes::from(text)));
+        let req = req.map_err(|e| Failure::Unsent(format!("{uri}: {e}")))?;
+        self.client.request(req).await.map_err(|e| {
+            let reason = format!("{uri}: {e}");
+            if e.is_connect() { Failure::Unsent(reason) } else { Failure::Lost(reason) }
+        })
+    }
+
+    /// Counts a call and waits for its turn.
+    async fn permitted(&self, kind: CallKind) {
+        let wait = self.bucket.lock().reserve(self.clock.now());
+        if !wait.is_zero() {
+            tokio::time::sleep(wait).await;
+        }
+        (self.count)(kind);
+    }
+
+    fn turn_on(&self, at: usize, failure: &Failure) {
+        if !matches!(failure, Failure::Refused(_)) {
+            self.turn(at);
+        }
+    }
+
+    /// Turns to the next address, unless another call has done so.
+    fn turn(&self, from: usize) {
+        let next = from.wrapping_add(1);
+        let _ = self.current.compare_exchange(from, next, Ordering::Relaxed, Ordering::Relaxed);
+    }
+}
+
+async fn within<T>(call: impl Future<Output = Result<T, Failure>>) -> Result<T, Failure> {
+    let lost = || Failure::Lost(format!("no answer within {} ms", ANSWER_TIMEOUT.as_millis()));
+    tokio::time::timeout(ANSWER_TIMEOUT, call).await.unwrap_or_else(|_| Err(lost()))
+}
--- /dev/null
+++ b/src/platform/restore.rs
@@ -0,0 +1,46 @@
+//! Puts accepted records back into a key-value service that was restored from an older copy.
+
+use crate::decide::profile::Record;
+use crate::decide::stored::{self, Stored};
+use crate::node::Node;
+use crate::platform::call::{Compare, Entry, Op, Txn};
+use crate::platform::client::{Client, Loaded};
+
+/// Stores again what is in force here and newer than what the service holds. The comparison with
+/// the revision that was read fences it: whatever else was stored meanwhile stays.
+pub(crate) async fn put_back(node: &Node, client: &Client, loaded: &Loaded) {
+    let records: Vec<Record> = node.catalog.lock().records().to_vec();
+    for record in records.iter().filter(|r| r.version > 0) {
+        let key = client.keys.record(record.kind(), &record.name);
+        let found = loaded.entries.binary_search_by(|e| e.key.cmp(&key));
+        let entry = found.ok().map(|at| &loaded.entries[at]);
+        if entry.is_none_or(|e| is_older(e, record)) {
+            let revision = entry.map_or(0, |e| e.revision);
+            let done = (client.platform.txn)(put(client, record, revision)).await;
+            log::info!(
+                "{}/{} version {}: put back: {done:?}",
+                record.kind(),
+                record.name,
+                record.version
+            );
+        }
+    }
+}
+
+fn is_older(entry: &Entry, record: &Record) -> bool {
+    match stored::read(record.kind(), &record.name, &entry.value) {
+        Stored::Readable(held) => held.order() < record.order(),
+        Stored::Unreadable(_) => false,
+    }
+}
+
+fn put(client: &Client, record: &Record, revision: u64) -> Txn {
+    let value = serde_json::to_vec(record).unwrap_or_default();
+    let (kind, name) = (record.kind(), &record.name);
+    let (key, keys) = (client.keys.record(kind, name), &client.keys);
+    let version = keys.version(kind, name, record.version);
+    Txn {
+        compare: vec![Compare::Revision(key.clone(), revision)],
+        then: vec![Op::Put(key, value.clone(), None), Op::Put(version, value, None)],
+    }
+}
