--- a/src/tool/mod.rs
+++ b/src/tool/mod.rs
@@ -45,12 +45,16 @@
 pub fn exit_code(done: Result<()>) -> ExitCode {
     let Err(e) = done else { return ExitCode::SUCCESS };
     eprintln!("{e:#}");
-    let code = e.downcast_ref::<Error>().map(|e| e.code);
-    ExitCode::from(match code {
-        Some(Code::Invalid | Code::Unreadable) => 2,
-        Some(Code::Conflict) => 3,
-        Some(Code::PublishUnknown | Code::NotInForce) => 4,
-        Some(Code::Unreachable) => 5,
+    ExitCode::from(e.downcast_ref::<Error>().map_or(1, |e| exit_status(e.code)))
+}
+
+/// Returns the exit status of a program that ends with a result code.
+pub const fn exit_status(code: Code) -> u8 {
+    match code {
+        Code::Invalid | Code::Unreadable => 2,
+        Code::Conflict => 3,
+        Code::PublishUnknown | Code::NotInForce => 4,
+        Code::Unreachable => 5,
         _ => 1,
-    })
+    }
 }
