--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -2,6 +2,9 @@
 # Everything started is ended by its process id when the script ends.
 
 bin=target/release
+# Ports from here on are used: callers, then admin, peer and upstream ports.
+base=${BASE_PORT:-$((20000 + RANDOM % 20 * 500))}
+caller=$base admin=$((base + 100)) peer=$((base + 200)) upstream=$((base + 300))
 dir=$(mktemp -d)
 pids=()
 
@@ -17,18 +20,18 @@
 settings() {
   local index=$1 hosts=$2 upstreams=$3 slots=$4 policy=$5 list="" peers="" i
   for ((i = 0; i < upstreams; i++)); do
-    list+="${list:+,}{\"name\":\"u$i\",\"address\":\"127.0.0.1:$((19000 + i))\",\"data_centre\":\"dc$((i % 3))\"}"
+    list+="${list:+,}{\"name\":\"u$i\",\"address\":\"127.0.0.1:$((upstream + i))\",\"data_centre\":\"dc$((i % 3))\"}"
   done
   for ((i = 0; i < hosts; i++)); do
     if [ "$i" != "$index" ]; then
-      peers+="${peers:+,}{\"host\":\"e$i\",\"data_centre\":\"dc$((i % 3))\",\"address\":\"127.0.0.1:$((18500 + i))\"}"
+      peers+="${peers:+,}{\"host\":\"e$i\",\"data_centre\":\"dc$((i % 3))\",\"address\":\"127.0.0.1:$((peer + i))\"}"
     fi
   done
   cat > "$dir/e$index.json" <<JSON
 {
   "host": "e$index", "data_centre": "dc$((index % 3))", "policy": "$policy", "fleet_size_max": 18,
-  "caller": "127.0.0.1:$((18100 + index))", "admin": "127.0.0.1:$((18300 + index))",
-  "peer": "127.0.0.1:$((18500 + index))", "peers": [$peers],
+  "caller": "127.0.0.1:$((caller + index))", "admin": "127.0.0.1:$((admin + index))",
+  "peer": "127.0.0.1:$((peer + index))", "peers": [$peers],
   "services": [{"name": "s", "profile": "p", "slots": $slots, "upstreams": [$list],
     "measure": {"probes_per_second": ${PROBES:-10}, "path": "/healthz", "timeout_ms": 500}}],
   "profiles": [{"name": "p",
@@ -43,13 +46,13 @@
 start_fleet() {
   local hosts=$1 upstreams=$2 slots=$3 policy=$4 seconds=$5 i
   shift 5
-  "$bin/examples/upstreams" --count "$upstreams" --slots "$slots" --seconds "$seconds" \
+  "$bin/examples/upstreams" --port "$upstream" --count "$upstreams" --slots "$slots" --seconds "$seconds" \
     "${@/#/--fault=}" & pids+=($!)
   for ((i = 0; i < hosts; i++)); do
     settings "$i" "$hosts" "$upstreams" "$slots" "$policy"
     RUST_LOG=error "$bin/cornelferryd" --settings "$dir/e$i.json" 2>> "$dir/log" & pids+=($!)
   done
   for ((i = 0; i < hosts; i++)); do
-    until curl -sf -o /dev/null "http://127.0.0.1:$((18300 + i))/readyz"; do sleep 0.05; done
+    until curl -sf -o /dev/null "http://127.0.0.1:$((admin + i))/readyz"; do sleep 0.05; done
   done
 }
