Publish profiles and services by compare-and-swap

Cause: operators had no command that changes the fleet.

Change: `cornelferry profile|service list|get|publish|diff|history|delete`. A change id makes it safe to repeat: it is looked for in the record and in the history first. A lost answer is read back by trying the same compare-and-swap again, which can take effect once only; what stays unknown is code 5003, exit 4, with the command that finds out.

Ruled out: comparing the version inside the value (the gateway compares whole values only); resolving a lost answer by one read (the write may still be on its way).

Seen: 6 tests over real sockets to the stand-in pass: two operators, lost answer, outage after and before the write, hosts ahead, bounded history.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -36,16 +36,112 @@
     Status(StatusArgs),
     /// Merges the events of every host into one time line
     Timeline(TimelineArgs),
+    /// Reads and publishes profiles
+    Profile(RecordArgs),
+    /// Reads and publishes services
+    Service(RecordArgs),
+}
+
+/// The arguments of `profile` and `service`.
+#[derive(Debug, Args)]
+pub struct RecordArgs {
+    /// Where the platform is
+    #[command(flatten)]
+    pub platform: PlatformArgs,
+    /// What to do
+    #[command(subcommand)]
+    pub command: RecordCommand,
+}
+
+/// Where the platform is.
+#[derive(Debug, Args)]
+pub struct PlatformArgs {
+    /// The address of the key-value service; may be repeated
+    #[arg(
+        long,
+        value_name = "ADDR",
+        env = "CORNELFERRY_PLATFORM",
+        value_delimiter = ',',
+        global = true
+    )]
+    pub platform: Vec<SocketAddr>,
+    /// The prefix of every key
+    #[arg(long, default_value = "/cornelferry/", env = "CORNELFERRY_PREFIX", global = true)]
+    pub prefix: String,
+    /// Which entry hosts to ask
+    #[command(flatten)]
+    pub fleet: FleetArgs,
+    /// Prints JSON
+    #[arg(long, global = true)]
+    pub json: bool,
+}
+
+/// The commands over records of a kind.
+#[derive(Debug, Subcommand)]
+pub enum RecordCommand {
+    /// Lists the records
+    List,
+    /// Prints a record
+    Get {
+        /// Its name
+        name: String,
+    },
+    /// Publishes a file as the next version
+    Publish {
+        /// The file, in JSON
+        file: PathBuf,
+        /// How to publish
+        #[command(flatten)]
+        publish: PublishArgs,
+    },
+    /// Shows what a file would change
+    Diff {
+        /// The file, in JSON
+        file: PathBuf,
+    },
+    /// Lists the newest versions of a record
+    History {
+        /// Its name
+        name: String,
+    },
+    /// Deletes a record by a version that says so
+    Delete {
+        /// Its name
+        name: String,
+        /// How to publish
+        #[command(flatten)]
+        publish: PublishArgs,
+    },
+}
+
+/// How a change is published.
+#[derive(Debug, Args)]
+pub struct PublishArgs {
+    /// The version that the change is made to; 0 for a new record
+    #[arg(long, value_name = "VERSION", default_value_t = 0)]
+    pub expect: u64,
+    /// The id of the change, to repeat a command safely; random if absent
+    #[arg(long, value_name = "ID")]
+    pub change: Option<String>,
+    /// Who publishes
+    #[arg(long, env = "USER", default_value = "unknown")]
+    pub author: String,
+    /// Waits until all live hosts have the change in force
+    #[arg(long)]
+    pub wait: bool,
+    /// The longest wait, such as 10s
+    #[arg(long, value_name = "SPAN", default_value = "10s", value_parser = humantime::parse_duration)]
+    pub timeout: Duration,
 }
 
 /// Which entry hosts to ask.
 #[derive(Debug, Default, Args)]
 pub struct FleetArgs {
     /// The admin address of an entry host; may be repeated
-    #[arg(long, value_name = "ADDR")]
+    #[arg(long, value_name = "ADDR", global = true)]
     pub admin: Vec<SocketAddr>,
     /// The address of the platform's host list, which names the entry hosts
-    #[arg(long, value_name = "ADDR")]
+    #[arg(long, value_name = "ADDR", env = "CORNELFERRY_HOST_LIST", global = true)]
     pub host_list: Option<SocketAddr>,
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -69,3 +69,7 @@
 #[allow(dead_code, reason = "the tool and claims take the rest into use")]
 mod platform;
 mod time;
+
+#[cfg(test)]
+#[path = "../examples/standin/mod.rs"]
+mod standin;
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -13,11 +13,7 @@
 use crate::event::EventCode;
 use crate::node::{Node, Phase};
 use crate::settings::Settings;
-
-#[path = "../../examples/standin/mod.rs"]
-mod standin;
-
-use standin::platform::Platform;
+use crate::standin::platform::Platform;
 
 /// Guards against a test that hangs.
 const HANG: Duration = Duration::from_secs(20);
--- a/src/tool/fleet.rs
+++ b/src/tool/fleet.rs
@@ -6,10 +6,12 @@
 
 use derive_more::Display;
 use futures_util::{StreamExt, stream};
+use serde::Serialize;
 use serde::de::DeserializeOwned;
-use serde::{Deserialize, Serialize};
 
 use crate::cli::FleetArgs;
+use crate::decide::hosts::{Host, HostList, Role};
+use crate::decide::upstream::State;
 use crate::error::{Code, Error};
 use crate::tool::fetch;
 
@@ -24,6 +26,8 @@
     pub(crate) name: String,
     /// Its admin address.
     pub(crate) admin: SocketAddr,
+    /// Whether the host list says that it is leaving.
+    pub(crate) leaving: bool,
     /// Why there is no answer.
     pub(crate) reason: String,
 }
@@ -41,19 +45,7 @@
 struct Asked {
     name: String,
     admin: SocketAddr,
-}
-
-#[derive(Debug, Deserialize)]
-struct HostList {
-    hosts: Vec<Listed>,
-}
-
-#[derive(Debug, Deserialize)]
-struct Listed {
-    name: String,
-    role: String,
-    #[serde(default)]
-    admin: Option<SocketAddr>,
+    leaving: bool,
 }
 
 /// Gets a path's JSON document from every host.
@@ -86,12 +78,15 @@
 }
 
 async fn hosts(args: &FleetArgs) -> Result<Vec<Asked>, Error> {
-    let given = args.admin.iter().map(|admin| Asked { name: admin.to_string(), admin: *admin });
+    let given = args.admin.iter().map(|admin| Asked {
+        name: admin.to_string(),
+        admin: *admin,
+        leaving: false,
+    });
     let mut out: Vec<Asked> = given.collect();
     if let Some(address) = args.host_list {
         let list: HostList = fetch::json(address, "/hosts").await?;
-        let entries = list.hosts.into_iter().filter(|h| h.role == "entry");
-        out.extend(entries.filter_map(|h| Some(Asked { name: h.name, admin: h.admin? })));
+        out.extend(list.hosts.iter().filter(|h| h.role == Role::Entry).filter_map(asked));
     }
     out.sort_by_key(|h| h.admin);
     out.dedup_by_key(|h| h.admin);
@@ -102,9 +97,14 @@
     Ok(out)
 }
 
+fn asked(host: &Host) -> Option<Asked> {
+    let leaving = host.state == State::Leaving;
+    Some(Asked { name: host.name.to_string(), admin: host.admin?, leaving })
+}
+
 async fn ask_one<T: DeserializeOwned>(host: Asked, path: &str) -> Result<T, Silent> {
-    let Asked { name, admin } = host;
-    fetch::json(admin, path).await.map_err(|e| Silent { name, admin, reason: e.detail })
+    let Asked { name, admin, leaving } = host;
+    fetch::json(admin, path).await.map_err(|e| Silent { name, admin, leaving, reason: e.detail })
 }
 
 /// Awaits all, in order, with a line on a terminal that counts them.
--- a/src/tool/mod.rs
+++ b/src/tool/mod.rs
@@ -1,9 +1,15 @@
 //! The work of the command-line tool.
 
+mod document;
 mod fetch;
 mod fleet;
+mod publish;
+mod record;
+mod spread;
 mod status;
 mod table;
+#[cfg(test)]
+mod tests;
 mod timeline;
 
 use std::process::ExitCode;
@@ -11,6 +17,7 @@
 use anyhow::Result;
 
 use crate::cli::{Command, ToolArgs};
+use crate::decide::profile::Kind;
 use crate::error::{Code, Error};
 use crate::settings::Settings;
 
@@ -29,6 +36,8 @@
         }
         Command::Status(args) => block_on(status::run(&args)),
         Command::Timeline(args) => block_on(timeline::run(&args)),
+        Command::Profile(args) => block_on(record::run(Kind::Profile, &args)),
+        Command::Service(args) => block_on(record::run(Kind::Service, &args)),
     }
 }
 
