--- a/src/entry/admin/status.rs
+++ b/src/entry/admin/status.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::decide::member::Member;
-use crate::decide::profile::Record;
+use crate::decide::profile::Catalog;
 use crate::decide::service::ServiceTable;
 use crate::decide::upstream::Row;
 use crate::node::{self, Node};
@@ -22,7 +22,7 @@
         phase: phase(node),
         incarnation: None,
         policy: node.settings.policy,
-        records: records(node),
+        records: records(&node.catalog.lock()),
         services: node.tables.lock().services().iter().map(|s| service(node, s, now)).collect(),
         members: node.members.lock().members().iter().map(|m| member(m, now)).collect(),
         events: events(node),
@@ -53,17 +53,25 @@
     EventStatus { held, dropped }
 }
 
-fn records(node: &Node) -> Vec<RecordStatus> {
-    let catalog = node.catalog.lock();
-    let unreadable =
-        |r: &Record| catalog.unreadable().iter().any(|u| u.kind == r.kind() && *u.name == *r.name);
-    let record = |r: &Record| RecordStatus {
+/// Returns the records in force, and those of which no version can be read as version 0.
+fn records(catalog: &Catalog) -> Vec<RecordStatus> {
+    let unreadable = catalog.unreadable();
+    let readable =
+        |kind, name: &str| !unreadable.iter().any(|u| u.kind == kind && *u.name == *name);
+    let in_force = catalog.records().iter().map(|r| RecordStatus {
         kind: r.kind(),
         name: r.name.clone(),
         version: r.version,
-        readable: !unreadable(r),
-    };
-    catalog.records().iter().map(record).collect()
+        readable: readable(r.kind(), &r.name),
+    });
+    let never = unreadable.iter().filter(|u| catalog.get(u.kind, &u.name).is_none());
+    let never = never.map(|u| RecordStatus {
+        kind: u.kind,
+        name: u.name.clone(),
+        version: 0,
+        readable: false,
+    });
+    in_force.chain(never).collect()
 }
 
 fn service(node: &Node, table: &ServiceTable, now: Time) -> ServiceStatus {
--- a/src/tool/mod.rs
+++ b/src/tool/mod.rs
@@ -1,18 +1,25 @@
 //! The work of the command-line tool.
 
+mod document;
 mod fetch;
 mod fleet;
+mod publish;
 mod record;
 mod replay;
+mod spread;
 mod status;
 mod table;
+#[cfg(test)]
+mod tests;
 mod timeline;
+mod trace;
 
 use std::process::ExitCode;
 
 use anyhow::Result;
 
 use crate::cli::{Command, ToolArgs};
+use crate::decide::profile::Kind;
 use crate::error::{Code, Error};
 use crate::settings::Settings;
 
@@ -31,8 +38,10 @@
         }
         Command::Status(args) => block_on(status::run(&args)),
         Command::Timeline(args) => block_on(timeline::run(&args)),
-        Command::Record(args) => block_on(record::run(&args)),
+        Command::Trace(args) => block_on(trace::run(&args)),
         Command::Replay(args) => replay::run(&args),
+        Command::Profile(args) => block_on(record::run(Kind::Profile, &args)),
+        Command::Service(args) => block_on(record::run(Kind::Service, &args)),
     }
 }
 
