Choose, queue, eject, retry and probe from the tables

Cause: the thin path chose the lesser of two by local in-flight, ran everything at once and knew no bad upstream. With 15 entry hosts on upstreams of 3 or 6 slots a host sees a fifteenth of the work.

Ways weighed: one estimate per source (local, header, digest), or all sources weighed by age against the service's mean. The second needs no rule about which source is right at a given service time: a digest of 150 ms weighs little beside 5 ms answers and much beside 500 ms ones. Ejecting stragglers was ruled out: their oldest overdue attempt raises their cost at once, and a cost can't empty a service.

Change: seven ways of choosing behind one signature, least-expected the default until measured; ejection of at most half; back-off after a declared refusal; share ramp of joiners; waiting by priority with early refusal; retry budget; hedges to idle upstreams only; probes only where a choice could change. A drain signal holds until the host list has said leaving and live, or the record changes; peers' words are not passed on, as hosts would confirm each other for ever.

Conclusion: the decisions stand; the choice among them is to be measured over sockets.

--- /dev/null
+++ b/benches/decide.rs
@@ -0,0 +1,120 @@
+//! The cost of one decision and of one tick, at today's size and at the target's.
+
+use std::hint::black_box;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cornelferry::Time;
+use cornelferry::admit::{Admission, Request};
+use cornelferry::config::{Priority, Service, Upstream};
+use cornelferry::route::Policy;
+use cornelferry::service::{HostFacts, ServiceTable};
+use cornelferry::tick::Tables;
+use cornelferry::upstream::{Ended, Report, Shared};
+use criterion::{Criterion, criterion_group, criterion_main};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+/// Peers whose digests have been taken in.
+const PEERS: usize = 14;
+/// Services and upstreams of each: one of today's size, and the target's 12,000 upstreams.
+const SIZES: &[(usize, u16)] = &[(1, 12), (1_500, 8)];
+
+fn facts(policy: Policy) -> HostFacts {
+    HostFacts {
+        host: "entry-1".into(),
+        data_centre: "palermo".into(),
+        fleet_size_max: 18,
+        policy,
+        waiting_max: 1_000,
+    }
+}
+
+fn service(name: String, upstreams: u16) -> Arc<Service> {
+    let upstream = |i: u16| Upstream {
+        name: format!("u{i}").into(),
+        address: ([127, 0, 0, 1], 9_000 + i).into(),
+        data_centre: "palermo".into(),
+    };
+    let upstreams = (0..upstreams).map(upstream).collect();
+    Arc::new(Service { name: name.into(), upstreams, ..Service::default() })
+}
+
+/// Runs one request on a table that has other requests in flight.
+fn request(table: &mut ServiceTable, now: &mut Time, rng: &mut SmallRng) {
+    *now = *now + Duration::from_micros(100);
+    let deadline = *now + Duration::from_secs(1);
+    let req = Request { priority: Priority::Normal, deadline, wait_until: deadline };
+    if let Admission::Run(target) = table.admit(&req, *now, rng) {
+        let latency = Duration::from_millis(5);
+        let report = Report { ended: Ended::Answered, latency, load: Some(4), draining: false };
+        table.finish(target.id, &report, *now);
+        black_box(table.release(*now, rng));
+    }
+}
+
+fn import(table: &mut ServiceTable, now: Time) {
+    let upstreams: Vec<Arc<str>> = table.rows().iter().map(|r| r.name.clone()).collect();
+    for upstream in &upstreams {
+        for peer in 0..PEERS {
+            let shared = Shared {
+                service: table.cfg().name.clone(),
+                upstream: upstream.clone(),
+                in_flight: 1,
+                load: None,
+                leaving: false,
+            };
+            table.import(&format!("entry-{peer}"), &shared, now);
+        }
+    }
+}
+
+fn decisions(c: &mut Criterion) {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut now = Time::from_millis(1);
+    for &policy in Policy::ALL {
+        let mut table = ServiceTable::new(service("s".to_owned(), 20), facts(policy), now);
+        import(&mut table, now);
+        c.bench_function(&format!("request/20 upstreams/{policy}"), |b| {
+            b.iter(|| request(&mut table, &mut now, &mut rng))
+        });
+    }
+    for &(services, upstreams) in SIZES {
+        let (mut tables, now) = (fleet(services, upstreams), &mut now);
+        let all = services * usize::from(upstreams);
+        let name = format!("request/{all} upstreams in {services} services");
+        c.bench_function(&name, |b| {
+            b.iter(|| request(tables.service("service-0").unwrap(), now, &mut rng))
+        });
+    }
+}
+
+fn fleet(services: usize, upstreams: u16) -> Tables {
+    let mut tables = Tables::new(facts(Policy::default()));
+    for i in 0..services {
+        tables.put(service(format!("service-{i}"), upstreams), Time::ZERO);
+    }
+    tables
+}
+
+fn ticks(c: &mut Criterion) {
+    let mut rng = SmallRng::seed_from_u64(1);
+    for &(services, upstreams) in SIZES {
+        let mut tables = fleet(services, upstreams);
+        let mut now = Time::from_millis(1);
+        for i in 0..services {
+            let table = tables.service(&format!("service-{i}")).unwrap();
+            request(table, &mut now, &mut rng);
+        }
+        let all = services * usize::from(upstreams);
+        c.bench_function(&format!("tick/{all} upstreams in {services} services"), |b| {
+            b.iter(|| {
+                now = now + Duration::from_millis(10);
+                black_box(tables.tick(now, &mut rng, |_, _| false))
+            })
+        });
+    }
+}
+
+criterion_group!(benches, decisions, ticks);
+criterion_main!(benches);
--- a/src/decide/measure.rs
+++ b/src/decide/measure.rs
@@ -1,5 +1,8 @@
 //! What to probe next, within the measuring budget.
 
+use std::time::Duration;
+
+use crate::decide::upstream::{Row, State};
 use crate::time::Time;
 
 /// The host's share of a service's measuring budget: a token bucket.
@@ -19,19 +22,48 @@
 impl Budget {
     /// Makes an empty bucket for one host of a fleet of at most `fleet_size_max`.
     pub fn new(probes_per_second: f64, fleet_size_max: u32, now: Time) -> Budget {
-        let per_second = probes_per_second / f64::from(fleet_size_max.max(1));
+        let per_second = probes_per_second.max(0.0) / f64::from(fleet_size_max.max(1));
         Budget { per_second, tokens: 0.0, filled: now }
     }
 
-    /// Takes one token if there is one.
-    pub fn take(&mut self, now: Time) -> bool {
+    /// Tells whether there is a token.
+    pub fn ready(&mut self, now: Time) -> bool {
         let gained = now.since(self.filled).as_secs_f64() * self.per_second;
         self.tokens = (self.tokens + gained).min(BURST);
         self.filled = self.filled.max(now);
-        if self.tokens < 1.0 {
-            return false;
+        self.tokens >= 1.0
+    }
+
+    /// Takes one token if there is one.
+    pub fn take(&mut self, now: Time) -> bool {
+        let ready = self.ready(now);
+        if ready {
+            self.tokens -= 1.0;
         }
-        self.tokens -= 1.0;
-        true
+        ready
+    }
+}
+
+/// Age up to which free information about an upstream makes a probe needless.
+const FRESH: Duration = Duration::from_millis(250);
+/// Time without requests after which no choice is expected that a probe could change.
+const IDLE: Duration = Duration::from_secs(5);
+
+/// Chooses the upstream to probe: of those that this host owns and that the next choice could fall
+/// on, the one of which the least recent is known. Returns nothing if a probe could change no
+/// choice.
+pub(crate) fn choose(
+    rows: &[Row],
+    requested: Option<Time>,
+    now: Time,
+    owned: impl Fn(&str) -> bool,
+) -> Option<&Row> {
+    let used = requested.is_some_and(|at| now.since(at) < IDLE);
+    if !used || rows.iter().filter(|r| r.state == State::Live).nth(1).is_none() {
+        return None;
     }
+    let known = |r: &Row| r.load.map_or(r.probed, |l| l.at.max(r.probed));
+    let due =
+        |r: &&Row| r.state == State::Live && !r.health.ejected(now) && now.since(known(r)) >= FRESH;
+    rows.iter().filter(due).filter(|r| owned(&r.name)).min_by_key(|r| known(r))
 }
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -13,3 +13,10 @@
 pub mod service;
 pub mod tick;
 pub mod upstream;
+
+pub(crate) mod baseline;
+pub(crate) mod capacity;
+pub(crate) mod health;
+pub(crate) mod load;
+pub(crate) mod queue;
+pub(crate) mod retry;
--- a/src/decide/service.rs
+++ b/src/decide/service.rs
@@ -1,16 +1,21 @@
 //! One service's table: its upstreams, those that wait, and its budgets.
 
+mod admission;
+mod sharing;
+
 use std::sync::Arc;
 use std::time::Duration;
 
-use rand::Rng;
-
 use crate::config::{self, Service};
-use crate::decide::admit::{Admission, Refusal, Request, Target, Ticket};
-use crate::decide::measure::Budget;
-use crate::decide::route::{self, Policy};
-use crate::decide::upstream::{self, Ended, Reading, Report, Row, Shared, State, UpstreamId};
-use crate::error::Code;
+use crate::decide::admit::{Target, Ticket};
+use crate::decide::baseline::Baseline;
+use crate::decide::capacity::Capacity;
+use crate::decide::health;
+use crate::decide::measure::{self, Budget};
+use crate::decide::queue::Queue;
+use crate::decide::retry::RetryBudget;
+use crate::decide::route::Policy;
+use crate::decide::upstream::{self, Ended, Report, Row, State, UpstreamId};
 use crate::time::Time;
 
 /// What a service table needs to know of its host.
@@ -44,14 +49,44 @@
     facts: HostFacts,
     rows: Vec<Row>,
     next_id: u32,
+    choices: u64,
+    in_flight: u32,
+    requested: Option<Time>,
+    baseline: Baseline,
+    capacity: Capacity,
+    queue: Queue,
+    evicted: Vec<Ticket>,
     probes: Budget,
+    probes_sought: Time,
+    retries: RetryBudget,
+    open: Vec<u32>,
 }
 
+/// Time between two searches for an upstream to probe.
+const PROBE_INTERVAL: Duration = Duration::from_millis(50);
+/// Share of failures, against that of all upstreams, below which an upstream is no outlier.
+const ERROR_FACTOR: f32 = 1.3;
 impl ServiceTable {
     /// Makes the table of a service record.
     pub fn new(cfg: Arc<Service>, facts: HostFacts, now: Time) -> ServiceTable {
         let probes = Budget::new(cfg.measure.probes_per_second, facts.fleet_size_max, now);
-        let mut table = ServiceTable { cfg, facts, rows: Vec::new(), next_id: 0, probes };
+        let mut table = ServiceTable {
+            cfg,
+            facts,
+            rows: Vec::new(),
+            next_id: 0,
+            choices: 0,
+            in_flight: 0,
+            requested: None,
+            baseline: Baseline::default(),
+            capacity: Capacity::default(),
+            queue: Queue::default(),
+            evicted: Vec::new(),
+            probes,
+            probes_sought: now,
+            retries: RetryBudget::new(now),
+            open: Vec::new(),
+        };
         let upstreams = table.cfg.upstreams.clone();
         table.set_upstreams(&upstreams, now);
         table
@@ -67,132 +102,149 @@
         &self.rows
     }
 
-    /// Puts a newer service record into force. Requests in flight and waiting are kept.
+    /// Returns the number of requests that wait.
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Puts a newer service record into force. Requests in flight and waiting are kept. Upstreams
+    /// that the record names are live again, unless the host list says otherwise.
     pub fn reconfigure(&mut self, cfg: Arc<Service>, now: Time) {
         let rate = cfg.measure.probes_per_second;
         if rate != self.cfg.measure.probes_per_second {
             self.probes = Budget::new(rate, self.facts.fleet_size_max, now);
         }
+        for row in &mut self.rows {
+            row.drained &= !cfg.upstreams.iter().any(|u| u.name == row.name);
+            row.refresh();
+        }
         self.cfg = cfg;
+        self.capacity.invalidate();
     }
 
     /// Replaces the set of upstreams. Those that are no longer named are leaving; their rows go
-    /// when nothing is in flight there.
+    /// when nothing is in flight there. One that is named again is live again.
     pub fn set_upstreams(&mut self, upstreams: &[config::Upstream], now: Time) {
+        let started = self.rows.iter().any(|r| r.state == State::Live);
         for row in &mut self.rows {
-            let named = |u: &config::Upstream| u.name == row.name && u.address == row.address;
-            if !upstreams.iter().any(named) {
-                row.state = State::Leaving;
+            let same = |u: &config::Upstream| u.name == row.name && u.address == row.address;
+            let named = upstreams.iter().any(same);
+            if named && !row.named {
+                row.drained = false;
+                row.health.growing = Some(now);
             }
+            row.named = named;
+            row.refresh();
         }
-        self.rows.retain(|r| r.state == State::Live || r.in_flight > 0);
+        self.rows.retain(|r| r.named || r.in_flight > 0);
         for upstream in upstreams {
             let same = |r: &Row| r.name == upstream.name && r.address == upstream.address;
             if !self.rows.iter().any(same) {
-                self.rows.push(Row::new(self.next_id.into(), upstream, now));
-                self.next_id += 1;
+                self.join(upstream, started, now);
             }
         }
+        self.capacity.invalidate();
     }
 
-    /// Marks an upstream as leaving or live, as the host list or a peer says.
-    pub fn set_state(&mut self, name: &str, state: State, _now: Time) {
-        self.rows.iter_mut().filter(|r| *r.name == *name).for_each(|r| r.state = state);
-    }
-
-    /// Decides on a new request.
-    pub fn admit(&mut self, _req: &Request, now: Time, rng: &mut impl Rng) -> Admission {
-        match self.start(&[], now, rng) {
-            Some(target) => Admission::Run(target),
-            None => Admission::Refuse(self.refusal(Code::NoUpstream)),
+    /// Marks an upstream as leaving or live, as the host list says. An upstream that said itself
+    /// that it is leaving is live again once the host list has said the same and takes it back.
+    pub fn set_state(&mut self, name: &str, state: State, now: Time) {
+        let leaving = state == State::Leaving;
+        for row in self.rows.iter_mut().filter(|r| *r.name == *name) {
+            if row.listed_leaving && !leaving {
+                row.drained = false;
+                row.health.growing = Some(now);
+            }
+            row.listed_leaving = leaving;
+            row.refresh();
         }
-    }
-
-    /// Decides on another attempt for an idempotent request, to an upstream that is not in `tried`.
-    /// Returns nothing if the retry budget is spent or no upstream is left.
-    pub fn again(
-        &mut self,
-        _why: Again,
-        tried: &[UpstreamId],
-        now: Time,
-        rng: &mut impl Rng,
-    ) -> Option<Target> {
-        self.start(tried, now, rng)
+        self.capacity.invalidate();
     }
 
     /// Takes note of the end of an attempt that [`Admission::Run`] or [`Self::again`] started.
     pub fn finish(&mut self, id: UpstreamId, report: &Report, now: Time) {
-        let Some(row) = upstream::find_mut(&mut self.rows, id) else { return };
-        row.in_flight = row.in_flight.saturating_sub(1);
+        let Ok(at) = self.rows.binary_search_by_key(&id, |r| r.id) else { return };
+        let row = &mut self.rows[at];
+        let Some(sent) = row.ended(report.latency, now) else { return };
+        self.in_flight -= 1;
         if report.draining {
-            row.state = State::Leaving;
+            row.drained = true;
+            row.refresh();
         }
-        if let Some(value) = report.load {
-            row.load = Some(Reading { value, at: now });
+        row.learn(report, &self.baseline, now);
+        if report.ended == Ended::Answered {
+            self.baseline.answered(report.latency, now);
+        }
+        if let Some(value) = report.load.filter(|_| report.ended.is_sound()) {
+            let others = row.read(value, sent.before, sent.at);
+            self.baseline.read(others);
+        }
+        self.judge(at, report.ended, now);
+        let row = &self.rows[at];
+        if !row.named && row.in_flight == 0 {
+            self.rows.remove(at);
         }
-    }
-
-    /// Forgets a request that waits; its caller has gone.
-    pub fn abandon(&mut self, _ticket: Ticket) {}
-
-    /// Decides on requests that wait: after each [`Self::finish`] and each tick.
-    pub fn release(&mut self, _now: Time, _rng: &mut impl Rng) -> Vec<(Ticket, Admission)> {
-        Vec::new()
     }
 
     /// Ages what is known and moves upstreams between states.
+    ///
+    /// Every figure is kept with its time and weighed when it is used, so an idle service costs
+    /// nothing here.
     pub fn tick(&mut self, _now: Time) {}
 
-    /// Returns the time after which a hedge is due, or nothing if none is of use.
-    pub fn hedge_after(&self, _id: UpstreamId, _now: Time) -> Option<Duration> {
-        None
-    }
-
     /// Returns the upstreams to probe now. `owned` tells which upstreams are this host's to probe.
     pub fn probes(&mut self, now: Time, owned: impl Fn(&str) -> bool) -> Vec<Target> {
-        let due = self.rows.iter().filter(|r| owned(&r.name)).min_by_key(|r| r.load.map(|l| l.at));
-        let Some(row) = due.map(target) else { return Vec::new() };
-        if self.cfg.measure.path.is_empty() || !self.probes.take(now) {
+        if now < self.probes_sought || self.cfg.measure.path.is_empty() || !self.probes.ready(now) {
+            return Vec::new();
+        }
+        self.probes_sought = now + PROBE_INTERVAL;
+        let chosen = measure::choose(&self.rows, self.requested, now, owned);
+        let Some((id, target)) = chosen.map(|r| (r.id, target(r))) else { return Vec::new() };
+        if !self.probes.take(now) {
             return Vec::new();
         }
-        vec![row]
+        if let Some(row) = upstream::find_mut(&mut self.rows, id) {
+            row.probed = now;
+        }
+        vec![target]
     }
 
     /// Takes note of a probe's result.
     pub fn probed(&mut self, id: UpstreamId, report: &Report, now: Time) {
-        let Some(row) = upstream::find_mut(&mut self.rows, id) else { return };
-        if report.ended == Ended::Answered {
-            row.load = report.load.map(|value| Reading { value, at: now }).or(row.load);
+        let Ok(at) = self.rows.binary_search_by_key(&id, |r| r.id) else { return };
+        let row = &mut self.rows[at];
+        if report.draining {
+            row.drained = true;
+            row.refresh();
+            self.capacity.invalidate();
+        }
+        if report.ended != Ended::Answered {
+            return self.judge(at, report.ended, now);
+        }
+        if let Some(value) = report.load {
+            let others = row.read(value, row.in_flight, now);
+            self.baseline.read(others);
         }
     }
 
-    /// Returns what other hosts should know.
-    pub fn export(&self, now: Time) -> Vec<Shared> {
-        let shared = |r: &Row| Shared {
-            service: self.cfg.name.clone(),
-            upstream: r.name.clone(),
-            in_flight: r.in_flight,
-            load: r.load.map(|l| (l.value, now.since(l.at))),
-            leaving: r.state == State::Leaving,
-        };
-        self.rows.iter().map(shared).collect()
-    }
-
-    /// Takes note of what another host knows.
-    pub fn import(&mut self, _host: &str, _shared: &Shared, _now: Time) {}
-
-    /// Forgets what a host that died or left had shared.
-    pub fn forget(&mut self, _host: &str) {}
-
-    fn start(&mut self, tried: &[UpstreamId], now: Time, rng: &mut impl Rng) -> Option<Target> {
-        let id = route::choose(self.facts.policy, &self.rows, tried, now, rng)?;
-        let row = upstream::find_mut(&mut self.rows, id)?;
-        row.in_flight += 1;
-        Some(target(row))
+    fn join(&mut self, upstream: &config::Upstream, started: bool, now: Time) {
+        let mut row = Row::new(self.next_id.into(), upstream, now);
+        row.health.growing = started.then_some(now);
+        self.next_id += 1;
+        self.rows.push(row);
     }
 
-    fn refusal(&self, code: Code) -> Refusal {
-        Refusal { code, retry_after: Duration::from_secs(1) }
+    /// Takes note of an attempt's end in the health of its upstream.
+    fn judge(&mut self, at: usize, ended: Ended, now: Time) {
+        if ended != Ended::Cancelled {
+            self.baseline.tried(!ended.is_sound());
+        }
+        let health = &mut self.rows[at].health;
+        let outlier = health.observe(ended, now);
+        if outlier && health.errors() > self.baseline.errors() * ERROR_FACTOR {
+            health::eject(&mut self.rows, at, now);
+            self.capacity.invalidate();
+        }
     }
 }
 
--- /dev/null
+++ b/src/decide/service/sharing.rs
@@ -0,0 +1,58 @@
+//! What hosts tell each other about a service's upstreams.
+
+use std::time::Duration;
+
+use super::ServiceTable;
+use crate::decide::load::Word;
+use crate::decide::upstream::{Row, Shared};
+use crate::time::Time;
+
+impl ServiceTable {
+    /// Returns what other hosts should know.
+    pub fn export(&self, now: Time) -> Vec<Shared> {
+        let shared = |r: &Row| Shared {
+            service: self.cfg.name.clone(),
+            upstream: r.name.clone(),
+            in_flight: r.in_flight,
+            load: r.load.map(|l| (l.value, now.since(l.at))),
+            leaving: r.leaving_first_hand(),
+        };
+        self.rows.iter().map(shared).collect()
+    }
+
+    /// Takes note of what another host knows.
+    pub fn import(&mut self, host: &str, shared: &Shared, now: Time) {
+        let named = |r: &&mut Row| r.named && r.name == shared.upstream;
+        let Some(row) = self.rows.iter_mut().find(named) else { return };
+        let word = Word {
+            host: host.into(),
+            in_flight: shared.in_flight,
+            leaving: shared.leaving,
+            at: now,
+        };
+        row.said(word, now);
+        row.refresh();
+        if let (true, Some(said)) = (self.cfg.load_header.is_empty(), row.said) {
+            self.baseline.read(said.value);
+        }
+        let Some((value, age)) = shared.load else { return };
+        let at = before(now, age);
+        if row.load.is_none_or(|l| l.at < at) {
+            row.read(value, row.in_flight, at);
+        }
+    }
+
+    /// Forgets what a host that died or left had shared.
+    pub fn forget(&mut self, host: &str) {
+        for row in &mut self.rows {
+            row.forget(host);
+            row.refresh();
+        }
+        self.capacity.invalidate();
+    }
+}
+
+fn before(now: Time, age: Duration) -> Time {
+    let age = u64::try_from(age.as_micros()).unwrap_or(u64::MAX);
+    Time::from_micros(now.as_micros().saturating_sub(age))
+}
--- a/src/decide/tick.rs
+++ b/src/decide/tick.rs
@@ -67,11 +67,11 @@
         let mut out = Ticked::default();
         for service in &mut self.services {
             service.tick(now);
-            let name = service.cfg().name.clone();
-            let released = service.release(now, rng);
-            out.released.extend(released.into_iter().map(|(t, a)| (name.clone(), t, a)));
+            for (ticket, admission) in service.release(now, rng) {
+                out.released.push((service.cfg().name.clone(), ticket, admission));
+            }
             let cfg = service.cfg().clone();
-            let probes = service.probes(now, |upstream| owned(&name, upstream));
+            let probes = service.probes(now, |upstream| owned(&cfg.name, upstream));
             out.probes.extend(probes.into_iter().map(|t| (cfg.clone(), t)));
         }
         out
--- a/src/decide/upstream.rs
+++ b/src/decide/upstream.rs
@@ -8,6 +8,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::config;
+use crate::decide::health::Health;
+use crate::decide::load::{Others, Sent, Word};
 use crate::time::Time;
 
 /// Identifies an upstream within its service, for the life of the process.
@@ -47,6 +49,13 @@
     Cancelled,
 }
 
+impl Ended {
+    /// Tells whether the upstream did what it should: it answered, or refused in the declared way.
+    pub(crate) fn is_sound(self) -> bool {
+        matches!(self, Ended::Answered | Ended::Refused)
+    }
+}
+
 /// What an attempt taught about its upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Report {
@@ -103,6 +112,30 @@
     pub in_flight: u32,
     /// The newest load that the upstream itself reported.
     pub load: Option<Reading>,
+    /// Whether the service record or host list names it.
+    pub(crate) named: bool,
+    /// Whether the host list says that it is leaving.
+    pub(crate) listed_leaving: bool,
+    /// Whether it said itself that it is leaving.
+    pub(crate) drained: bool,
+    /// What other hosts said, sorted by host.
+    pub(crate) words: Vec<Word>,
+    /// The sum of what other hosts said.
+    pub(crate) said: Option<Others>,
+    /// Other hosts' requests in flight, from the newest load that the upstream reported.
+    pub(crate) reading: Option<Others>,
+    /// The attempts in flight, oldest first.
+    pub(crate) sent: Vec<Sent>,
+    /// Mean latency of recent answers, in microseconds; 0 before the first.
+    pub(crate) latency: f32,
+    /// When it last answered.
+    pub(crate) answered: Time,
+    /// When it was last probed.
+    pub(crate) probed: Time,
+    /// The position in the order of choices of the last one that fell on it.
+    pub(crate) chosen: u64,
+    /// Its health.
+    pub(crate) health: Health,
 }
 
 impl Row {
@@ -117,8 +150,32 @@
             joined: now,
             in_flight: 0,
             load: None,
+            named: true,
+            listed_leaving: false,
+            drained: false,
+            words: Vec::new(),
+            said: None,
+            reading: None,
+            sent: Vec::new(),
+            latency: 0.0,
+            answered: now,
+            probed: Time::ZERO,
+            chosen: 0,
+            health: Health::default(),
         }
     }
+
+    /// Tells whether this host knows of its own that the upstream is leaving. Only this is passed
+    /// on, so that hosts don't confirm each other in what has ceased to be true.
+    pub(crate) fn leaving_first_hand(&self) -> bool {
+        self.drained || self.listed_leaving || !self.named
+    }
+
+    /// Derives the state from what is known.
+    pub(crate) fn refresh(&mut self) {
+        let leaving = self.leaving_first_hand() || self.words.iter().any(|w| w.leaving);
+        self.state = if leaving { State::Leaving } else { State::Live };
+    }
 }
 
 /// Finds a row by identity in a table sorted by identity.
