--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -16,3 +16,10 @@
 pub mod stored;
 pub mod tick;
 pub mod upstream;
+
+pub(crate) mod baseline;
+pub(crate) mod capacity;
+pub(crate) mod health;
+pub(crate) mod load;
+pub(crate) mod queue;
+pub(crate) mod retry;
