Link entry hosts by capnp-rpc and share versions, heartbeats and load

Cause: hosts knew nothing of each other, so every host owned every duty and a new version reached a host only through the platform.

Change: one connection per pair of neighbours carries digests both ways in one call. A digest holds deltas against what that connection has carried, so a new connection starts in full. Records that come into force are told at once and fetched by those who lack them; whole catalogs are compared when single fetches don't explain a difference. Members hold incarnation and counter per host, with the age of each relayed heartbeat; rendezvous hashing picks owners, and a host that has just started or was paused owns nothing until it has had the time to hear the others. Who talks to whom is one pure function.

Ruled out: a timestamp of the sender in place of an age (clocks are off by seconds); capnp beats with full host names (24 to 40 bytes each, against 8); a fetch by the key-value service on every host.

Seen: 8 tests in src/peer/tests.rs pass on real sockets: versions spread, a fresh host learns 300 records, a stopped host is dead and back, a draining one leaves duties, a silent link is replaced.

--- /dev/null
+++ b/schema/peer.capnp
@@ -0,0 +1,71 @@
+# The link between entry hosts. Regenerate src/peer/peer_capnp.rs with capnpc 0.27.
+@0x801cbf399ca15227;
+
+# What both sides tell each other, once per interval and at once when there is news.
+#
+# A digest holds what has changed since the sender's digest before it on the same connection.
+# Processes and upstreams are named once per connection; later digests use their position, counted
+# from 0 in the order of naming. Position 0 of the processes is the sender.
+struct Digest {
+  millis @0 :UInt64;             # The sender's hybrid logical clock.
+  count @1 :UInt32;
+  beat @2 :UInt32;               # The sender's own heartbeat counter.
+  fingerprint @3 :UInt64;        # Over kind, name and version of every record in force.
+  versions @4 :UInt64;           # Sum of the versions of all records in force.
+  leaving @5 :Bool;              # The sender leaves in order.
+  processes @6 :List(Process);   # Processes named for the first time.
+  beats @7 :List(Beat);          # Newer heartbeats of other hosts, relayed.
+  upstreams @8 :List(Upstream);  # Upstreams named for the first time.
+  loads @9 :List(Load);          # Upstreams whose figures have changed.
+  recent @10 :List(Version);     # Records that have come into force.
+}
+
+# One run of the daemon on an entry host.
+struct Process {
+  host @0 :Text;
+  dataCentre @1 :Text;
+  address @2 :Text;
+  incarnation @3 :UInt64;
+}
+
+struct Beat {
+  process @0 :UInt16;
+  age @1 :UInt8;                 # In units of 20 ms.
+  left @2 :Bool;
+  counter @3 :UInt32;
+}
+
+struct Upstream {
+  service @0 :Text;
+  name @1 :Text;
+}
+
+struct Load {
+  upstream @0 :UInt16;
+  inFlight @1 :UInt16;           # The sender's own requests in flight.
+  load @2 :UInt16;               # The newest figure of the upstream's own, 65535 for none.
+  age @3 :UInt8;                 # The figure's age in units of 20 ms.
+  leaving @4 :Bool;
+}
+
+enum Kind {
+  profile @0;
+  service @1;
+}
+
+struct Version {
+  kind @0 :Kind;
+  version @1 :UInt64;
+  name @2 :Text;
+}
+
+interface Peer {
+  # Tells and asks for a digest. Only the side that dialled calls it, one call at a time.
+  exchange @0 (digest :Digest) -> (digest :Digest);
+  # Asks the side that dialled for an exchange at once.
+  nudge @1 () -> ();
+  # Returns the version of every record in force.
+  versions @2 () -> (versions :List(Version));
+  # Returns records as JSON: as many of the wanted as fit, in order, at least one.
+  records @3 (wanted :List(Version)) -> (records :List(Data));
+}
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -94,6 +94,7 @@
     interval.set_missed_tick_behavior(MissedTickBehavior::Skip);
     loop {
         interval.tick().await;
+        node.watch();
         for (service, target) in node.tick(&mut rng) {
             spawn_local(probe::send(node.clone(), service, target));
         }
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -5,11 +5,14 @@
 
 pub mod admit;
 pub mod attempt;
+pub mod digest;
 pub mod matching;
 pub mod measure;
 pub mod member;
+pub mod pause;
 pub mod profile;
 pub mod route;
 pub mod service;
 pub mod tick;
+pub mod topology;
 pub mod upstream;
--- a/src/decide/tick.rs
+++ b/src/decide/tick.rs
@@ -56,6 +56,11 @@
         }
     }
 
+    /// Forgets what a host that died had shared.
+    pub fn forget(&mut self, host: &str) {
+        self.services.iter_mut().for_each(|s| s.forget(host));
+    }
+
     /// Runs the systems over every table. `owned` tells which upstreams of which service are this
     /// host's to probe.
     pub fn tick(
--- /dev/null
+++ b/src/decide/topology.rs
@@ -0,0 +1,91 @@
+//! Which entry hosts talk to each other.
+//!
+//! The hosts of a data centre form a circulant graph over the order of their hashes, and so do the
+//! data centres: a host links to hosts a few fixed distances away. The degree grows with the
+//! logarithm of the fleet, every host computes the same graph from the same members, and one host
+//! that joins or leaves moves a bounded number of links.
+
+use std::sync::Arc;
+
+/// A host's place in the graph.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Place {
+    /// The hash of the data centre's name.
+    pub data_centre: u64,
+    /// The hash of the host's name.
+    pub hash: u64,
+    /// The host's name.
+    pub host: Arc<str>,
+}
+
+/// Groups up to this size are a full mesh.
+const MESH_SIZE_MAX: usize = 5;
+
+/// Groups up to this size link over distances 1 and 2, which reaches every member in two hops.
+const TWO_HOP_SIZE_MAX: usize = 8;
+
+/// The factor between two distances in larger groups.
+const DISTANCE_FACTOR: usize = 3;
+
+/// Returns the names of the hosts that `host` exchanges digests with. The relation is symmetric:
+/// given the same places, two hosts always name each other or neither.
+pub fn neighbours(places: &[Place], host: &str) -> Vec<Arc<str>> {
+    let mut places = places.to_vec();
+    places.sort();
+    places.dedup();
+    let groups: Vec<&[Place]> = places.chunk_by(|a, b| a.data_centre == b.data_centre).collect();
+    let position = |g: &&[Place]| g.iter().position(|p| *p.host == *host);
+    let found = groups.iter().enumerate().find_map(|(i, g)| Some((i, position(g)?)));
+    let Some((group, at)) = found else { return Vec::new() };
+    let own = groups[group];
+    let mut out: Vec<Arc<str>> =
+        around(own.len(), at).into_iter().map(|i| own[i].host.clone()).collect();
+    out.extend(abroad(&groups, group, at));
+    out.sort();
+    out.dedup();
+    out
+}
+
+/// Returns the distances over which the members of a group link.
+fn distances(size: usize) -> Vec<usize> {
+    if size <= MESH_SIZE_MAX {
+        return (1..=size / 2).collect();
+    }
+    if size <= TWO_HOP_SIZE_MAX {
+        return vec![1, 2];
+    }
+    let farther = |d: &usize| Some(d * DISTANCE_FACTOR);
+    std::iter::successors(Some(1), farther).take_while(|d| *d <= size / 2).collect()
+}
+
+/// Returns the positions that the member at `at` links to within its group.
+fn around(size: usize, at: usize) -> Vec<usize> {
+    let both = |d: usize| [(at + d) % size, (at + size - d) % size];
+    distances(size).into_iter().flat_map(both).filter(|i| *i != at).collect()
+}
+
+/// Returns the hosts of other data centres that a host links to: the one that it dials, and those
+/// that dial it.
+fn abroad(groups: &[&[Place]], group: usize, at: usize) -> Vec<Arc<str>> {
+    let mut out: Vec<Arc<str>> = Vec::new();
+    out.extend(partner(groups, group, at));
+    let own = &groups[group][at].host;
+    for (other, members) in groups.iter().enumerate().filter(|(i, _)| *i != group) {
+        let dials = |i: &usize| partner(groups, other, *i).is_some_and(|p| p == *own);
+        out.extend((0..members.len()).filter(dials).map(|i| members[i].host.clone()));
+    }
+    out
+}
+
+/// Returns the host of another data centre that the host at `at` of `group` dials. The members of a
+/// data centre take the distances between data centres in turn.
+fn partner(groups: &[&[Place]], group: usize, at: usize) -> Option<Arc<str>> {
+    let distances = distances(groups.len());
+    if distances.is_empty() {
+        return None;
+    }
+    let distance = distances[at % distances.len()];
+    let other = groups[(group + distance) % groups.len()];
+    let opposite = at * other.len() / groups[group].len();
+    Some(other[opposite].host.clone())
+}
--- a/src/entry/caller.rs
+++ b/src/entry/caller.rs
@@ -69,6 +69,7 @@
 
 /// Takes a request in whole.
 async fn take_in(node: &Node, id: &Arc<str>, req: WebRequest<RequestBody>) -> Result<Job, Code> {
+    node.current().await;
     let now = node.clock.now();
     let (parts, ext) = req.into_parts();
     let (_, body) = ext.replace_body(());
--- a/src/hlc.rs
+++ b/src/hlc.rs
@@ -2,12 +2,18 @@
 //!
 //! Published in Kulkarni and others, "Logical Physical Clocks", OPODIS 2014.
 
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use derive_more::Display;
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 
+/// How far ahead of the wall clock a remote stamp may take this one.
+///
+/// One host whose clock is years ahead would otherwise drag the whole fleet along for good. Events of
+/// such a host sort after their effects elsewhere until its clock is set.
+pub const AHEAD_MAX: Duration = Duration::from_secs(60);
+
 /// A reading of the hybrid logical clock.
 #[derive(
     Clone,
@@ -58,9 +64,12 @@
         *last
     }
 
-    /// Takes note of a stamp received from another process, and returns the receipt's stamp.
+    /// Takes note of a stamp received from another process, and returns the receipt's stamp. A stamp
+    /// further ahead than [`AHEAD_MAX`] is left out.
     pub fn observe(&self, remote: Stamp) -> Stamp {
         let wall = (self.wall)();
+        let furthest = wall.saturating_add(AHEAD_MAX.as_millis() as u64);
+        let remote = if remote.millis > furthest { Stamp::default() } else { remote };
         let mut last = self.last.lock();
         *last = after((*last).max(remote), wall);
         *last
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -53,7 +53,8 @@
 pub mod tool;
 
 pub use decide::{
-    admit, attempt, matching, measure, member, profile, route, service, tick, upstream,
+    admit, attempt, digest, matching, measure, member, pause, profile, route, service, tick,
+    topology, upstream,
 };
 pub use time::{Clock, Time};
 
--- a/src/node.rs
+++ b/src/node.rs
@@ -4,9 +4,12 @@
 use std::sync::atomic::{AtomicU8, Ordering};
 
 use parking_lot::{Mutex, RwLock};
+use tokio::sync::Notify;
 
+use crate::decide::digest::Version;
 use crate::decide::matching::Routes;
-use crate::decide::member::Members;
+use crate::decide::member::{Change, Members, Standing};
+use crate::decide::pause::{Pause, RESYNC_MAX};
 use crate::decide::profile::{Body, Catalog, Offered, Record};
 use crate::decide::service::HostFacts;
 use crate::decide::tick::Tables;
@@ -14,6 +17,7 @@
 use crate::event::{EventCode, Ring, Subject};
 use crate::hlc::Hlc;
 use crate::metrics::Metrics;
+use crate::peer::news::News;
 use crate::settings::Settings;
 use crate::time::Clock;
 
@@ -44,6 +48,12 @@
     pub(crate) members: Mutex<Members>,
     pub(crate) tables: Mutex<Tables>,
     pub(crate) waiting: Waiting,
+    pub(crate) hlc: Arc<Hlc>,
+    pub(crate) news: News,
+    /// Signals that the process was paused and has to hear of the newest records.
+    pub(crate) resync: Notify,
+    pub(crate) pause: Mutex<Pause>,
+    resynced: Notify,
     routes: RwLock<Arc<Routes>>,
     phase: AtomicU8,
 }
@@ -61,16 +71,22 @@
         };
         let node = Node {
             clock: Clock::start(),
-            events: Arc::new(Ring::new(settings.limits.events, hlc)),
+            events: Arc::new(Ring::new(settings.limits.events, hlc.clone())),
             metrics: Metrics::default(),
             catalog: Mutex::default(),
             members: Mutex::new(Members::new(facts.host.clone(), facts.data_centre.clone())),
             tables: Mutex::new(Tables::new(facts)),
             waiting: Waiting::default(),
+            hlc,
+            news: News::default(),
+            resync: Notify::new(),
+            pause: Mutex::default(),
+            resynced: Notify::new(),
             routes: RwLock::default(),
             phase: AtomicU8::new(Phase::Starting as u8),
             settings,
         };
+        node.members.lock().set_known(&node.settings.peers, node.clock.now());
         node.offer(node.inline_records());
         Arc::new(node)
     }
@@ -105,6 +121,65 @@
     /// Moves on to a later phase. A host never goes back to an earlier one.
     pub(crate) fn enter(&self, phase: Phase) {
         self.phase.fetch_max(phase as u8, Ordering::AcqRel);
+        if phase >= Phase::Draining {
+            self.members.lock().leave();
+            self.news.signal();
+        }
+    }
+
+    /// Waits until the records are current: at once, unless the process was paused and has not
+    /// resynchronised. Gives up after [`RESYNC_MAX`].
+    pub(crate) async fn current(&self) {
+        let wait = async {
+            while self.pause.lock().stale(self.clock.now()) {
+                let resynced = self.resynced.notified();
+                if self.pause.lock().stale(self.clock.now()) {
+                    resynced.await;
+                }
+            }
+        };
+        let _ = tokio::time::timeout(RESYNC_MAX, wait).await;
+    }
+
+    /// Takes note that the newest records were heard of after the pause numbered `pauses`.
+    pub(crate) fn resynced(&self, pauses: u64) {
+        self.pause.lock().resynced(pauses);
+        self.resynced.notify_waiters();
+    }
+
+    /// Detects a pause of the process, and moves members between standings.
+    pub(crate) fn watch(&self) {
+        let now = self.clock.now();
+        let pauses = {
+            let mut pause = self.pause.lock();
+            pause.tick(now).then(|| pause.pauses())
+        };
+        if let Some(pauses) = pauses {
+            self.events.record(EventCode::Paused, Subject::default(), Some(pauses));
+            self.members.lock().resume(now);
+            self.resync.notify_waiters();
+            if self.settings.platform.is_none() && self.members.lock().members().is_empty() {
+                self.resynced(pauses);
+            }
+        }
+        let changes = self.members.lock().tick(now);
+        for change in changes {
+            self.member_changed(&change);
+        }
+    }
+
+    fn member_changed(&self, change: &Change) {
+        let code = match change.standing {
+            Standing::Unknown => return,
+            Standing::Alive => EventCode::PeerJoined,
+            Standing::Dead => EventCode::PeerDead,
+            Standing::Left => EventCode::PeerLeft,
+        };
+        let subject = Subject { peer: Some(change.host.clone()), ..Subject::default() };
+        self.events.record(code, subject, None);
+        if change.standing == Standing::Dead {
+            self.tables.lock().forget(&change.host);
+        }
     }
 
     fn offer_one(&self, catalog: &mut Catalog, record: Record) -> Offered {
@@ -117,6 +192,10 @@
         let name = format!("{}/{}", record.kind(), record.name);
         let subject = Subject { record: Some(name.into()), ..Subject::default() };
         self.events.record(code, subject, Some(record.version));
+        if offered == Offered::InForce {
+            let (kind, name) = (record.kind(), record.name.clone());
+            self.news.in_force(Version { kind, name, version: record.version });
+        }
         if let (Offered::InForce, Body::Service(service)) = (offered, record.body) {
             self.tables.lock().put(service, self.clock.now());
         }
--- /dev/null
+++ b/src/peer/dial.rs
@@ -0,0 +1,123 @@
+//! Dials one neighbour and exchanges digests with it.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use rand::Rng;
+use tokio::net::TcpStream;
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout};
+use tokio_util::task::AbortOnDropHandle;
+
+use crate::event::{EventCode, Subject};
+use crate::peer::CALL_TIMEOUT;
+use crate::peer::codec;
+use crate::peer::local::Local;
+use crate::peer::session::Session;
+
+/// The time allowed for a new connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// The first wait before a host is dialled again, doubled with each failure.
+const BACK_OFF: Duration = Duration::from_millis(50);
+
+/// The longest wait before a host is dialled again.
+const BACK_OFF_MAX: Duration = Duration::from_millis(400);
+
+/// The least time between two exchanges, however much news there is.
+const EXCHANGE_GAP: Duration = Duration::from_millis(20);
+
+/// The share by which a wait varies to either side.
+const JITTER: f64 = 0.1;
+
+/// Why a connection ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Ended {
+    /// No connection could be had.
+    Unconnected,
+    /// The other side closed it or refused.
+    Closed,
+    /// A call had no answer in time.
+    Silent,
+}
+
+/// Keeps a link to a host for as long as it is polled.
+pub(crate) async fn keep(local: Rc<Local>, host: Arc<str>, address: SocketAddr) {
+    let mut silent = false;
+    let mut back_off = BACK_OFF;
+    loop {
+        let mut exchanges = 0_u64;
+        let ended = connect(&local, address, |first| {
+            exchanges += 1;
+            if first && silent {
+                let subject = Subject { peer: Some(host.clone()), ..Subject::default() };
+                local.node.events.record(EventCode::PeerLinkReplaced, subject, None);
+                silent = false;
+            }
+        })
+        .await;
+        silent |= ended == Ended::Silent;
+        back_off = if exchanges > 0 { BACK_OFF } else { (back_off * 2).min(BACK_OFF_MAX) };
+        sleep(jittered(back_off)).await;
+    }
+}
+
+async fn connect(local: &Rc<Local>, address: SocketAddr, answered: impl FnMut(bool)) -> Ended {
+    let Ok(Ok(stream)) = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await else {
+        return Ended::Unconnected;
+    };
+    let (session, carrier) = Session::open(local, stream, Side::Client);
+    let carrier = AbortOnDropHandle::new(spawn_local(carrier));
+    let closing = Closing(session.clone());
+    let ended = exchange(&session, answered).await;
+    drop(closing);
+    drop(carrier);
+    ended
+}
+
+/// Closes a session, also when the task that holds it is aborted.
+struct Closing(Rc<Session>);
+
+impl Drop for Closing {
+    fn drop(&mut self) {
+        self.0.close();
+    }
+}
+
+async fn exchange(session: &Rc<Session>, mut answered: impl FnMut(bool)) -> Ended {
+    let local = &session.local;
+    let mut news = local.node.news.subscribe();
+    let mut first = true;
+    loop {
+        news.mark_unchanged();
+        let pauses = local.node.pause.lock().pauses();
+        let Ok(remote) = session.remote() else { return Ended::Closed };
+        let mut req = remote.exchange_request();
+        codec::write(&session.digest(), req.get().init_digest());
+        let reply = match timeout(CALL_TIMEOUT, req.send().promise).await {
+            Err(_) => return Ended::Silent,
+            Ok(Err(_)) => return Ended::Closed,
+            Ok(Ok(reply)) => reply,
+        };
+        let digest = reply.get().and_then(|r| codec::read(r.get_digest()?));
+        if digest.and_then(|d| session.take(&d, pauses)).is_err() {
+            return Ended::Closed;
+        }
+        answered(first);
+        first = false;
+        sleep(EXCHANGE_GAP).await;
+        let wait = jittered(local.traffic.interval(local.node.clock.now()));
+        tokio::select! {
+            () = sleep(wait.saturating_sub(EXCHANGE_GAP)) => {}
+            _ = news.changed() => {}
+            () = session.nudged.notified() => {}
+        }
+    }
+}
+
+fn jittered(wait: Duration) -> Duration {
+    wait.mul_f64(rand::rng().random_range(1.0 - JITTER..1.0 + JITTER))
+}
--- /dev/null
+++ b/src/peer/pull.rs
@@ -0,0 +1,143 @@
+//! Fetches records that a peer has and this host lacks.
+
+use std::cell::Cell;
+use std::future::Future;
+use std::rc::Rc;
+use std::time::Duration;
+
+use capnp::Error;
+use tokio::task::spawn_local;
+
+use crate::decide::digest::{Version, newer};
+use crate::decide::profile::{Body, Record};
+use crate::event::{EventCode, Subject};
+use crate::peer::codec;
+use crate::peer::local::Local;
+use crate::peer::session::Session;
+use crate::settings::{profile_faults, service_faults};
+use crate::time::Time;
+
+/// The time after which a fetch that has no answer is given up on.
+const FETCH_TIMEOUT: Duration = Duration::from_millis(3_000);
+
+/// Records asked for in one call.
+const BATCH: usize = 64;
+
+/// The time between two comparisons of whole catalogs over one connection.
+const COMPARE_INTERVAL: Duration = Duration::from_millis(1_000);
+
+/// The time for which the other side may seem to be behind before catalogs are compared.
+const BEHIND_MAX: Duration = Duration::from_millis(2_000);
+
+/// What a connection's fetches have come to.
+#[derive(Debug, Default)]
+pub(crate) struct Pulls {
+    running: Cell<bool>,
+    compared: Cell<Option<Time>>,
+    differs_since: Cell<Option<Time>>,
+}
+
+/// Fetches `wanted`, and compares the whole catalogs if they still differ after that. Does nothing
+/// while a fetch over the connection is running.
+pub(crate) fn start(session: &Rc<Session>, wanted: Vec<Version>, pauses: u64) {
+    if !session.pulls.running.replace(true) {
+        let session = session.clone();
+        spawn_local(async move {
+            if let Err(e) = pull(&session, wanted, pauses).await {
+                log::debug!("fetch from peer: {e}");
+            }
+            session.pulls.running.set(false);
+        });
+    }
+}
+
+async fn pull(session: &Session, wanted: Vec<Version>, pauses: u64) -> Result<(), Error> {
+    fetch(session, wanted).await?;
+    if is_comparison_due(session) {
+        let remote = session.remote()?;
+        let reply = in_time(remote.versions_request().send().promise).await?;
+        let offered = codec::read_versions(reply.get()?.get_versions()?)?;
+        let wanted = newer(&session.local.node.catalog.lock(), offered);
+        fetch(session, wanted).await?;
+        session.pulls.compared.set(Some(session.local.node.clock.now()));
+    } else if !is_equal(session) {
+        return Ok(());
+    }
+    if let Some(host) = session.host() {
+        session.local.node.members.lock().set_synced(&host);
+        session.local.node.resynced(pauses);
+    }
+    Ok(())
+}
+
+fn is_equal(session: &Session) -> bool {
+    session.theirs.get() == Some(session.local.summary())
+}
+
+/// Tells whether the two catalogs differ in a way that single fetches did not mend.
+fn is_comparison_due(session: &Session) -> bool {
+    let pulls = &session.pulls;
+    let now = session.local.node.clock.now();
+    let Some(theirs) = session.theirs.get().filter(|_| !is_equal(session)) else {
+        pulls.differs_since.set(None);
+        return false;
+    };
+    let since = pulls.differs_since.get().unwrap_or(now);
+    pulls.differs_since.set(Some(since));
+    let Some(compared) = pulls.compared.get() else { return true };
+    let ahead = theirs.versions > session.local.summary().versions;
+    now.since(compared) >= COMPARE_INTERVAL && (ahead || now.since(since) >= BEHIND_MAX)
+}
+
+async fn fetch(session: &Session, wanted: Vec<Version>) -> Result<(), Error> {
+    let readable = |v: &Version| !session.local.unreadable.borrow().contains(v);
+    let wanted: Vec<Version> = wanted.into_iter().filter(readable).collect();
+    let mut left = wanted.as_slice();
+    while !left.is_empty() {
+        let batch = &left[..left.len().min(BATCH)];
+        let mut req = session.remote()?.records_request();
+        codec::write_versions(batch, req.get().init_wanted(batch.len() as u32));
+        let reply = in_time(req.send().promise).await?;
+        let records = reply.get()?.get_records()?;
+        let count = (records.len() as usize).min(batch.len());
+        if count == 0 {
+            return Err(Error::failed("peer returns no record".into()));
+        }
+        for (i, version) in batch.iter().take(count).enumerate() {
+            offer(&session.local, version, records.get(i as u32)?);
+        }
+        left = &left[count..];
+    }
+    Ok(())
+}
+
+fn offer(local: &Local, version: &Version, json: &[u8]) {
+    if json.is_empty() {
+        return;
+    }
+    match serde_json::from_slice::<Record>(json).ok().filter(is_sound) {
+        Some(record) => {
+            local.node.offer(vec![record]);
+        }
+        None => {
+            let name = format!("{}/{}", version.kind, version.name);
+            let subject = Subject { record: Some(name.into()), ..Subject::default() };
+            local.node.events.record(EventCode::RecordUnreadable, subject, Some(version.version));
+            local.unreadable.borrow_mut().push(version.clone());
+        }
+    }
+}
+
+fn is_sound(record: &Record) -> bool {
+    match &record.body {
+        Body::Profile(profile) => profile_faults(profile, "").is_empty(),
+        Body::Service(service) => service_faults(service, "").is_empty(),
+        Body::Deleted(_) => true,
+    }
+}
+
+async fn in_time<T>(call: impl Future<Output = Result<T, Error>>) -> Result<T, Error> {
+    tokio::time::timeout(FETCH_TIMEOUT, call)
+        .await
+        .unwrap_or_else(|_| Err(Error::overloaded("no answer in time".into())))
+}
--- /dev/null
+++ b/src/peer/server.rs
@@ -0,0 +1,77 @@
+//! What a host answers to the other side of a connection.
+
+use std::rc::Rc;
+
+use capnp::Error;
+
+use crate::decide::digest::versions;
+use crate::peer::codec;
+use crate::peer::peer_capnp::peer;
+use crate::peer::session::Session;
+
+/// Bytes of records that one answer holds, unless its first record alone is larger.
+const RECORDS_BYTES: usize = 256 << 10;
+
+/// Serves the calls of one connection.
+pub(crate) struct Server(pub(crate) Rc<Session>);
+
+impl peer::Server for Server {
+    async fn exchange(
+        self: Rc<Self>,
+        params: peer::ExchangeParams,
+        mut results: peer::ExchangeResults,
+    ) -> Result<(), Error> {
+        let node = &self.0.local.node;
+        let digest = codec::read(params.get()?.get_digest()?)?;
+        self.0.take(&digest, node.pause.lock().pauses())?;
+        if let Some(host) = self.0.host() {
+            self.0.local.dialled(&host, node.clock.now());
+        }
+        codec::write(&self.0.digest(), results.get().init_digest());
+        Ok(())
+    }
+
+    async fn nudge(
+        self: Rc<Self>,
+        _: peer::NudgeParams,
+        _: peer::NudgeResults,
+    ) -> Result<(), Error> {
+        self.0.nudged.notify_one();
+        Ok(())
+    }
+
+    async fn versions(
+        self: Rc<Self>,
+        _: peer::VersionsParams,
+        mut results: peer::VersionsResults,
+    ) -> Result<(), Error> {
+        let versions = versions(&self.0.local.node.catalog.lock());
+        codec::write_versions(&versions, results.get().init_versions(versions.len() as u32));
+        Ok(())
+    }
+
+    async fn records(
+        self: Rc<Self>,
+        params: peer::RecordsParams,
+        mut results: peer::RecordsResults,
+    ) -> Result<(), Error> {
+        let wanted = codec::read_versions(params.get()?.get_wanted()?)?;
+        let mut records: Vec<Vec<u8>> = Vec::new();
+        let mut bytes = 0;
+        for version in &wanted {
+            let catalog = self.0.local.node.catalog.lock();
+            let record = catalog.get(version.kind, &version.name);
+            let json = record.and_then(|r| serde_json::to_vec(r).ok()).unwrap_or_default();
+            bytes += json.len();
+            if bytes > RECORDS_BYTES && !records.is_empty() {
+                break;
+            }
+            records.push(json);
+        }
+        let mut out = results.get().init_records(records.len() as u32);
+        for (i, json) in records.iter().enumerate() {
+            out.set(i as u32, json);
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/peer/session.rs
@@ -0,0 +1,251 @@
+//! One connection between two hosts: what was told and heard over it.
+
+use std::cell::{Cell, RefCell};
+use std::pin::Pin;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use capnp::Error;
+use capnp::message::ReaderOptions;
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use capnp_rpc::{RpcSystem, twoparty};
+use tokio::io::BufWriter;
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
+use tokio_util::io::{InspectReader, InspectWriter};
+
+use crate::decide::digest::{Digest, Incoming, Outgoing, Summary, Taken, Version, newer};
+use crate::decide::member::{Heard, Process};
+use crate::node::Phase;
+use crate::peer::local::Local;
+use crate::peer::peer_capnp::peer;
+use crate::peer::pull::{self, Pulls};
+use crate::peer::server::Server;
+use crate::time::Time;
+
+/// The largest message that is read, in words of 8 bytes.
+const MESSAGE_WORDS_MAX: usize = 1 << 20;
+
+/// The deepest nesting of a message that is read.
+const MESSAGE_NESTING_MAX: i32 = 32;
+
+/// The reader's limits.
+pub(crate) fn reader_options() -> ReaderOptions {
+    ReaderOptions {
+        traversal_limit_in_words: Some(MESSAGE_WORDS_MAX),
+        nesting_limit: MESSAGE_NESTING_MAX,
+    }
+}
+
+/// One connection.
+pub(crate) struct Session {
+    pub(crate) local: Rc<Local>,
+    /// Wakes the side that dialled.
+    pub(crate) nudged: Notify,
+    /// The other side's records at its last digest.
+    pub(crate) theirs: Cell<Option<Summary>>,
+    pub(crate) pulls: Pulls,
+    /// This host's process as the other side was told.
+    process: Process,
+    /// Whether a later process than the other side runs under its name.
+    superseded: Cell<bool>,
+    remote: RefCell<Option<peer::Client>>,
+    out: RefCell<Outgoing>,
+    heard: RefCell<Incoming>,
+    exchanged: Cell<Time>,
+    told_news: Cell<u64>,
+    /// Records that the other side has told of.
+    known: RefCell<Vec<Version>>,
+}
+
+/// Records that a session remembers the other side to have told of.
+const KNOWN_MAX: usize = 32;
+
+/// The task that carries a connection's messages.
+pub(crate) type Carrier = Pin<Box<RpcSystem<Side>>>;
+
+impl Session {
+    /// Makes the session of a new connection, and the task that has to be run for it.
+    pub(crate) fn open(local: &Rc<Local>, stream: TcpStream, side: Side) -> (Rc<Session>, Carrier) {
+        let _ = stream.set_nodelay(true);
+        let (reader, writer) = stream.into_split();
+        let counter = local.clone();
+        let reader = InspectReader::new(reader, move |buf| counter.count_received(buf.len()));
+        let counter = local.clone();
+        let writer = InspectWriter::new(writer, move |buf| counter.count_sent(buf.len()));
+        let writer = BufWriter::new(writer).compat_write();
+        let network = twoparty::VatNetwork::new(reader.compat(), writer, side, reader_options());
+        let session = Rc::new(Session {
+            local: local.clone(),
+            nudged: Notify::new(),
+            theirs: Cell::default(),
+            pulls: Pulls::default(),
+            process: local.process(),
+            superseded: Cell::default(),
+            remote: RefCell::default(),
+            out: RefCell::default(),
+            heard: RefCell::default(),
+            exchanged: Cell::new(local.node.clock.now()),
+            told_news: Cell::new(0),
+            known: RefCell::default(),
+        });
+        let server: peer::Client = capnp_rpc::new_client(Server(session.clone()));
+        let mut rpc = RpcSystem::new(Box::new(network), Some(server.client));
+        let other = if side == Side::Client { Side::Server } else { Side::Client };
+        *session.remote.borrow_mut() = Some(rpc.bootstrap(other));
+        (session, Box::pin(rpc))
+    }
+
+    /// Lets go of the other side, so that the connection can be freed.
+    pub(crate) fn close(&self) {
+        self.remote.borrow_mut().take();
+    }
+
+    /// Returns the other side.
+    ///
+    /// # Errors
+    ///
+    /// If the session is closed.
+    pub(crate) fn remote(&self) -> Result<peer::Client, Error> {
+        let remote = self.remote.borrow().clone();
+        remote.ok_or_else(|| Error::disconnected("peer session closed".into()))
+    }
+
+    /// Returns the other side's process, once it has introduced itself.
+    pub(crate) fn peer(&self) -> Option<Process> {
+        self.heard.borrow().sender().cloned()
+    }
+
+    /// Returns when the last digest came in.
+    pub(crate) fn exchanged(&self) -> Time {
+        self.exchanged.get()
+    }
+
+    /// Tells whether there is news that the other side has not been told.
+    pub(crate) fn has_news(&self) -> bool {
+        self.local.node.news.since(u64::MAX).0 > self.told_news.get()
+    }
+
+    /// Makes the next digest for the other side.
+    pub(crate) fn digest(&self) -> Digest {
+        let node = &self.local.node;
+        let now = node.clock.now();
+        let (news, recent) = node.news.since(self.told_news.get());
+        let known = self.known.borrow();
+        let mut digest = Digest {
+            stamp: node.hlc.tick(),
+            beat: self.local.beat(now),
+            leaving: node.phase() >= Phase::Draining,
+            summary: self.local.summary(),
+            recent: recent.into_iter().filter(|v| v.version > 0 && !known.contains(v)).collect(),
+            ..Digest::default()
+        };
+        self.told_news.set(news);
+        let mut out = self.out.borrow_mut();
+        out.introduce(&self.process, &mut digest);
+        if self.superseded.get() {
+            self.supersede(&mut out, &mut digest);
+        }
+        self.relay(&mut out, now, &mut digest);
+        let max = self.local.traffic.loads_max(now);
+        out.share(&self.local.figures(now), now, max, &mut digest);
+        digest
+    }
+
+    /// Takes in a digest of the other side, and pulls the records that it has and this host lacks.
+    ///
+    /// # Errors
+    ///
+    /// If the sender has not introduced itself or bears this host's name, or this host's own process
+    /// has taken another incarnation since the session began.
+    pub(crate) fn take(self: &Rc<Session>, digest: &Digest, pauses: u64) -> Result<(), Error> {
+        let node = &self.local.node;
+        let now = node.clock.now();
+        node.hlc.observe(digest.stamp);
+        let taken = self.heard.borrow_mut().take(digest, now);
+        let taken = taken.ok_or_else(|| Error::failed("peer names no sender".into()))?;
+        self.hear(&taken)?;
+        self.exchanged.set(now);
+        if self.superseded.get() {
+            return Ok(());
+        }
+        self.import(&taken, now);
+        self.theirs.set(Some(digest.summary));
+        self.remember(&digest.recent);
+        let wanted = newer(&node.catalog.lock(), digest.recent.clone());
+        pull::start(self, wanted, pauses);
+        Ok(())
+    }
+
+    fn relay(&self, out: &mut Outgoing, now: Time, digest: &mut Digest) {
+        let heard = self.heard.borrow();
+        let peer = heard.sender().map(|p| p.host.clone());
+        let members = self.local.node.members.lock();
+        let others = members.heard(now).filter(|m| Some(&m.host) != peer.as_ref());
+        out.relay(others, |p| heard.counter_of(p), now, digest);
+    }
+
+    fn hear(&self, taken: &Taken) -> Result<(), Error> {
+        let mut changed = false;
+        let mut members = self.local.node.members.lock();
+        for (i, (process, beat)) in taken.beats.iter().enumerate() {
+            let heard = members.hear(process, *beat);
+            if heard == Heard::Own {
+                self.check_own(process, i == 0)?;
+            }
+            if i == 0 {
+                self.superseded.set(heard == Heard::Superseded);
+            }
+            changed |= heard == Heard::Changed;
+        }
+        drop(members);
+        if self.process.incarnation != self.local.process().incarnation {
+            return Err(Error::disconnected("incarnation raised".into()));
+        }
+        if changed {
+            self.local.node.news.signal();
+        }
+        Ok(())
+    }
+
+    /// Looks at a heartbeat that bears this host's name.
+    fn check_own(&self, process: &Process, is_sender: bool) -> Result<(), Error> {
+        if is_sender {
+            return Err(Error::failed(format!("host {:?} runs twice", process.host)));
+        }
+        if process.incarnation > self.local.process().incarnation {
+            self.local.outrank(process.incarnation);
+        }
+        Ok(())
+    }
+
+    fn supersede(&self, out: &mut Outgoing, digest: &mut Digest) {
+        let members = self.local.node.members.lock();
+        let later = self.host().and_then(|host| members.get(&host).cloned());
+        if let Some(member) = later {
+            out.supersede(&member, digest);
+        }
+    }
+
+    fn import(&self, taken: &Taken, now: Time) {
+        let mut tables = self.local.node.tables.lock();
+        for shared in &taken.shared {
+            if let Some(table) = tables.service(&shared.service) {
+                table.import(&taken.sender.host, shared, now);
+            }
+        }
+    }
+
+    fn remember(&self, recent: &[Version]) {
+        let mut known = self.known.borrow_mut();
+        known.extend(recent.iter().cloned());
+        let over = known.len().saturating_sub(KNOWN_MAX);
+        known.drain(..over);
+    }
+
+    /// Returns the other side's name.
+    pub(crate) fn host(&self) -> Option<Arc<str>> {
+        self.peer().map(|p| p.host)
+    }
+}
--- /dev/null
+++ b/src/peer/tests.rs
@@ -0,0 +1,299 @@
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use capnp::message::Builder;
+use proptest::collection::vec;
+use proptest::prelude::*;
+use tokio::io::copy_bidirectional;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{oneshot, watch};
+use tokio::task::{LocalSet, spawn_local};
+
+use super::peer_capnp as wire;
+use super::{codec, session};
+use crate::config::{Profile, Treatment};
+use crate::decide::digest::{Beat, Digest, Load, Summary, UpstreamName, Version};
+use crate::decide::member::{Heartbeat, Process, Standing};
+use crate::decide::profile::{Body, Kind, Record};
+use crate::event::EventCode;
+use crate::hlc::Stamp;
+use crate::node::{Node, Phase};
+use crate::settings::{Peer, Settings};
+use crate::time::Time;
+
+/// A bound on every wait here; a test that reaches it has failed.
+const HANG: Duration = Duration::from_secs(30);
+
+/// An entry host without its caller and admin sides.
+struct Host {
+    node: Arc<Node>,
+    stop: Option<oneshot::Sender<()>>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Host {
+    fn start(
+        name: &str,
+        listener: std::net::TcpListener,
+        told: SocketAddr,
+        peers: &[Peer],
+    ) -> Host {
+        let mut settings = Settings::parse(
+            r#"{"host": "x", "data_centre": "dc", "caller": "127.0.0.1:0", "admin": "127.0.0.1:0"}"#,
+        )
+        .unwrap();
+        settings.host = name.into();
+        settings.peers = peers.to_vec();
+        let node = Node::new(settings);
+        let (stop, stopped) = oneshot::channel::<()>();
+        let run = node.clone();
+        let thread = std::thread::spawn(move || {
+            let rt = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+            LocalSet::new().block_on(&rt, async move {
+                listener.set_nonblocking(true).unwrap();
+                let listener = TcpListener::from_std(listener).unwrap();
+                spawn_local(super::serve(run.clone(), listener, told));
+                spawn_local(async move {
+                    loop {
+                        run.watch();
+                        tokio::time::sleep(Duration::from_millis(10)).await;
+                    }
+                });
+                let _ = stopped.await;
+            });
+        });
+        Host { node, stop: Some(stop), thread: Some(thread) }
+    }
+
+    fn standing(&self, host: &str) -> Option<Standing> {
+        self.node.members.lock().standing(host, self.node.clock.now())
+    }
+
+    fn version(&self, name: &str) -> Option<u64> {
+        self.node.catalog.lock().get(Kind::Profile, name).map(|r| r.version)
+    }
+
+    fn events(&self, code: EventCode) -> usize {
+        self.node.events.read(|e| e.code == code.number()).0.len()
+    }
+}
+
+impl Drop for Host {
+    fn drop(&mut self) {
+        self.stop.take();
+        let _ = self.thread.take().map(JoinHandle::join);
+    }
+}
+
+fn bound() -> (std::net::TcpListener, SocketAddr) {
+    let listener = std::net::TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let address = listener.local_addr().unwrap();
+    (listener, address)
+}
+
+fn fleet(size: usize) -> (Vec<Host>, Vec<Peer>) {
+    let bound: Vec<_> = (0..size).map(|_| bound()).collect();
+    let peers: Vec<Peer> = bound.iter().enumerate().map(|(i, b)| peer(i, b.1)).collect();
+    let start =
+        |(i, (listener, address))| Host::start(&format!("entry-{i}"), listener, address, &peers);
+    let hosts = bound.into_iter().enumerate().map(start).collect();
+    (hosts, peers)
+}
+
+fn peer(i: usize, address: SocketAddr) -> Peer {
+    Peer { host: format!("entry-{i}").into(), data_centre: "dc".into(), address }
+}
+
+fn profile(name: &str, version: u64) -> Record {
+    let otherwise = Treatment::default();
+    let profile = Profile { name: name.into(), rules: Vec::new(), otherwise };
+    Record {
+        name: name.into(),
+        version,
+        change: format!("change-{version}").into(),
+        author: "test".into(),
+        body: Body::Profile(Arc::new(profile)),
+    }
+}
+
+fn eventually(what: &str, holds: impl Fn() -> bool) {
+    let start = Instant::now();
+    while !holds() {
+        assert!(start.elapsed() < HANG, "{what}: not within {HANG:?}");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
+
+#[test]
+fn new_versions_reach_every_host_and_older_ones_none() {
+    let (hosts, _) = fleet(6);
+    hosts[0].node.offer(vec![profile("a", 5)]);
+    hosts[3].node.offer(vec![profile("b", 1)]);
+    eventually("both on all", || {
+        hosts.iter().all(|h| h.version("a") == Some(5) && h.version("b") == Some(1))
+    });
+    hosts[4].node.offer(vec![profile("a", 4), profile("b", 2)]);
+    eventually("b2 on all", || hosts.iter().all(|h| h.version("b") == Some(2)));
+    assert!(hosts.iter().all(|h| h.version("a") == Some(5)));
+}
+
+#[test]
+fn a_fresh_host_learns_every_record_from_its_peers() {
+    let (hosts, mut peers) = fleet(2);
+    let records = (0..300).map(|i| profile(&format!("p{i}"), i + 1)).collect();
+    hosts[1].node.offer(records);
+    let (listener, address) = bound();
+    peers.push(peer(2, address));
+    let fresh = Host::start("entry-2", listener, address, &peers);
+    eventually("synced with both", || fresh.node.members.lock().synced() == 2);
+    assert_eq!(fresh.node.catalog.lock().records().len(), 300);
+}
+
+#[test]
+fn a_stopped_host_is_dead_and_a_restarted_one_alive_again() {
+    let (mut hosts, peers) = fleet(4);
+    let alive = |h: &Host, of: &str| h.standing(of) == Some(Standing::Alive);
+    eventually("all alive", || hosts.iter().skip(1).all(|h| alive(h, "entry-0")));
+    drop(hosts.remove(0));
+    eventually("dead", || hosts.iter().all(|h| h.standing("entry-0") == Some(Standing::Dead)));
+    let (listener, address) = bound();
+    let back = Host::start("entry-0", listener, address, &peers);
+    eventually("alive again", || hosts.iter().all(|h| alive(h, "entry-0")));
+    eventually("alive to it", || alive(&back, "entry-3"));
+}
+
+#[test]
+fn a_host_that_drains_leaves_every_duty() {
+    let (hosts, _) = fleet(3);
+    eventually("joined", || hosts[1].standing("entry-0") == Some(Standing::Alive));
+    hosts[0].node.enter(Phase::Draining);
+    let left = |h: &Host| h.standing("entry-0") == Some(Standing::Left);
+    eventually("left", || hosts[1..].iter().all(left));
+}
+
+#[test]
+fn a_silent_link_is_replaced() {
+    let (first, first_address) = bound();
+    let (second, second_address) = bound();
+    let (relay, relay_address) = bound();
+    let (freeze, frozen) = watch::channel(false);
+    std::thread::spawn(move || run_relay(relay, second_address, frozen));
+    let peers = [peer(0, first_address), peer(1, relay_address)];
+    let a = Host::start("entry-0", first, first_address, &peers);
+    let b = Host::start("entry-1", second, relay_address, &peers);
+    eventually("linked", || a.standing("entry-1") == Some(Standing::Alive));
+    freeze.send(true).unwrap();
+    eventually("replaced", || a.events(EventCode::PeerLinkReplaced) > 0);
+    b.node.offer(vec![profile("a", 1)]);
+    eventually("in use", || a.version("a") == Some(1));
+}
+
+/// Forwards connections. Those that are open when `frozen` is set go silent; new ones work.
+fn run_relay(listener: std::net::TcpListener, to: SocketAddr, frozen: watch::Receiver<bool>) {
+    let rt = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    rt.block_on(async move {
+        listener.set_nonblocking(true).unwrap();
+        let listener = TcpListener::from_std(listener).unwrap();
+        while let Ok((mut near, _)) = listener.accept().await {
+            let mut frozen = frozen.clone();
+            frozen.mark_unchanged();
+            tokio::spawn(async move {
+                let mut far = TcpStream::connect(to).await.unwrap();
+                tokio::select! {
+                    _ = copy_bidirectional(&mut near, &mut far) => {}
+                    _ = frozen.changed() => std::future::pending().await,
+                }
+            });
+        }
+    });
+}
+
+#[test]
+fn a_host_whose_clock_went_back_is_taken_in_again() {
+    let (listener, address) = bound();
+    let (other, other_address) = bound();
+    let peers = [peer(0, address), peer(1, other_address)];
+    let a = Host::start("entry-0", listener, address, &peers);
+    let earlier = Process {
+        host: "entry-1".into(),
+        data_centre: "dc".into(),
+        address: other_address,
+        incarnation: u64::MAX / 2,
+    };
+    let beat = Heartbeat { counter: 9, at: Time::ZERO, left: true };
+    a.node.members.lock().hear(&earlier, beat);
+    let _b = Host::start("entry-1", other, other_address, &peers);
+    eventually("alive", || a.standing("entry-1") == Some(Standing::Alive));
+}
+
+fn arb_digest() -> impl Strategy<Value = Digest> {
+    let process =
+        ("[a-z]{0,8}", any::<u64>(), any::<u16>()).prop_map(|(host, incarnation, port)| {
+            let address = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+            Process { host: host.into(), data_centre: "dc".into(), address, incarnation }
+        });
+    let beat = (any::<u16>(), any::<u32>(), 0_u32..255, any::<bool>()).prop_map(
+        |(process, counter, age, left)| {
+            let age = Duration::from_millis(20) * age;
+            Beat { process, counter, age, left }
+        },
+    );
+    let upstream = ("[a-z]{0,8}", "\\PC{0,8}")
+        .prop_map(|(s, n)| UpstreamName { service: s.into(), name: n.into() });
+    let reading = proptest::option::of((0_u16..65_535, 0_u32..255));
+    let load = (any::<u16>(), any::<u16>(), reading, any::<bool>());
+    let load = load.prop_map(|(upstream, in_flight, load, leaving)| {
+        let load = load.map(|(value, age)| (value, Duration::from_millis(20) * age));
+        Load { upstream, in_flight, load, leaving }
+    });
+    let recent = ("\\PC{0,8}", any::<u64>(), any::<bool>()).prop_map(|(name, version, service)| {
+        let kind = if service { Kind::Service } else { Kind::Profile };
+        Version { kind, name: name.into(), version }
+    });
+    let head = (any::<u64>(), any::<u32>(), any::<u32>(), any::<bool>(), any::<u64>());
+    let lists = (vec(process, 0..4), vec(beat, 0..4), vec(upstream, 0..4), vec(load, 0..4));
+    (head, lists, vec(recent, 0..4)).prop_map(|(head, lists, recent)| Digest {
+        stamp: Stamp { millis: head.0, count: head.1 },
+        beat: head.2,
+        leaving: head.3,
+        summary: Summary { fingerprint: head.4, versions: head.0 },
+        processes: lists.0,
+        beats: lists.1,
+        upstreams: lists.2,
+        loads: lists.3,
+        recent,
+    })
+}
+
+fn encode(digest: &Digest) -> Vec<u8> {
+    let mut message = Builder::new_default();
+    codec::write(digest, message.init_root::<wire::digest::Builder<'_>>());
+    capnp::serialize::write_message_to_words(&message)
+}
+
+fn decode(mut bytes: &[u8]) -> Result<Digest, capnp::Error> {
+    let message = capnp::serialize::read_message(&mut bytes, session::reader_options())?;
+    codec::read(message.get_root()?)
+}
+
+proptest! {
+    #[test]
+    fn a_digest_is_read_as_written(digest in arb_digest()) {
+        prop_assert_eq!(decode(&encode(&digest)).unwrap(), digest);
+    }
+
+    #[test]
+    fn damaged_messages_are_errors_at_most(
+        digest in arb_digest(),
+        damage in vec((any::<prop::sample::Index>(), any::<u8>()), 1..8),
+        noise in vec(any::<u8>(), 0..256),
+    ) {
+        let mut bytes = encode(&digest);
+        let len = bytes.len();
+        damage.iter().for_each(|(at, byte)| bytes[at.index(len)] = *byte);
+        let _ = decode(&bytes);
+        let _ = decode(&noise);
+    }
+}
