--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -102,6 +102,7 @@
             node.pool.expire(now);
             expired = now;
         }
+        node.watch();
         for (service, target) in node.tick(&mut rng) {
             spawn_local(probe::send(node.clone(), service, target));
         }
--- a/src/decide/tick.rs
+++ b/src/decide/tick.rs
@@ -56,6 +56,11 @@
         }
     }
 
+    /// Forgets what a host that died had shared.
+    pub fn forget(&mut self, host: &str) {
+        self.services.iter_mut().for_each(|s| s.forget(host));
+    }
+
     /// Runs the systems over every table. `owned` tells which upstreams of which service are this
     /// host's to probe.
     pub fn tick(
@@ -67,11 +72,11 @@
         let mut out = Ticked::default();
         for service in &mut self.services {
             service.tick(now);
-            let name = service.cfg().name.clone();
-            let released = service.release(now, rng);
-            out.released.extend(released.into_iter().map(|(t, a)| (name.clone(), t, a)));
+            for (ticket, admission) in service.release(now, rng) {
+                out.released.push((service.cfg().name.clone(), ticket, admission));
+            }
             let cfg = service.cfg().clone();
-            let probes = service.probes(now, |upstream| owned(&name, upstream));
+            let probes = service.probes(now, |upstream| owned(&cfg.name, upstream));
             out.probes.extend(probes.into_iter().map(|t| (cfg.clone(), t)));
         }
         out
--- a/src/entry/intake.rs
+++ b/src/entry/intake.rs
@@ -53,6 +53,7 @@
     req: WebRequest,
 ) -> Result<Job, Code> {
     let now = node.clock.now();
+    node.current().await;
     if node.phase() == Phase::Starting {
         return Err(Code::NotReady);
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -50,11 +50,13 @@
 pub mod header;
 pub mod hlc;
 pub mod settings;
+pub mod status;
 pub mod tool;
+pub mod trace;
 
 pub use decide::{
-    admit, attempt, hosts, matching, measure, member, profile, route, service, stored, tick,
-    upstream,
+    admit, attempt, digest, hosts, matching, measure, member, pause, profile, route, service,
+    stored, tick, topology, upstream,
 };
 pub use time::{Clock, Time};
 
@@ -68,3 +70,7 @@
 #[allow(dead_code, reason = "the tool and claims take the rest into use")]
 mod platform;
 mod time;
+
+#[cfg(test)]
+#[path = "../examples/standin/mod.rs"]
+mod standin;
--- a/src/node.rs
+++ b/src/node.rs
@@ -6,9 +6,11 @@
 use tokio::sync::Notify;
 use tokio::sync::watch;
 
+use crate::decide::digest::Version;
 use crate::decide::hosts::HostList;
 use crate::decide::matching::Routes;
-use crate::decide::member::Members;
+use crate::decide::member::{Change, Members, Standing};
+use crate::decide::pause::{Pause, RESYNC_MAX};
 use crate::decide::profile::{Body, Catalog, Offered, Record};
 use crate::decide::service::HostFacts;
 use crate::decide::tick::Tables;
@@ -18,9 +20,12 @@
 use crate::forward::pool::Pool;
 use crate::hlc::Hlc;
 use crate::metrics::Metrics;
+use crate::peer::news::News;
 use crate::platform::client::Client;
 use crate::settings::Settings;
 use crate::time::Clock;
+use crate::trace::Entry as TraceEntry;
+use crate::trace::recorder::Recorder;
 
 /// Where a host is between start and exit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -46,18 +51,23 @@
     pub(crate) clock: Clock,
     pub(crate) events: Arc<Ring>,
     pub(crate) metrics: Metrics,
+    pub(crate) recorder: Arc<Recorder>,
     pub(crate) catalog: Mutex<Catalog>,
     pub(crate) members: Mutex<Members>,
     pub(crate) tables: Mutex<Tables>,
     pub(crate) waiting: Waiting,
+    pub(crate) hlc: Arc<Hlc>,
+    pub(crate) news: News,
     /// The newest host list.
     pub(crate) hosts: Mutex<HostList>,
     /// The key-value service; absent for a host that runs on its settings file alone.
     pub(crate) platform: Option<Arc<Client>>,
-    /// Asks for everything to be loaded again, as after a pause.
+    /// Signals that the process was paused and has to hear of the newest records.
     pub(crate) resync: Arc<Notify>,
     pub(crate) pool: Pool,
     pub(crate) memory: Memory,
+    pub(crate) pause: Mutex<Pause>,
+    resynced: Notify,
     routes: RwLock<Arc<Routes>>,
     phase: watch::Sender<Phase>,
 }
@@ -73,26 +83,35 @@
             policy: settings.policy,
             waiting_max: settings.limits.waiting,
         };
+        let clock = Clock::start();
+        let recorder = Recorder::new(clock);
         let metrics = Metrics::default();
         let platform = settings.platform.as_ref();
         let platform = platform.map(|cfg| Arc::new(Client::connect(cfg, metrics.count_calls())));
         let node = Node {
-            clock: Clock::start(),
-            events: Arc::new(Ring::new(settings.limits.events, hlc)),
+            clock,
+            events: Arc::new(Ring::new(settings.limits.events, hlc.clone())),
             metrics,
+            recorder,
             catalog: Mutex::default(),
             members: Mutex::new(Members::new(facts.host.clone(), facts.data_centre.clone())),
             tables: Mutex::new(Tables::new(facts)),
             waiting: Waiting::default(),
+            hlc,
+            news: News::default(),
             hosts: Mutex::default(),
             platform,
             resync: Arc::default(),
             pool: Pool::default(),
             memory: Memory::new(settings.limits.body_bytes),
+            pause: Mutex::default(),
+            resynced: Notify::new(),
             routes: RwLock::default(),
             phase: watch::Sender::new(Phase::Starting),
             settings,
         };
+        node.record_events();
+        node.members.lock().set_known(&node.settings.peers, node.clock.now());
         node.offer(node.inline_records());
         Arc::new(node)
     }
@@ -126,6 +145,10 @@
             *p = phase.max(*p);
             later
         });
+        if phase >= Phase::Draining {
+            self.members.lock().leave();
+            self.news.signal();
+        }
     }
 
     /// Completes when the host has reached a phase.
@@ -134,6 +157,61 @@
         let _ = rx.wait_for(|p| *p >= phase).await;
     }
 
+    /// Waits until the records are current: at once, unless the process was paused and has not
+    /// resynchronised. Gives up after [`RESYNC_MAX`].
+    pub(crate) async fn current(&self) {
+        let wait = async {
+            while self.pause.lock().stale(self.clock.now()) {
+                let resynced = self.resynced.notified();
+                if self.pause.lock().stale(self.clock.now()) {
+                    resynced.await;
+                }
+            }
+        };
+        let _ = tokio::time::timeout(RESYNC_MAX, wait).await;
+    }
+
+    /// Takes note that the newest records were heard of after the pause numbered `pauses`.
+    pub(crate) fn resynced(&self, pauses: u64) {
+        self.pause.lock().resynced(pauses);
+        self.resynced.notify_waiters();
+    }
+
+    /// Detects a pause of the process, and moves members between standings.
+    pub(crate) fn watch(&self) {
+        let now = self.clock.now();
+        let pauses = {
+            let mut pause = self.pause.lock();
+            pause.tick(now).then(|| pause.pauses())
+        };
+        if let Some(pauses) = pauses {
+            self.events.record(EventCode::Paused, Subject::default(), Some(pauses));
+            self.members.lock().resume(now);
+            self.resync.notify_waiters();
+            if self.settings.platform.is_none() && self.members.lock().members().is_empty() {
+                self.resynced(pauses);
+            }
+        }
+        let changes = self.members.lock().tick(now);
+        for change in changes {
+            self.member_changed(&change);
+        }
+    }
+
+    fn member_changed(&self, change: &Change) {
+        let code = match change.standing {
+            Standing::Unknown => return,
+            Standing::Alive => EventCode::PeerJoined,
+            Standing::Dead => EventCode::PeerDead,
+            Standing::Left => EventCode::PeerLeft,
+        };
+        let subject = Subject { peer: Some(change.host.clone()), ..Subject::default() };
+        self.events.record(code, subject, None);
+        if change.standing == Standing::Dead {
+            self.tables.lock().forget(&change.host);
+        }
+    }
+
     fn offer_one(&self, catalog: &mut Catalog, record: Record) -> Offered {
         let offered = catalog.offer(record.clone());
         let code = match offered {
@@ -144,7 +222,10 @@
         let name = format!("{}/{}", record.kind(), record.name);
         let subject = Subject { record: Some(name.into()), ..Subject::default() };
         self.events.record(code, subject, Some(record.version));
+        self.recorder.note(|| TraceEntry::Offer { record: record.clone(), offered });
         if offered == Offered::InForce {
+            let (kind, name) = (record.kind(), record.name.clone());
+            self.news.in_force(Version { kind, name, version: record.version });
             self.put_service(&record);
         }
         offered
