--- a/src/node.rs
+++ b/src/node.rs
@@ -16,6 +16,8 @@
 use crate::decide::tick::Tables;
 use crate::entry::waiting::Waiting;
 use crate::event::{EventCode, Ring, Subject};
+use crate::forward::memory::Memory;
+use crate::forward::pool::Pool;
 use crate::hlc::Hlc;
 use crate::metrics::Metrics;
 use crate::peer::news::News;
@@ -42,6 +44,8 @@
 ///
 /// Locks are held for one decision and never across an await. Whoever needs two takes `catalog`
 /// before `hosts` before `members` before `tables`.
+#[derive(derive_more::Debug)]
+#[debug("node {}", settings.host)]
 pub(crate) struct Node {
     pub(crate) settings: Settings,
     pub(crate) clock: Clock,
@@ -60,6 +64,8 @@
     pub(crate) platform: Option<Arc<Client>>,
     /// Signals that the process was paused and has to hear of the newest records.
     pub(crate) resync: Arc<Notify>,
+    pub(crate) pool: Pool,
+    pub(crate) memory: Memory,
     pub(crate) pause: Mutex<Pause>,
     resynced: Notify,
     routes: RwLock<Arc<Routes>>,
@@ -96,6 +102,8 @@
             hosts: Mutex::default(),
             platform,
             resync: Arc::default(),
+            pool: Pool::default(),
+            memory: Memory::new(settings.limits.body_bytes),
             pause: Mutex::default(),
             resynced: Notify::new(),
             routes: RwLock::default(),
