Take a drained upstream back only when its successor was seen

Cause: a drain signal that held until the host list changed would leave a service without upstreams after a rolling restart in place that the list never showed, and the list's adapter puts the record again whenever any host of the list changes, which revived drained upstreams at once.

Ruled out: a time limit (a slow drain would get work again) and healthy probes alone (health endpoints lag).

Change: the word holds until the list agreed and then took the upstream back, or until a probe found nobody listening and two later ones found an answer; peers that see this pass it on by no longer saying leaving. Attempts in flight beyond the mean latency now raise an upstream's cost before they are overdue.

Seen: the restart test passes, with the others.

Conclusion: safe against a list that lags; needs a probe path for restarts that no list shows.

--- a/src/decide/baseline.rs
+++ b/src/decide/baseline.rs
@@ -34,7 +34,7 @@
 /// Age after which the quickest answers say nothing about the present.
 const SAMPLE_AGE_MAX: Duration = Duration::from_secs(1);
 /// Multiple of the late quantile after which an attempt in flight is overdue.
-const OVERDUE_FACTOR: f32 = 2.0;
+pub(crate) const OVERDUE_FACTOR: f32 = 2.0;
 
 impl Baseline {
     /// Takes note of an answer.
--- a/src/decide/load.rs
+++ b/src/decide/load.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::decide::baseline::{Baseline, micros};
+use crate::decide::baseline::{Baseline, OVERDUE_FACTOR, micros};
 use crate::decide::upstream::{Ended, Reading, Report, Row};
 use crate::time::Time;
 
@@ -51,6 +51,8 @@
 const WEIGHT_MAX: f32 = 16.0;
 /// Age after which what another host said is dropped.
 const WORD_AGE_MAX: Duration = Duration::from_secs(2);
+/// Weight in an upstream's latency of the time by which an attempt in flight exceeds the mean.
+const IN_FLIGHT_GAIN: f32 = 1.0 / 4.0;
 /// Time constant of figures before any latency is known, in microseconds.
 const UNKNOWN_LATENCY: f32 = 10_000.0;
 /// Cost of one busy slot's share while slots are free, against a whole service time.
@@ -113,15 +115,19 @@
         baseline.mean() + (self.latency - baseline.mean()) * half / (half + idle)
     }
 
-    /// Returns how many times slower than usual the upstream is, at least 1. An attempt in flight
-    /// that is overdue counts at once.
+    /// Returns how many times slower than usual the upstream is, at least 1. Attempts in flight that
+    /// take longer than usual count at once, and one that is overdue on its own.
     pub(crate) fn slowness(&self, baseline: &Baseline, now: Time) -> f32 {
         let Some(late) = baseline.late() else { return 1.0 };
-        let past = self.latency(baseline, now) / (baseline.mean() * SLOW_FACTOR);
+        let mean = baseline.mean();
         let oldest = self.sent.first().map_or(0.0, |s| age(s.at, now));
-        let overdue = baseline.overdue().is_some_and(|limit| oldest > limit);
-        let present = if overdue { oldest / late } else { 1.0 };
-        past.max(present).max(1.0)
+        let past = self.latency(baseline, now);
+        if oldest <= mean {
+            return (past / (mean * SLOW_FACTOR)).max(1.0);
+        }
+        let beyond: f32 = self.sent.iter().map(|s| (age(s.at, now) - mean).max(0.0)).sum();
+        let overdue = if oldest > late * OVERDUE_FACTOR { oldest / late } else { 1.0 };
+        ((past + beyond * IN_FLIGHT_GAIN) / (mean * SLOW_FACTOR)).max(overdue).max(1.0)
     }
 
     /// Returns the requests that other hosts are expected to have in flight here: the mean over
@@ -148,20 +154,34 @@
         self.slowness(baseline, now) * (1.0 + queued + BUSY_COST * expected / slots)
     }
 
-    /// Takes note of what another host said.
+    /// Takes note of what another host said. One that no longer says that the upstream is leaving
+    /// has seen that it is back.
     pub(crate) fn said(&mut self, word: Word, now: Time) {
         self.words.retain(|w| w.leaving || now.since(w.at) < WORD_AGE_MAX);
         match self.words.binary_search_by(|w| w.host.cmp(&word.host)) {
-            Ok(at) => self.words[at] = word,
+            Ok(at) => {
+                if self.words[at].leaving && !word.leaving && self.drain.is_set() {
+                    self.welcome(now);
+                }
+                self.words[at] = word;
+            }
             Err(at) => self.words.insert(at, word),
         }
         self.sum_words();
     }
 
+    /// Takes the upstream back after it was leaving. Its share of work starts anew.
+    pub(crate) fn welcome(&mut self, now: Time) {
+        self.drain.clear();
+        self.health.growing = Some(now);
+    }
+
     /// Forgets what a host said. That the upstream is leaving stays known.
     pub(crate) fn forget(&mut self, host: &str) {
         let Ok(at) = self.words.binary_search_by(|w| (*w.host).cmp(host)) else { return };
-        self.drained |= self.words.remove(at).leaving;
+        if self.words.remove(at).leaving && !self.drain.is_set() {
+            self.drain.signal();
+        }
         self.sum_words();
     }
 
--- a/src/decide/measure.rs
+++ b/src/decide/measure.rs
@@ -59,11 +59,16 @@
     owned: impl Fn(&str) -> bool,
 ) -> Option<&Row> {
     let used = requested.is_some_and(|at| now.since(at) < IDLE);
-    if !used || rows.iter().filter(|r| r.state == State::Live).nth(1).is_none() {
+    if !used || rows.iter().filter(|r| open(r)).nth(1).is_none() {
         return None;
     }
     let known = |r: &Row| r.load.map_or(r.probed, |l| l.at.max(r.probed));
-    let due =
-        |r: &&Row| r.state == State::Live && !r.health.ejected(now) && now.since(known(r)) >= FRESH;
+    let due = |r: &&Row| open(r) && !r.health.ejected(now) && now.since(known(r)) >= FRESH;
     rows.iter().filter(due).filter(|r| owned(&r.name)).min_by_key(|r| known(r))
 }
+
+/// Tells whether an upstream takes work, or is leaving by nothing but its own word and may be
+/// found to have been replaced.
+fn open(row: &Row) -> bool {
+    row.state == State::Live || row.named && !row.listed_leaving && row.drain.is_set()
+}
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -19,6 +19,7 @@
 
 pub(crate) mod baseline;
 pub(crate) mod capacity;
+pub(crate) mod drain;
 pub(crate) mod health;
 pub(crate) mod load;
 pub(crate) mod queue;
--- a/src/decide/service.rs
+++ b/src/decide/service.rs
@@ -107,17 +107,12 @@
         self.queue.len()
     }
 
-    /// Puts a newer service record into force. Requests in flight and waiting are kept. Upstreams
-    /// that the record names are live again, unless the host list says otherwise.
+    /// Puts a newer service record into force. Requests in flight and waiting are kept.
     pub fn reconfigure(&mut self, cfg: Arc<Service>, now: Time) {
         let rate = cfg.measure.probes_per_second;
         if rate != self.cfg.measure.probes_per_second {
             self.probes = Budget::new(rate, self.facts.fleet_size_max, now);
         }
-        for row in &mut self.rows {
-            row.drained &= !cfg.upstreams.iter().any(|u| u.name == row.name);
-            row.refresh();
-        }
         self.cfg = cfg;
         self.capacity.invalidate();
     }
@@ -130,8 +125,7 @@
             let same = |u: &config::Upstream| u.name == row.name && u.address == row.address;
             let named = upstreams.iter().any(same);
             if named && !row.named {
-                row.drained = false;
-                row.health.growing = Some(now);
+                row.welcome(now);
             }
             row.named = named;
             row.refresh();
@@ -152,8 +146,7 @@
         let leaving = state == State::Leaving;
         for row in self.rows.iter_mut().filter(|r| *r.name == *name) {
             if row.listed_leaving && !leaving {
-                row.drained = false;
-                row.health.growing = Some(now);
+                row.welcome(now);
             }
             row.listed_leaving = leaving;
             row.refresh();
@@ -168,7 +161,7 @@
         let Some(sent) = row.ended(report.latency, now) else { return };
         self.in_flight -= 1;
         if report.draining {
-            row.drained = true;
+            row.drain.signal();
             row.refresh();
         }
         row.learn(report, &self.baseline, now);
@@ -214,10 +207,12 @@
         let Ok(at) = self.rows.binary_search_by_key(&id, |r| r.id) else { return };
         let row = &mut self.rows[at];
         if report.draining {
-            row.drained = true;
-            row.refresh();
-            self.capacity.invalidate();
+            row.drain.signal();
+        } else if report.ended == Ended::Answered && row.drain.answered() {
+            row.welcome(now);
         }
+        row.refresh();
+        self.capacity.invalidate();
         if report.ended != Ended::Answered {
             return self.judge(at, report.ended, now);
         }
@@ -236,6 +231,7 @@
 
     /// Takes note of an attempt's end in the health of its upstream.
     fn judge(&mut self, at: usize, ended: Ended, now: Time) {
+        self.rows[at].drain.missed(ended);
         if ended != Ended::Cancelled {
             self.baseline.tried(!ended.is_sound());
         }
--- a/src/decide/upstream.rs
+++ b/src/decide/upstream.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::config;
+use crate::decide::drain::Drain;
 use crate::decide::health::Health;
 use crate::decide::load::{Others, Sent, Word};
 use crate::time::Time;
@@ -116,8 +117,8 @@
     pub(crate) named: bool,
     /// Whether the host list says that it is leaving.
     pub(crate) listed_leaving: bool,
-    /// Whether it said itself that it is leaving.
-    pub(crate) drained: bool,
+    /// Whether it said itself that it is leaving, and what was seen of it since.
+    pub(crate) drain: Drain,
     /// What other hosts said, sorted by host.
     pub(crate) words: Vec<Word>,
     /// The sum of what other hosts said.
@@ -152,7 +153,7 @@
             load: None,
             named: true,
             listed_leaving: false,
-            drained: false,
+            drain: Drain::default(),
             words: Vec::new(),
             said: None,
             reading: None,
@@ -168,7 +169,7 @@
     /// Tells whether this host knows of its own that the upstream is leaving. Only this is passed
     /// on, so that hosts don't confirm each other in what has ceased to be true.
     pub(crate) fn leaving_first_hand(&self) -> bool {
-        self.drained || self.listed_leaving || !self.named
+        self.drain.is_set() || self.listed_leaving || !self.named
     }
 
     /// Derives the state from what is known.
--- a/tests/decide_behaviour.rs
+++ b/tests/decide_behaviour.rs
@@ -163,6 +163,34 @@
     assert_eq!(bench.state(&target.name), State::Live, "named again");
 }
 
+#[test]
+fn an_upstream_that_was_restarted_in_its_place_takes_work_again() {
+    let mut bench = Bench::new(2, 6);
+    let target = bench.start();
+    bench.drain(&target);
+    bench.import("entry-2", &target.name, 0, true);
+    let probe = |bench: &mut Bench, ended| {
+        let report = Report { ended, latency: MS, load: Some(0), draining: false };
+        bench.table.probed(target.id, &report, bench.now);
+        bench.state(&target.name)
+    };
+    (0..5).for_each(|_| assert_eq!(probe(&mut bench, Ended::Answered), State::Leaving));
+    assert_eq!(probe(&mut bench, Ended::Unconnected), State::Leaving);
+    assert_eq!(probe(&mut bench, Ended::Answered), State::Leaving);
+    assert_eq!(probe(&mut bench, Ended::Answered), State::Leaving, "a peer still says so");
+    bench.import("entry-2", &target.name, 0, false);
+    assert_eq!(bench.state(&target.name), State::Live);
+
+    bench.pass(MS * 3_000);
+    let again = [bench.start(), bench.start()];
+    let again = again.iter().find(|t| t.id == target.id).expect("a choice of two");
+    bench.drain(again);
+    bench.import("entry-2", &target.name, 0, true);
+    assert_eq!(bench.state(&target.name), State::Leaving);
+    bench.import("entry-2", &target.name, 0, false);
+    assert_eq!(bench.state(&target.name), State::Live, "the peer saw it restarted");
+}
+
 #[test]
 fn an_upstream_named_again_with_work_in_flight_takes_work_again() {
     let mut bench = Bench::new(2, 6);
