--- a/src/lib.rs
+++ b/src/lib.rs
@@ -52,6 +52,7 @@
 pub mod settings;
 pub mod status;
 pub mod tool;
+pub mod trace;
 
 pub use decide::{
     admit, attempt, hosts, matching, measure, member, profile, route, service, stored, tick,
@@ -69,3 +70,7 @@
 #[allow(dead_code, reason = "the tool and claims take the rest into use")]
 mod platform;
 mod time;
+
+#[cfg(test)]
+#[path = "../examples/standin/mod.rs"]
+mod standin;
--- a/src/platform/apply.rs
+++ b/src/platform/apply.rs
@@ -40,10 +40,12 @@
             let complete = list.complete(&service);
             let same = |t: &mut _| Self::has_upstreams(t, &complete);
             if !tables.service(&service.name).is_some_and(same) {
-                tables.put(Arc::new(complete), now);
+                self.put(&mut tables, Arc::new(complete), now);
             }
             let Some(table) = tables.service(&service.name) else { continue };
-            list.changed(&held, &service.name).for_each(|h| table.set_state(&h.name, h.state, now));
+            for host in list.changed(&held, &service.name) {
+                self.set_state(table, &host.name, host.state, now);
+            }
         }
         *held = list;
         true
@@ -56,11 +58,12 @@
         let held = self.hosts.lock();
         let mut tables = self.tables.lock();
         match &record.body {
-            Body::Service(service) => tables.put(Arc::new(held.complete(service)), now),
+            Body::Service(service) => self.put(&mut tables, Arc::new(held.complete(service)), now),
             Body::Deleted(Kind::Service) => {
                 let Some(table) = tables.service(&record.name) else { return };
                 let cfg = Service::clone(table.cfg());
-                tables.put(Arc::new(Service { upstreams: Vec::new(), ..cfg }), now);
+                let emptied = Service { upstreams: Vec::new(), ..cfg };
+                self.put(&mut tables, Arc::new(emptied), now);
             }
             Body::Profile(_) | Body::Deleted(Kind::Profile) => {}
         }
@@ -68,7 +71,7 @@
         if record.kind() == Kind::Service {
             let nothing = HostList::default();
             let leaving = held.changed(&nothing, &record.name);
-            leaving.for_each(|h| table.set_state(&h.name, h.state, now));
+            leaving.for_each(|h| self.set_state(table, &h.name, h.state, now));
         }
     }
 
