Let requests queue at upstreams before they wait at the host

Cause: a host let in about its even share of the slots, with less for normal than for urgent requests. At 90 % load what is in flight exceeds the slots at times, so the share was full of urgent requests and normal ones waited their whole allowance beside idle upstreams.

Ruled out: no bound at all, since what queues at an upstream can't be overtaken by something urgent under overload.

Change: up to twice the slots may be in flight for normal requests, 2.5 times for urgent ones; only deferrable ones must leave slots free.

Conclusion: to be measured anew.

--- a/src/decide/capacity.rs
+++ b/src/decide/capacity.rs
@@ -10,10 +10,15 @@
 use crate::decide::upstream::{Row, State};
 use crate::time::Time;
 
-/// An estimate of the slots that are this host's to use.
+/// An estimate of what this host may use.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Capacity {
+    /// Slots of all upstreams that take work.
     slots: f32,
+    /// Requests of other hosts in flight there.
+    others: f32,
+    /// Entry hosts that use the service.
+    hosts: f32,
     at: Time,
     valid: bool,
 }
@@ -21,13 +26,15 @@
 /// Age after which the estimate is made anew.
 const AGE_MAX: Duration = Duration::from_millis(1);
 
-/// Returns the part of the slots that requests of a priority may fill. Above 1 they queue at the
-/// upstreams, so that a slot that comes free there is never idle.
+/// Returns how many requests may be in flight against the slots, for one more of a priority.
+///
+/// Above 1 they queue at the upstreams, so that no slot is idle while a request waits here for an
+/// estimate that is out of date. Below 1 slots are left free for what is more urgent.
 fn fill(priority: Priority) -> f32 {
     match priority {
-        Priority::Urgent => 2.0,
-        Priority::Normal => 1.5,
-        Priority::Deferrable => 0.8,
+        Priority::Urgent => 2.5,
+        Priority::Normal => 2.0,
+        Priority::Deferrable => 0.85,
     }
 }
 
@@ -44,11 +51,15 @@
         if self.valid && now.since(self.at) < AGE_MAX {
             return;
         }
-        *self = Capacity {
-            slots: slots(rows, cfg, baseline, fleet_size_max, now),
-            at: now,
-            valid: true,
-        };
+        let cold_start = Duration::from_millis(cfg.cold_start_ms);
+        let (mut slots, mut others, mut peers) = (0.0, 0.0, 0);
+        for row in rows.iter().filter(|r| r.state == State::Live && !r.health.ejected(now)) {
+            slots += cfg.slots.max(1) as f32 * row.health.share(cold_start, now);
+            others += row.others(baseline, now);
+            peers = peers.max(row.words.len());
+        }
+        let hosts = if peers > 0 { peers as f32 + 1.0 } else { fleet_size_max.max(1) as f32 };
+        *self = Capacity { slots, others, hosts, at: now, valid: true };
     }
 
     /// Has the estimate made anew at the next use.
@@ -56,21 +67,10 @@
         self.valid = false;
     }
 
-    /// Returns the requests of `priority` and above that may be in flight, at least one.
+    /// Returns the requests that may be in flight with one more of `priority`: what other hosts
+    /// leave free, or this host's even share if that is more, and at least one.
     pub(crate) fn limit(&self, priority: Priority) -> u32 {
-        ((self.slots * fill(priority)) as u32).max(1)
-    }
-}
-
-/// Returns the slots that other hosts leave free, or this host's even share if that is more.
-fn slots(rows: &[Row], cfg: &Service, baseline: &Baseline, fleet_size_max: u32, now: Time) -> f32 {
-    let cold_start = Duration::from_millis(cfg.cold_start_ms);
-    let (mut all, mut others, mut peers) = (0.0, 0.0, 0);
-    for row in rows.iter().filter(|r| r.state == State::Live && !r.health.ejected(now)) {
-        all += cfg.slots.max(1) as f32 * row.health.share(cold_start, now);
-        others += row.others(baseline, now);
-        peers = peers.max(row.words.len());
+        let all = self.slots * fill(priority);
+        ((all - self.others).max(all / self.hosts.max(1.0)) as u32).max(1)
     }
-    let hosts = if peers > 0 { peers as f32 + 1.0 } else { fleet_size_max.max(1) as f32 };
-    (all - others).max(all / hosts)
 }
