--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -6,15 +6,18 @@
 pub mod admit;
 pub mod attempt;
 pub(crate) mod bucket;
+pub mod digest;
 pub mod hosts;
 pub mod matching;
 pub mod measure;
 pub mod member;
+pub mod pause;
 pub mod profile;
 pub mod route;
 pub mod service;
 pub mod stored;
 pub mod tick;
+pub mod topology;
 pub mod upstream;
 
 pub(crate) mod baseline;
