Read a host's state under one lock at a time

Cause: in a struct expression every lock guard lives until the whole expression is done, so /status held the catalog and the tables while it waited for the members, and the tick holds the members while it waits for the tables: both stopped for good, and with them the host's admin side and its tick.

The test beside the fix failed before it and passes now.

Change: one statement per lock.

--- a/src/entry/admin/mod.rs
+++ b/src/entry/admin/mod.rs
@@ -1,6 +1,8 @@
 //! The admin listener: health, readiness, status, metrics and events.
 
 mod status;
+#[cfg(test)]
+mod tests;
 
 use std::convert::Infallible;
 use std::sync::Arc;
--- a/src/entry/admin/status.rs
+++ b/src/entry/admin/status.rs
@@ -13,18 +13,21 @@
 };
 use crate::time::Time;
 
-/// Returns the state of a host.
+/// Returns the state of a host. One lock is held at a time.
 pub(crate) fn of(node: &Node) -> Status {
     let now = node.clock.now();
+    let records = records(&node.catalog.lock());
+    let services = node.tables.lock().services().iter().map(|s| service(node, s, now)).collect();
+    let members = node.members.lock().members().iter().map(|m| member(m, now)).collect();
     Status {
         host: node.settings.host.clone(),
         data_centre: node.settings.data_centre.clone(),
         phase: phase(node),
         incarnation: None,
         policy: node.settings.policy,
-        records: records(&node.catalog.lock()),
-        services: node.tables.lock().services().iter().map(|s| service(node, s, now)).collect(),
-        members: node.members.lock().members().iter().map(|m| member(m, now)).collect(),
+        records,
+        services,
+        members,
         events: events(node),
     }
 }
--- /dev/null
+++ b/src/entry/admin/tests.rs
@@ -0,0 +1,27 @@
+//! Tests of the admin side's reads.
+
+use std::time::Duration;
+
+use serde_json::json;
+
+use super::status;
+use crate::node::Node;
+use crate::settings::Settings;
+
+#[test]
+fn reading_the_state_holds_no_lock_while_it_waits_for_another() {
+    let settings = json!({
+        "host": "entry-1", "data_centre": "palermo", "caller": "127.0.0.1:0", "admin": "127.0.0.1:0",
+    });
+    let node = Node::new(Settings::parse(&settings.to_string()).expect("settings"));
+    let members = node.members.lock();
+    let reader = std::thread::spawn({
+        let node = node.clone();
+        move || status::of(&node)
+    });
+    std::thread::sleep(Duration::from_millis(100));
+    let tables = node.tables.try_lock_for(Duration::from_secs(10));
+    assert!(tables.is_some(), "the tables stay locked while the members are waited for");
+    drop((tables, members));
+    reader.join().expect("reader");
+}
