--- a/src/cli.rs
+++ b/src/cli.rs
@@ -36,6 +36,10 @@
     Status(StatusArgs),
     /// Merges the events of every host into one time line
     Timeline(TimelineArgs),
+    /// Prints the trace of a host's decisions as they are made
+    Trace(TraceArgs),
+    /// Checks a recorded trace against its stated outcomes
+    Replay(ReplayArgs),
     /// Reads and publishes profiles
     Profile(RecordArgs),
     /// Reads and publishes services
@@ -181,3 +185,24 @@
     #[arg(long)]
     pub json: bool,
 }
+
+/// The arguments of `trace`.
+#[derive(Debug, Args)]
+pub struct TraceArgs {
+    /// The admin address of the entry host
+    #[arg(long, value_name = "ADDR")]
+    pub admin: SocketAddr,
+    /// Stops after this time span, such as 30s or 5m
+    #[arg(long = "for", value_name = "SPAN", value_parser = humantime::parse_duration)]
+    pub span: Option<Duration>,
+}
+
+/// The arguments of `replay`.
+#[derive(Debug, Args)]
+pub struct ReplayArgs {
+    /// The trace, in JSON Lines
+    pub trace: PathBuf,
+    /// The seed of the random generator
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -52,6 +52,7 @@
 pub mod settings;
 pub mod status;
 pub mod tool;
+pub mod trace;
 
 pub use decide::{
     admit, attempt, hosts, matching, measure, member, profile, route, service, stored, tick,
--- a/src/node.rs
+++ b/src/node.rs
@@ -19,6 +19,8 @@
 use crate::platform::client::Client;
 use crate::settings::Settings;
 use crate::time::Clock;
+use crate::trace::Entry as TraceEntry;
+use crate::trace::recorder::Recorder;
 
 /// Where a host is between start and exit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -42,6 +44,7 @@
     pub(crate) clock: Clock,
     pub(crate) events: Arc<Ring>,
     pub(crate) metrics: Metrics,
+    pub(crate) recorder: Arc<Recorder>,
     pub(crate) catalog: Mutex<Catalog>,
     pub(crate) members: Mutex<Members>,
     pub(crate) tables: Mutex<Tables>,
@@ -67,13 +70,16 @@
             policy: settings.policy,
             waiting_max: settings.limits.waiting,
         };
+        let clock = Clock::start();
+        let recorder = Recorder::new(clock);
         let metrics = Metrics::default();
         let platform = settings.platform.as_ref();
         let platform = platform.map(|cfg| Arc::new(Client::connect(cfg, metrics.count_calls())));
         let node = Node {
-            clock: Clock::start(),
+            clock,
             events: Arc::new(Ring::new(settings.limits.events, hlc)),
             metrics,
+            recorder,
             catalog: Mutex::default(),
             members: Mutex::new(Members::new(facts.host.clone(), facts.data_centre.clone())),
             tables: Mutex::new(Tables::new(facts)),
@@ -85,6 +91,7 @@
             phase: watch::Sender::new(Phase::Starting),
             settings,
         };
+        node.record_events();
         node.offer(node.inline_records());
         Arc::new(node)
     }
@@ -136,6 +143,7 @@
         let name = format!("{}/{}", record.kind(), record.name);
         let subject = Subject { record: Some(name.into()), ..Subject::default() };
         self.events.record(code, subject, Some(record.version));
+        self.recorder.note(|| TraceEntry::Offer { record: record.clone(), offered });
         if offered == Offered::InForce {
             self.put_service(&record);
         }
