--- a/src/decide/service.rs
+++ b/src/decide/service.rs
@@ -161,7 +161,7 @@
         self.capacity.invalidate();
     }
 
-    /// Takes note of the end of an attempt that [`Admission::Run`] or [`Self::again`] started.
+    /// Takes note of the end of an attempt that [`Admission::Run`](crate::decide::admit::Admission::Run) or [`Self::again`] started.
     pub fn finish(&mut self, id: UpstreamId, report: &Report, now: Time) {
         let Ok(at) = self.rows.binary_search_by_key(&id, |r| r.id) else { return };
         let row = &mut self.rows[at];
--- a/src/entry/caller.rs
+++ b/src/entry/caller.rs
@@ -69,6 +69,7 @@
     id: &Arc<str>,
     req: WebRequest,
 ) -> Result<Job, Code> {
+    node.current().await;
     let now = node.clock.now();
     let (parts, ext) = req.into_parts();
     let (_, body) = ext.replace_body(());
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -6,7 +6,8 @@
 use parking_lot::RwLock;
 use prometheus::core::Collector;
 use prometheus::{
-    HistogramOpts, HistogramVec, IntCounterVec, IntGaugeVec, Opts, Registry, TextEncoder,
+    HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGaugeVec, Opts, Registry,
+    TextEncoder,
 };
 
 use crate::decide::upstream::Ended;
@@ -21,16 +22,6 @@
 const LATENCY_SECONDS: &[f64] =
     &[0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0];
 
-/// Which way bytes between entry hosts go.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-#[allow(dead_code, reason = "the link between entry hosts counts its bytes")]
-pub(crate) enum Direction {
-    /// To a peer.
-    Sent,
-    /// From a peer.
-    Received,
-}
-
 /// The metrics of one daemon.
 #[derive(Debug)]
 pub(crate) struct Metrics {
@@ -118,16 +109,6 @@
         self.probes.with_label_values(&[&*label, ended_label(ended)]).inc();
     }
 
-    /// Counts bytes exchanged with another entry host.
-    #[allow(dead_code, reason = "the link between entry hosts counts its bytes")]
-    pub(crate) fn control_bytes(&self, direction: Direction, bytes: u64) {
-        let label = match direction {
-            Direction::Sent => "sent",
-            Direction::Received => "received",
-        };
-        self.control_bytes.with_label_values(&[label]).inc_by(bytes);
-    }
-
     /// Sets the gauges of a service.
     pub(crate) fn set_gauges(&self, service: &str, waiting: usize, in_flight: u64) {
         let label = self.service(service);
@@ -151,6 +132,11 @@
         Box::new(move |kind| calls.with_label_values(&[kind.to_string()]).inc())
     }
 
+    /// Returns the counter of bytes exchanged with peers, `sent` or `received`.
+    pub(crate) fn control_bytes(&self, direction: &str) -> IntCounter {
+        self.control_bytes.with_label_values(&[direction])
+    }
+
     /// Returns all metrics in the text format.
     pub(crate) fn text(&self) -> String {
         TextEncoder::new().encode_to_string(&self.registry.gather()).unwrap_or_default()
--- a/tests/replay.rs
+++ b/tests/replay.rs
@@ -174,6 +174,11 @@
 fn a_rerun_holds_the_library_to_the_stated_outcomes() {
     let mut lines = sound();
     lines[0] = header(json!({"probe_burst": 0.0}));
+    let put_at = lines.iter().position(|l| l.get("put").is_some()).expect("a put line");
+    let mut two = u1();
+    let other = json!({"name": "u2", "address": "127.0.0.1:2", "data_centre": "palermo"});
+    two.as_array_mut().expect("array").push(other);
+    lines[put_at] = put(two);
     lines.extend((1..300).map(|i| json!({"at": i * 10_000, "tick": {}})));
     lines.extend((0..20).map(|i| admit(3_000_000 + i, 9_000_000)));
     lines.push(json!({"at": 3_100_000, "tick": {}}));
