--- a/src/entry/admin/mod.rs
+++ b/src/entry/admin/mod.rs
@@ -2,6 +2,8 @@
 
 mod status;
 mod stream;
+#[cfg(test)]
+mod tests;
 
 use std::convert::Infallible;
 use std::sync::Arc;
