Report faults of a document in its own words, with their place

Counts and times have upper bounds, since a ring of 2^64 events was accepted.

What is left: faults of shape and faults of value come in two rounds, since values are checked on the parsed document.

--- a/src/config.rs
+++ b/src/config.rs
@@ -162,6 +162,7 @@
     /// The upstream's name, unique in its service.
     pub name: Arc<str>,
     /// The IP address and port.
+    #[schemars(with = "crate::document::Address")]
     pub address: std::net::SocketAddr,
     /// The data centre that it stands in.
     pub data_centre: Arc<str>,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -62,6 +62,7 @@
 
 mod decide;
 mod dispatch;
+mod document;
 mod entry;
 mod forward;
 mod metrics;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -4,16 +4,20 @@
 use std::path::Path;
 use std::sync::Arc;
 
-use derive_more::Display;
 use schemars::JsonSchema;
-use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
-use serde_json::Value;
 
 use crate::config::{Profile, Service, Treatment};
 use crate::decide::route::Policy;
+use crate::document::Address;
+pub use crate::document::{Fault, invalid, parse_document};
 use crate::error::{Code, Error};
 
+/// The largest number of events held or requests waiting.
+const COUNT_MAX: usize = 1_000_000;
+/// The longest deadline and wait, in milliseconds: a day.
+const TIME_MAX_MS: u64 = 86_400_000;
+
 /// The settings of one entry host.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
@@ -23,11 +27,14 @@
     /// The data centre that the host stands in.
     pub data_centre: Arc<str>,
     /// Where callers connect.
+    #[schemars(with = "Address")]
     pub caller: SocketAddr,
     /// Where operators connect: health, status, metrics and events.
+    #[schemars(with = "Address")]
     pub admin: SocketAddr,
     /// Where other entry hosts connect.
     #[serde(default)]
+    #[schemars(with = "Option<Address>")]
     pub peer: Option<SocketAddr>,
     /// The most entry hosts that the fleet may ever have; it divides the measuring budget.
     #[serde(default = "default_fleet_size_max")]
@@ -65,6 +72,7 @@
     /// Its data centre.
     pub data_centre: Arc<str>,
     /// Its peer address.
+    #[schemars(with = "Address")]
     pub address: SocketAddr,
 }
 
@@ -73,9 +81,11 @@
 #[serde(deny_unknown_fields)]
 pub struct Platform {
     /// Addresses of the key-value service's JSON gateway, tried in turn.
+    #[schemars(with = "Vec<Address>")]
     pub key_value: Vec<SocketAddr>,
     /// The address of the host list.
     #[serde(default)]
+    #[schemars(with = "Option<Address>")]
     pub host_list: Option<SocketAddr>,
     /// The prefix of every key.
     #[serde(default = "default_prefix")]
@@ -136,16 +146,6 @@
     }
 }
 
-/// A fault in a document: its place as a JSON pointer, and what is wrong.
-#[derive(Clone, Debug, Display, PartialEq, Eq)]
-#[display("{place}: {reason}")]
-pub struct Fault {
-    /// The JSON pointer, `/` for the document itself.
-    pub place: String,
-    /// What is wrong there.
-    pub reason: String,
-}
-
 impl Settings {
     /// Reads and checks a settings file.
     ///
@@ -178,9 +178,7 @@
         if self.fleet_size_max == 0 {
             out.push(fault("/fleet_size_max", "must be at least 1"));
         }
-        if self.limits.workers == 0 {
-            out.push(fault("/limits/workers", "must be at least 1"));
-        }
+        out.extend(limits_faults(&self.limits));
         let at = |i: usize| format!("/services/{i}");
         for (i, service) in self.services.iter().enumerate() {
             out.extend(service_faults(service, &at(i)));
@@ -199,6 +197,20 @@
     }
 }
 
+fn limits_faults(limits: &Limits) -> Vec<Fault> {
+    let mut out = Vec::new();
+    if limits.workers == 0 {
+        out.push(fault("/limits/workers", "must be at least 1"));
+    }
+    for (field, count) in [("events", limits.events), ("waiting", limits.waiting)] {
+        if count > COUNT_MAX {
+            let reason = format!("must be at most {COUNT_MAX}");
+            out.push(fault(&format!("/limits/{field}"), &reason));
+        }
+    }
+    out
+}
+
 /// Returns the faults of a service record that its types don't rule out.
 pub fn service_faults(service: &Service, place: &str) -> Vec<Fault> {
     let mut out = Vec::new();
@@ -247,6 +259,12 @@
     if treatment.deadline_ms == 0 {
         out.push(fault(&format!("{place}/deadline_ms"), "must be at least 1"));
     }
+    for (field, ms) in [("deadline_ms", treatment.deadline_ms), ("wait_ms", treatment.wait_ms)] {
+        if ms > TIME_MAX_MS {
+            let reason = format!("must be at most {TIME_MAX_MS}");
+            out.push(fault(&format!("{place}/{field}"), &reason));
+        }
+    }
     if treatment.attempts == 0 {
         out.push(fault(&format!("{place}/attempts"), "must be at least 1"));
     }
@@ -256,35 +274,8 @@
     out
 }
 
-/// Parses a JSON document, reporting every mismatch of shape at once.
-///
-/// # Errors
-///
-/// Every fault, each with its place.
-pub fn parse_document<T: DeserializeOwned + JsonSchema>(text: &str) -> Result<T, Vec<Fault>> {
-    let value: Value = serde_json::from_str(text).map_err(|e| vec![fault("/", &e.to_string())])?;
-    let schema = schemars::schema_for!(T).to_value();
-    let validator = jsonschema::validator_for(&schema)
-        .map_err(|e| vec![fault("/", &format!("schema: {e}"))])?;
-    let faults: Vec<Fault> = validator
-        .iter_errors(&value)
-        .map(|e| fault(&e.instance_path.to_string(), &e.to_string()))
-        .collect();
-    if !faults.is_empty() {
-        return Err(faults);
-    }
-    serde_json::from_value(value).map_err(|e| vec![fault("/", &e.to_string())])
-}
-
-/// Makes one error of a document's faults.
-pub fn invalid(document: &str, faults: &[Fault]) -> Error {
-    let lines: Vec<String> = faults.iter().map(|f| format!("\n  {f}")).collect();
-    Error::new(Code::Invalid, format!("{document}{}", lines.concat()))
-}
-
 fn fault(place: &str, reason: &str) -> Fault {
-    let place = if place.is_empty() { "/" } else { place };
-    Fault { place: place.to_owned(), reason: reason.to_owned() }
+    Fault::new(place, reason)
 }
 
 fn repeated<'a>(place: &str, names: impl Iterator<Item = &'a str>) -> Vec<Fault> {
--- /dev/null
+++ b/tests/settings.rs
@@ -0,0 +1,144 @@
+//! Settings: every fault at once, each with its place; nothing that is read makes the daemon panic.
+
+use std::process::Command;
+
+use cornelferry::settings::Settings;
+use proptest::prelude::*;
+use serde_json::{Value, json};
+
+fn sound() -> Value {
+    serde_json::from_str(include_str!("../examples/entry.json")).expect("the example")
+}
+
+/// Returns the places of the faults of the example once values have been set in it.
+fn places(changes: &[(&str, Value)]) -> Vec<String> {
+    let mut document = sound();
+    for (place, value) in changes {
+        let (parent, field) = place.rsplit_once('/').expect("a pointer");
+        document.pointer_mut(parent).expect("a place")[field] = value.clone();
+    }
+    let faults = Settings::parse(&document.to_string()).expect_err("faults");
+    let mut places: Vec<String> = faults.into_iter().map(|f| f.place).collect();
+    places.sort();
+    places
+}
+
+#[test]
+fn the_example_has_no_faults() {
+    assert!(Settings::parse(&sound().to_string()).is_ok());
+}
+
+#[test]
+fn faults_of_shape_are_reported_at_once() {
+    let changes = [
+        ("/caller", json!("nowhere")),
+        ("/colour", json!("red")),
+        ("/limits", json!({"workers": -1, "colour": 1})),
+        ("/profiles/0/otherwise/priority", json!("high")),
+        ("/services/0/upstreams/1/address", json!("127.0.0.1")),
+        ("/services/0/slots", json!("six")),
+    ];
+    assert_eq!(
+        places(&changes),
+        [
+            "/caller",
+            "/colour",
+            "/limits/colour",
+            "/limits/workers",
+            "/profiles/0/otherwise/priority",
+            "/services/0/slots",
+            "/services/0/upstreams/1/address"
+        ]
+    );
+}
+
+#[test]
+fn faults_of_value_are_reported_at_once() {
+    let changes = [
+        ("/host", json!("")),
+        ("/fleet_size_max", json!(0)),
+        ("/limits", json!({"workers": 0, "events": u64::MAX})),
+        ("/services/0/profile", json!("absent")),
+        ("/services/0/retry_share", json!(1.5)),
+        ("/services/0/upstreams/1/name", json!("dispatch-1")),
+        ("/profiles/0/rules/0/path", json!("tides")),
+        ("/profiles/0/otherwise/deadline_ms", json!(u64::MAX)),
+        ("/profiles/0/otherwise/hedge", json!(true)),
+    ];
+    assert_eq!(
+        places(&changes),
+        [
+            "/fleet_size_max",
+            "/host",
+            "/limits/events",
+            "/limits/workers",
+            "/profiles/0/otherwise/deadline_ms",
+            "/profiles/0/otherwise/hedge",
+            "/profiles/0/rules/0/path",
+            "/services/0/profile",
+            "/services/0/retry_share",
+            "/services/0/upstreams/1/name"
+        ]
+    );
+}
+
+#[test]
+fn a_number_too_large_for_its_field_has_its_place() {
+    assert_eq!(places(&[("/services/0/slots", json!(1e30))]), ["/services/0/slots"]);
+}
+
+#[test]
+fn reasons_name_what_is_allowed_and_stay_short() {
+    let reason = |field: &str, value: Value| {
+        let mut document = sound();
+        document[field] = value;
+        let faults = Settings::parse(&document.to_string()).expect_err("a fault");
+        faults[0].to_string()
+    };
+    assert!(reason("policy", json!("best")).contains("\"two-local\""));
+    assert!(reason("host", json!(["x".repeat(100_000)])).chars().count() < 300);
+}
+
+#[test]
+fn deep_nesting_is_refused() {
+    for text in ["[".repeat(100_000), "{\"a\":".repeat(100_000)] {
+        assert!(Settings::parse(&text).is_err());
+    }
+}
+
+#[test]
+fn the_check_command_prints_every_fault_and_exits_with_2() {
+    let folder = env!("CARGO_TARGET_TMPDIR");
+    let path = format!("{folder}/faults.json");
+    let mut document = sound();
+    document["host"] = json!("");
+    document["fleet_size_max"] = json!(0);
+    std::fs::write(&path, document.to_string()).expect("a file");
+    let check = |path: &str| {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_cornelferry"));
+        let done = command.args(["check", path]).output().expect("the tool");
+        (done.status.code(), String::from_utf8_lossy(&done.stderr).into_owned())
+    };
+    let (status, printed) = check(&path);
+    assert_eq!(status, Some(2));
+    assert!(printed.starts_with("4001: "), "{printed}");
+    assert!(printed.contains("\n  /host: ") && printed.contains("\n  /fleet_size_max: "));
+    assert_eq!(check(&format!("{folder}/absent.json")).0, Some(2));
+    assert_eq!(check("examples/entry.json"), (Some(0), String::new()));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(64))]
+
+    #[test]
+    fn parsing_arbitrary_text_never_panics(text: String) {
+        let _ = Settings::parse(&text);
+    }
+
+    #[test]
+    fn a_damaged_document_never_panics(at in 0_usize..10_000, with in "[0-9a-z\"{}\\[\\],:.-]{0,3}") {
+        let text = sound().to_string();
+        let at = at % text.len();
+        let _ = Settings::parse(&format!("{}{with}{}", &text[..at], &text[at + 1..]));
+    }
+}
