Record what peers share, and show how they stand

The link between entry hosts called the tables past the recorder, so a trace lacked what peers share and what is forgotten when one dies. Both go through the noting wrappers now. Status says of each member whether it is alive.

--- a/src/decide/member.rs
+++ b/src/decide/member.rs
@@ -9,6 +9,8 @@
 
 use twox_hash::XxHash64;
 
+use serde::{Deserialize, Serialize};
+
 use crate::decide::topology::{self, Place};
 use crate::settings::Peer;
 use crate::time::Time;
@@ -121,7 +123,8 @@
 }
 
 /// How a member stands in this host's view.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
 pub enum Standing {
     /// No heartbeat was heard since this host started or was paused.
     Unknown,
--- a/src/entry/admin/status.rs
+++ b/src/entry/admin/status.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::decide::member::Member;
+use crate::decide::member::{Member, Standing};
 use crate::decide::profile::Catalog;
 use crate::decide::service::ServiceTable;
 use crate::decide::upstream::Row;
@@ -24,7 +24,7 @@
         policy: node.settings.policy,
         records: records(&node.catalog.lock()),
         services: node.tables.lock().services().iter().map(|s| service(node, s, now)).collect(),
-        members: node.members.lock().members().iter().map(|m| member(m, now)).collect(),
+        members: members(node, now),
         events: events(node),
     }
 }
@@ -104,8 +104,15 @@
     }
 }
 
-fn member(member: &Member, now: Time) -> MemberStatus {
+fn members(node: &Node, now: Time) -> Vec<MemberStatus> {
+    let members = node.members.lock();
+    let standing = |m: &Member| members.standing(&m.host, now).unwrap_or(Standing::Unknown);
+    members.members().iter().map(|m| member(m, standing(m), now)).collect()
+}
+
+fn member(member: &Member, standing: Standing, now: Time) -> MemberStatus {
     MemberStatus {
+        standing,
         host: member.host.clone(),
         data_centre: member.data_centre.clone(),
         address: member.address,
--- a/src/node.rs
+++ b/src/node.rs
@@ -200,7 +200,7 @@
         let subject = Subject { peer: Some(change.host.clone()), ..Subject::default() };
         self.events.record(code, subject, None);
         if change.standing == Standing::Dead {
-            self.tables.lock().forget(&change.host);
+            self.forget(&mut self.tables.lock(), &change.host);
         }
     }
 
--- a/src/peer/session.rs
+++ b/src/peer/session.rs
@@ -229,11 +229,10 @@
     }
 
     fn import(&self, taken: &Taken, now: Time) {
-        let mut tables = self.local.node.tables.lock();
+        let node = &self.local.node;
+        let mut tables = node.tables.lock();
         for shared in &taken.shared {
-            if let Some(table) = tables.service(&shared.service) {
-                table.import(&taken.sender.host, shared, now);
-            }
+            node.import(&mut tables, &taken.sender.host, shared, now);
         }
     }
 
--- a/src/status.rs
+++ b/src/status.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::decide::member::Standing;
 use crate::decide::profile::Kind;
 use crate::decide::route::Policy;
 use crate::decide::upstream::State;
@@ -127,7 +128,9 @@
     pub address: SocketAddr,
     /// The number of its process's start.
     pub incarnation: u64,
-    /// Milliseconds since a heartbeat of it was taken in.
+    /// How it stands in the answering host's view.
+    pub standing: Standing,
+    /// Milliseconds since its newest heartbeat was sent.
     #[serde(skip_serializing_if = "Option::is_none", default)]
     pub heard_age_ms: Option<u64>,
 }
--- a/src/tool/status.rs
+++ b/src/tool/status.rs
@@ -5,6 +5,7 @@
 use serde::Serialize;
 
 use crate::cli::StatusArgs;
+use crate::decide::member::Standing;
 use crate::status::{MemberStatus, ServiceStatus, Status, UpstreamStatus};
 use crate::tool::fleet::{self, Answers, Silent};
 use crate::tool::table;
@@ -68,8 +69,8 @@
 }
 
 fn peers(members: &[MemberStatus]) -> String {
-    let heard = members.iter().filter(|m| m.heard_age_ms.is_some()).count();
-    format!("{heard}/{}", members.len())
+    let alive = members.iter().filter(|m| m.standing == Standing::Alive).count();
+    format!("{alive}/{}", members.len())
 }
 
 fn probes(services: &[ServiceStatus]) -> String {
--- a/src/trace/hooks.rs
+++ b/src/trace/hooks.rs
@@ -48,7 +48,6 @@
     }
 
     /// Takes note of what a peer knows of an upstream.
-    #[allow(dead_code, reason = "the link between entry hosts takes it into use")]
     pub(crate) fn import(&self, tables: &mut Tables, host: &str, shared: &Shared, now: Time) {
         let Some(table) = tables.service(&shared.service) else { return };
         let entry = || Entry::Import { host: host.into(), shared: shared.clone() };
@@ -56,6 +55,12 @@
         table.import(host, shared, now);
     }
 
+    /// Forgets what a peer had shared.
+    pub(crate) fn forget(&self, tables: &mut Tables, host: &Arc<str>) {
+        self.recorder.note(|| Entry::Forget { host: host.clone() });
+        tables.forget(host);
+    }
+
     /// Shows the events to the recorder.
     pub(crate) fn record_events(&self) {
         let recorder = self.recorder.clone();
--- a/src/trace/mod.rs
+++ b/src/trace/mod.rs
@@ -85,6 +85,11 @@
         /// What it knows.
         shared: Shared,
     },
+    /// What a peer had shared was forgotten.
+    Forget {
+        /// The peer.
+        host: Arc<str>,
+    },
     /// A new request was decided on.
     Admit {
         /// The service.
--- a/src/trace/replay.rs
+++ b/src/trace/replay.rs
@@ -108,6 +108,7 @@
                     table.import(host, shared, at);
                 }
             }
+            Entry::Forget { host } => self.tables.forget(host),
             Entry::Admit { service, request, decision } => {
                 self.admit(number, service, request, decision, at);
             }
