--- a/src/decide/topology.rs
+++ b/src/decide/topology.rs
@@ -1,9 +1,9 @@
 //! Which entry hosts talk to each other.
 //!
 //! The hosts of a data centre form a circulant graph over the order of their hashes, and so do the
-//! data centres: a host links to hosts a few fixed distances away. The degree grows with the
-//! logarithm of the fleet, every host computes the same graph from the same members, and one host
-//! that joins or leaves moves a bounded number of links.
+//! data centres: a host links to hosts a few fixed distances away. The degree grows with the logarithm
+//! of the fleet and is even over the hosts, and every host computes the same graph from the same
+//! members. A host that joins or leaves shifts the others of its data centre by one place.
 
 use std::sync::Arc;
 
--- /dev/null
+++ b/tests/digest.rs
@@ -0,0 +1,104 @@
+//! Digests as deltas: what one side tells over a connection is what the other side hears.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cornelferry::Time;
+use cornelferry::digest::{Beat, Digest, Incoming, Load, Outgoing};
+use cornelferry::member::{Heartbeat, Members, Process};
+use cornelferry::upstream::Shared;
+use proptest::collection::vec;
+use proptest::prelude::*;
+
+fn process(host: &str, incarnation: u64) -> Process {
+    let address = "127.0.0.1:1".parse().unwrap();
+    Process { host: host.into(), data_centre: "dc".into(), address, incarnation }
+}
+
+fn shared(upstream: usize, in_flight: u32, leaving: bool) -> Shared {
+    let service: Arc<str> = format!("service-{}", upstream % 2).into();
+    let upstream = format!("u{upstream}").into();
+    Shared { service, upstream, in_flight, load: None, leaving }
+}
+
+proptest! {
+    #[test]
+    fn the_other_side_ends_up_with_every_figure(
+        rounds in vec((vec((0_u32..4, any::<bool>()), 6), 0_usize..4), 1..20)
+    ) {
+        let (mut out, mut incoming) = (Outgoing::default(), Incoming::default());
+        let mut view: Vec<Option<Shared>> = vec![None; 6];
+        let mut figures = Vec::new();
+        let mut now = Time::ZERO;
+        for (values, max) in rounds.into_iter().chain([(vec![(9, false); 6], 6)]) {
+            now = now + Duration::from_millis(500);
+            let figure = |(i, (n, leaving)): (usize, &(u32, bool))| shared(i, *n, *leaving);
+            figures = values.iter().enumerate().map(figure).collect();
+            let mut digest = Digest::default();
+            out.introduce(&process("a", 1), &mut digest);
+            out.share(&figures, now, max, &mut digest);
+            prop_assert!(digest.loads.len() <= max);
+            let taken = incoming.take(&digest, now).unwrap();
+            prop_assert_eq!(&*taken.sender.host, "a");
+            for s in taken.shared {
+                let at = figures.iter().position(|f| f.upstream == s.upstream).unwrap();
+                view[at] = Some(s);
+            }
+        }
+        let expected: Vec<Option<Shared>> = figures.into_iter().map(Some).collect();
+        prop_assert_eq!(view, expected);
+        let mut again = Digest::default();
+        out.share(&expected_figures(), now, 6, &mut again);
+        prop_assert!(again.loads.is_empty(), "unchanged figures are told once");
+    }
+
+    #[test]
+    fn figures_on_what_was_never_named_are_left_out(
+        beats in vec((any::<u16>(), any::<u32>()), 0..8),
+        loads in vec((any::<u16>(), any::<u16>()), 0..8),
+    ) {
+        let mut digest = Digest { processes: vec![process("a", 1)], ..Digest::default() };
+        digest.beats.extend(beats.iter().map(|(process, counter)| {
+            Beat { process: *process, counter: *counter, age: Duration::ZERO, left: false }
+        }));
+        digest.loads.extend(loads.iter().map(|(upstream, in_flight)| {
+            Load { upstream: *upstream, in_flight: *in_flight, load: None, leaving: false }
+        }));
+        let taken = Incoming::default().take(&digest, Time::ZERO).unwrap();
+        prop_assert!(taken.beats.iter().all(|(p, _)| &*p.host == "a"));
+        prop_assert!(taken.shared.is_empty());
+    }
+}
+
+fn expected_figures() -> Vec<Shared> {
+    (0..6).map(|i| shared(i, 9, false)).collect()
+}
+
+#[test]
+fn a_digest_without_an_introduction_is_refused() {
+    assert!(Incoming::default().take(&Digest::default(), Time::ZERO).is_none());
+}
+
+#[test]
+fn a_relayed_heartbeat_grows_no_younger_and_is_told_once() {
+    let mut members = Members::new("a".into(), "dc".into());
+    let heard = Time::from_millis(1_000);
+    members.hear(&process("c", 7), Heartbeat { counter: 4, at: heard, left: false });
+    let (mut out, mut incoming) = (Outgoing::default(), Incoming::default());
+    let now = Time::from_millis(1_600);
+    let mut relay = |known: Option<u32>| {
+        let mut digest = Digest::default();
+        out.introduce(&process("a", 1), &mut digest);
+        out.relay(members.members().iter(), |_| known, now, &mut digest);
+        digest
+    };
+    let first = relay(Some(4));
+    assert!(first.beats.is_empty(), "the other side told it itself");
+    assert!(incoming.take(&first, now).is_some());
+    // The other side's clock has another origin.
+    let taken = incoming.take(&relay(None), Time::from_millis(90_000)).unwrap();
+    let (host, beat) = &taken.beats[1];
+    assert_eq!((&*host.host, host.incarnation, beat.counter), ("c", 7, 4));
+    assert_eq!(beat.at, Time::from_millis(89_400));
+    assert!(relay(None).beats.is_empty());
+}
