--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -5,7 +5,9 @@
 
 pub mod admit;
 pub mod attempt;
+pub(crate) mod bucket;
 pub mod digest;
+pub mod hosts;
 pub mod matching;
 pub mod measure;
 pub mod member;
@@ -13,6 +15,15 @@
 pub mod profile;
 pub mod route;
 pub mod service;
+pub mod stored;
 pub mod tick;
 pub mod topology;
 pub mod upstream;
+
+pub(crate) mod baseline;
+pub(crate) mod capacity;
+pub(crate) mod drain;
+pub(crate) mod health;
+pub(crate) mod load;
+pub(crate) mod queue;
+pub(crate) mod retry;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -50,11 +50,13 @@
 pub mod header;
 pub mod hlc;
 pub mod settings;
+pub mod status;
 pub mod tool;
+pub mod trace;
 
 pub use decide::{
-    admit, attempt, digest, matching, measure, member, pause, profile, route, service, tick,
-    topology, upstream,
+    admit, attempt, digest, hosts, matching, measure, member, pause, profile, route, service,
+    stored, tick, topology, upstream,
 };
 pub use time::{Clock, Time};
 
@@ -65,5 +67,10 @@
 mod metrics;
 mod node;
 mod peer;
+#[allow(dead_code, reason = "the tool and claims take the rest into use")]
 mod platform;
 mod time;
+
+#[cfg(test)]
+#[path = "../examples/standin/mod.rs"]
+mod standin;
--- a/src/node.rs
+++ b/src/node.rs
@@ -1,12 +1,13 @@
 //! What all parts of one daemon share: settings, clocks, tables, records, members and events.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU8, Ordering};
 
 use parking_lot::{Mutex, RwLock};
 use tokio::sync::Notify;
+use tokio::sync::watch;
 
 use crate::decide::digest::Version;
+use crate::decide::hosts::HostList;
 use crate::decide::matching::Routes;
 use crate::decide::member::{Change, Members, Standing};
 use crate::decide::pause::{Pause, RESYNC_MAX};
@@ -15,15 +16,19 @@
 use crate::decide::tick::Tables;
 use crate::entry::waiting::Waiting;
 use crate::event::{EventCode, Ring, Subject};
+use crate::forward::memory::Memory;
+use crate::forward::pool::Pool;
 use crate::hlc::Hlc;
 use crate::metrics::Metrics;
 use crate::peer::news::News;
+use crate::platform::client::Client;
 use crate::settings::Settings;
 use crate::time::Clock;
+use crate::trace::Entry as TraceEntry;
+use crate::trace::recorder::Recorder;
 
 /// Where a host is between start and exit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-#[repr(u8)]
 pub(crate) enum Phase {
     /// It has not yet learnt the newest records.
     Starting,
@@ -38,24 +43,33 @@
 /// The shared state of one daemon.
 ///
 /// Locks are held for one decision and never across an await. Whoever needs two takes `catalog`
-/// before `members` before `tables`.
+/// before `hosts` before `members` before `tables`.
+#[derive(derive_more::Debug)]
+#[debug("node {}", settings.host)]
 pub(crate) struct Node {
     pub(crate) settings: Settings,
     pub(crate) clock: Clock,
     pub(crate) events: Arc<Ring>,
     pub(crate) metrics: Metrics,
+    pub(crate) recorder: Arc<Recorder>,
     pub(crate) catalog: Mutex<Catalog>,
     pub(crate) members: Mutex<Members>,
     pub(crate) tables: Mutex<Tables>,
     pub(crate) waiting: Waiting,
     pub(crate) hlc: Arc<Hlc>,
     pub(crate) news: News,
+    /// The newest host list.
+    pub(crate) hosts: Mutex<HostList>,
+    /// The key-value service; absent for a host that runs on its settings file alone.
+    pub(crate) platform: Option<Arc<Client>>,
     /// Signals that the process was paused and has to hear of the newest records.
-    pub(crate) resync: Notify,
+    pub(crate) resync: Arc<Notify>,
+    pub(crate) pool: Pool,
+    pub(crate) memory: Memory,
     pub(crate) pause: Mutex<Pause>,
     resynced: Notify,
     routes: RwLock<Arc<Routes>>,
-    phase: AtomicU8,
+    phase: watch::Sender<Phase>,
 }
 
 impl Node {
@@ -69,23 +83,34 @@
             policy: settings.policy,
             waiting_max: settings.limits.waiting,
         };
+        let clock = Clock::start();
+        let recorder = Recorder::new(clock);
+        let metrics = Metrics::default();
+        let platform = settings.platform.as_ref();
+        let platform = platform.map(|cfg| Arc::new(Client::connect(cfg, metrics.count_calls())));
         let node = Node {
-            clock: Clock::start(),
+            clock,
             events: Arc::new(Ring::new(settings.limits.events, hlc.clone())),
-            metrics: Metrics::default(),
+            metrics,
+            recorder,
             catalog: Mutex::default(),
             members: Mutex::new(Members::new(facts.host.clone(), facts.data_centre.clone())),
             tables: Mutex::new(Tables::new(facts)),
             waiting: Waiting::default(),
             hlc,
             news: News::default(),
-            resync: Notify::new(),
+            hosts: Mutex::default(),
+            platform,
+            resync: Arc::default(),
+            pool: Pool::default(),
+            memory: Memory::new(settings.limits.body_bytes),
             pause: Mutex::default(),
             resynced: Notify::new(),
             routes: RwLock::default(),
-            phase: AtomicU8::new(Phase::Starting as u8),
+            phase: watch::Sender::new(Phase::Starting),
             settings,
         };
+        node.record_events();
         node.members.lock().set_known(&node.settings.peers, node.clock.now());
         node.offer(node.inline_records());
         Arc::new(node)
@@ -110,23 +135,28 @@
 
     /// Returns where the host is between start and exit.
     pub(crate) fn phase(&self) -> Phase {
-        match self.phase.load(Ordering::Acquire) {
-            0 => Phase::Starting,
-            1 => Phase::Ready,
-            2 => Phase::Draining,
-            _ => Phase::Stopping,
-        }
+        *self.phase.borrow()
     }
 
     /// Moves on to a later phase. A host never goes back to an earlier one.
     pub(crate) fn enter(&self, phase: Phase) {
-        self.phase.fetch_max(phase as u8, Ordering::AcqRel);
+        self.phase.send_if_modified(|p| {
+            let later = phase > *p;
+            *p = phase.max(*p);
+            later
+        });
         if phase >= Phase::Draining {
             self.members.lock().leave();
             self.news.signal();
         }
     }
 
+    /// Completes when the host has reached a phase.
+    pub(crate) async fn reached(&self, phase: Phase) {
+        let mut rx = self.phase.subscribe();
+        let _ = rx.wait_for(|p| *p >= phase).await;
+    }
+
     /// Waits until the records are current: at once, unless the process was paused and has not
     /// resynchronised. Gives up after [`RESYNC_MAX`].
     pub(crate) async fn current(&self) {
@@ -187,17 +217,16 @@
         let code = match offered {
             Offered::InForce => EventCode::InForce,
             Offered::Older => EventCode::OlderIgnored,
-            Offered::Same => return offered,
+            Offered::Same | Offered::Unreadable => return offered,
         };
         let name = format!("{}/{}", record.kind(), record.name);
         let subject = Subject { record: Some(name.into()), ..Subject::default() };
         self.events.record(code, subject, Some(record.version));
+        self.recorder.note(|| TraceEntry::Offer { record: record.clone(), offered });
         if offered == Offered::InForce {
             let (kind, name) = (record.kind(), record.name.clone());
             self.news.in_force(Version { kind, name, version: record.version });
-        }
-        if let (Offered::InForce, Body::Service(service)) = (offered, record.body) {
-            self.tables.lock().put(service, self.clock.now());
+            self.put_service(&record);
         }
         offered
     }
--- a/src/tool/mod.rs
+++ b/src/tool/mod.rs
@@ -1,10 +1,25 @@
 //! The work of the command-line tool.
 
+mod document;
+mod fetch;
+mod fleet;
+mod publish;
+mod record;
+mod replay;
+mod spread;
+mod status;
+mod table;
+#[cfg(test)]
+mod tests;
+mod timeline;
+mod trace;
+
 use std::process::ExitCode;
 
 use anyhow::Result;
 
 use crate::cli::{Command, ToolArgs};
+use crate::decide::profile::Kind;
 use crate::error::{Code, Error};
 use crate::settings::Settings;
 
@@ -21,20 +36,34 @@
             println!("{}: {services} services, {profiles} profiles, no faults", file.display());
             Ok(())
         }
+        Command::Status(args) => block_on(status::run(&args)),
+        Command::Timeline(args) => block_on(timeline::run(&args)),
+        Command::Trace(args) => block_on(trace::run(&args)),
+        Command::Replay(args) => replay::run(&args),
+        Command::Profile(args) => block_on(record::run(Kind::Profile, &args)),
+        Command::Service(args) => block_on(record::run(Kind::Service, &args)),
     }
 }
 
+fn block_on(work: impl Future<Output = Result<()>>) -> Result<()> {
+    tokio::runtime::Builder::new_current_thread().enable_all().build()?.block_on(work)
+}
+
 /// Prints an error and returns the program's exit code: 0 for success, 2 for a document with
 /// faults, 3 for a conflict, 4 for an unknown result, 5 for an unreachable service, else 1.
 pub fn exit_code(done: Result<()>) -> ExitCode {
     let Err(e) = done else { return ExitCode::SUCCESS };
     eprintln!("{e:#}");
-    let code = e.downcast_ref::<Error>().map(|e| e.code);
-    ExitCode::from(match code {
-        Some(Code::Invalid | Code::Unreadable) => 2,
-        Some(Code::Conflict) => 3,
-        Some(Code::PublishUnknown | Code::NotInForce) => 4,
-        Some(Code::Unreachable) => 5,
+    ExitCode::from(e.downcast_ref::<Error>().map_or(1, |e| exit_status(e.code)))
+}
+
+/// Returns the exit status of a program that ends with a result code.
+pub const fn exit_status(code: Code) -> u8 {
+    match code {
+        Code::Invalid | Code::Unreadable => 2,
+        Code::Conflict => 3,
+        Code::PublishUnknown | Code::NotInForce => 4,
+        Code::Unreachable => 5,
         _ => 1,
-    })
+    }
 }
