Take a host that was paused for stale until a fresh one has answered it

Cause: a host that resumes counted as current after any peer's answer, also that of a peer which had been paused with it; and the platform's read did not count at all.

Change: digests say whether their sender is stale; such a peer's records don't count. The platform's read ends a pause too. Links are made anew after each pause by its number, so that the signal to the platform has one reader.

Ruled out: one Notify for both readers, as a reader that is busy at that moment misses the signal.

Seen: a test with a host whose thread stands still: it takes itself for stale before its next tick, owns no duty, and catches up.

--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -18,6 +18,7 @@
   upstreams @8 :List(Upstream);  # Upstreams named for the first time.
   loads @9 :List(Load);          # Upstreams whose figures have changed.
   recent @10 :List(Version);     # Records that have come into force.
+  stale @11 :Bool;               # The sender was paused and has not heard of the newest records.
 }
 
 # One run of the daemon on an entry host.
--- a/src/decide/digest.rs
+++ b/src/decide/digest.rs
@@ -114,6 +114,8 @@
     pub beat: u32,
     /// Whether the sender leaves.
     pub leaving: bool,
+    /// Whether the sender was paused and has not heard of the newest records.
+    pub stale: bool,
     /// The sender's records in force.
     pub summary: Summary,
     /// Processes named for the first time; the connection's first one is the sender.
--- a/src/node.rs
+++ b/src/node.rs
@@ -187,7 +187,7 @@
         if let Some(pauses) = pauses {
             self.events.record(EventCode::Paused, Subject::default(), Some(pauses));
             self.members.lock().resume(now);
-            self.resync.notify_waiters();
+            self.resync.notify_one();
             if self.settings.platform.is_none() && self.members.lock().members().is_empty() {
                 self.resynced(pauses);
             }
--- a/src/peer/codec.rs
+++ b/src/peer/codec.rs
@@ -29,6 +29,7 @@
     out.set_count(digest.stamp.count);
     out.set_beat(digest.beat);
     out.set_leaving(digest.leaving);
+    out.set_stale(digest.stale);
     out.set_fingerprint(digest.summary.fingerprint);
     out.set_versions(digest.summary.versions);
     write_processes(&digest.processes, &mut out);
@@ -53,6 +54,7 @@
         stamp,
         beat: digest.get_beat(),
         leaving: digest.get_leaving(),
+        stale: digest.get_stale(),
         summary,
         processes: digest.get_processes()?.iter().map(read_process).collect::<Result<_, _>>()?,
         beats: digest.get_beats()?.iter().map(read_beat).collect(),
--- a/src/peer/links.rs
+++ b/src/peer/links.rs
@@ -42,20 +42,21 @@
 }
 
 /// Keeps links to the neighbours for the life of the process, and to one dead host after the other
-/// in case it is back.
+/// in case it is back. After a pause every link is made anew, which exchanges everything in full.
 pub(crate) async fn keep(local: Rc<Local>) {
     let mut links: Vec<Link> = Vec::new();
     let mut trial = Trial::default();
     let mut started = local.node.clock.now();
+    let mut pauses = 0;
     loop {
-        tokio::select! {
-            () = sleep(CHECK) => {}
-            () = local.node.resync.notified() => {
-                links.clear();
-                started = local.node.clock.now();
-            }
-        }
+        sleep(CHECK).await;
         let now = local.node.clock.now();
+        let found = local.node.pause.lock().pauses();
+        if found != pauses {
+            pauses = found;
+            started = now;
+            links.clear();
+        }
         let mut targets = neighbours(&local, started, now);
         targets.extend(trial.next(&local, now));
         links.retain(|l| targets.iter().any(|t| t.host == l.host && t.address == l.address));
--- a/src/peer/peer_capnp.rs
+++ b/src/peer/peer_capnp.rs
@@ -130,6 +130,10 @@
         pub fn has_recent(&self) -> bool {
             !self.reader.get_pointer_field(4).is_null()
         }
+        #[inline]
+        pub fn get_stale(self) -> bool {
+            self.reader.get_bool_field(257)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -312,6 +316,14 @@
         pub fn has_recent(&self) -> bool {
             !self.builder.is_pointer_field_null(4)
         }
+        #[inline]
+        pub fn get_stale(self) -> bool {
+            self.builder.get_bool_field(257)
+        }
+        #[inline]
+        pub fn set_stale(&mut self, value: bool)  {
+            self.builder.set_bool_field(257, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -323,7 +335,7 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 206] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 221] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(75, 129, 217, 106, 37, 199, 47, 173),
             ::capnp::word(11, 0, 0, 0, 1, 0, 5, 0),
@@ -333,91 +345,98 @@
             ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 111, 2, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 167, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 68, 105, 103, 101, 115),
             ::capnp::word(116, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(44, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(48, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(65, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(69, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(73, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(49, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(77, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(48, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(60, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(76, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(57, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(85, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(56, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(68, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(84, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(96, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 0, 1, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(65, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(93, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(88, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(100, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(97, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(96, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(96, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(124, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(93, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(121, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(88, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(116, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(113, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(141, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(140, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(140, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(137, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(165, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(132, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(160, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(185, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(180, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(180, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(208, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 1, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(205, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(200, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(109, 105, 108, 108, 105, 115, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -530,6 +549,14 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 116, 97, 108, 101, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -544,6 +571,7 @@
                 8 => <::capnp::struct_list::Owned<crate::peer::peer_capnp::upstream::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 9 => <::capnp::struct_list::Owned<crate::peer::peer_capnp::load::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 10 => <::capnp::struct_list::Owned<crate::peer::peer_capnp::version::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                11 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -557,9 +585,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,7,1,3,5,9,0,6,10,8,4];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,7,1,3,5,9,0,6,10,11,8,4];
         pub(crate) const TYPE_ID: u64 = 0xad2f_c725_6ad9_814b;
     }
 }
--- a/src/peer/pull.rs
+++ b/src/peer/pull.rs
@@ -63,7 +63,7 @@
     } else if !is_equal(session) {
         return Ok(());
     }
-    if let Some(host) = session.host() {
+    if let Some(host) = session.host().filter(|_| !session.is_stale.get()) {
         session.local.node.members.lock().set_synced(&host);
         session.local.node.resynced(pauses);
     }
--- a/src/peer/session.rs
+++ b/src/peer/session.rs
@@ -45,6 +45,8 @@
     pub(crate) nudged: Notify,
     /// The other side's records at its last digest.
     pub(crate) theirs: Cell<Option<Summary>>,
+    /// Whether the other side has not heard of the newest records since it was paused.
+    pub(crate) is_stale: Cell<bool>,
     pub(crate) pulls: Pulls,
     /// This host's process as the other side was told.
     process: Process,
@@ -80,6 +82,7 @@
             local: local.clone(),
             nudged: Notify::new(),
             theirs: Cell::default(),
+            is_stale: Cell::default(),
             pulls: Pulls::default(),
             process: local.process(),
             superseded: Cell::default(),
@@ -137,6 +140,7 @@
             stamp: node.hlc.tick(),
             beat: self.local.beat(now),
             leaving: node.phase() >= Phase::Draining,
+            stale: node.pause.lock().stale(now),
             summary: self.local.summary(),
             recent: recent.into_iter().filter(|v| v.version > 0 && !known.contains(v)).collect(),
             ..Digest::default()
@@ -172,6 +176,7 @@
         }
         self.import(&taken, now);
         self.theirs.set(Some(digest.summary));
+        self.is_stale.set(digest.stale);
         self.remember(&digest.recent);
         let wanted = newer(&node.catalog.lock(), digest.recent.clone());
         pull::start(self, wanted, pauses);
--- a/src/peer/tests.rs
+++ b/src/peer/tests.rs
@@ -1,5 +1,6 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
@@ -30,6 +31,7 @@
 struct Host {
     node: Arc<Node>,
     stop: Option<oneshot::Sender<()>>,
+    pause: Arc<AtomicBool>,
     thread: Option<JoinHandle<()>>,
 }
 
@@ -49,6 +51,8 @@
         let node = Node::new(settings);
         let (stop, stopped) = oneshot::channel::<()>();
         let run = node.clone();
+        let pause = Arc::new(AtomicBool::new(false));
+        let paused = pause.clone();
         let thread = std::thread::spawn(move || {
             let rt = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
             LocalSet::new().block_on(&rt, async move {
@@ -58,13 +62,16 @@
                 spawn_local(async move {
                     loop {
                         run.watch();
+                        while paused.load(Ordering::Relaxed) {
+                            std::thread::sleep(Duration::from_millis(10));
+                        }
                         tokio::time::sleep(Duration::from_millis(10)).await;
                     }
                 });
                 let _ = stopped.await;
             });
         });
-        Host { node, stop: Some(stop), thread: Some(thread) }
+        Host { node, stop: Some(stop), pause, thread: Some(thread) }
     }
 
     fn standing(&self, host: &str) -> Option<Standing> {
@@ -173,6 +180,22 @@
     eventually("left", || hosts[1..].iter().all(left));
 }
 
+#[test]
+fn a_paused_host_knows_that_it_is_behind_and_catches_up() {
+    let (hosts, _) = fleet(3);
+    let stale = |h: &Host| h.node.pause.lock().stale(h.node.clock.now());
+    eventually("synced", || hosts[0].node.members.lock().synced() == 2);
+    hosts[0].pause.store(true, Ordering::Relaxed);
+    eventually("found out without a tick", || stale(&hosts[0]));
+    hosts[1].node.offer(vec![profile("a", 1)]);
+    let members = || hosts[0].node.members.lock().clone();
+    assert_eq!(members().owner("duty", hosts[0].node.clock.now()), "");
+    hosts[0].pause.store(false, Ordering::Relaxed);
+    eventually("caught up", || hosts[0].version("a") == Some(1) && !stale(&hosts[0]));
+    assert!(hosts[0].events(EventCode::Paused) >= 1);
+    eventually("synced again", || members().synced() == 2);
+}
+
 #[test]
 fn a_silent_link_is_replaced() {
     let (first, first_address) = bound();
@@ -258,6 +281,7 @@
         stamp: Stamp { millis: head.0, count: head.1 },
         beat: head.2,
         leaving: head.3,
+        stale: !head.3,
         summary: Summary { fingerprint: head.4, versions: head.0 },
         processes: lists.0,
         beats: lists.1,
--- a/src/platform/records.rs
+++ b/src/platform/records.rs
@@ -88,6 +88,7 @@
     /// Reads what has changed since the last read, and now and then everything.
     async fn catch_up(&mut self) -> Result<(), Failure> {
         let full = self.reads == 0;
+        let pauses = self.node.pause.lock().pauses();
         let since = if full { 0 } else { self.revision + 1 };
         let loaded = self.client.load(Range { since, ..self.client.keys.records() }).await?;
         self.reads = (self.reads + 1) % READS_PER_FULL;
@@ -99,6 +100,7 @@
             self.lose_watch();
         }
         self.take_in(&loaded);
+        self.node.resynced(pauses);
         if full {
             crate::platform::restore::put_back(&self.node, &self.client, &loaded).await;
         }
