--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -5,6 +5,7 @@
 # Ports from here on are used: callers, then admin, peer and upstream ports.
 base=${BASE_PORT:-$((20000 + RANDOM % 20 * 500))}
 caller=$base admin=$((base + 100)) peer=$((base + 200)) upstream=$((base + 300))
+platform=$((base + 400))
 dir=$(mktemp -d)
 pids=()
 
@@ -42,6 +43,43 @@
 JSON
 }
 
+# start_platform HOSTS UPSTREAMS: starts the stand-in platform with a host list of the whole fleet.
+start_platform() {
+  local hosts=$1 upstreams=$2 list="" i
+  for ((i = 0; i < hosts; i++)); do
+    list+="${list:+,}{\"name\":\"e$i\",\"role\":\"entry\",\"address\":\"127.0.0.1:$((caller + i))\","
+    list+="\"peer\":\"127.0.0.1:$((peer + i))\",\"admin\":\"127.0.0.1:$((admin + i))\","
+    list+="\"data_centre\":\"dc$((i % 3))\",\"state\":\"live\"}"
+  done
+  for ((i = 0; i < upstreams; i++)); do
+    list+=",{\"name\":\"u$i\",\"role\":\"upstream\",\"service\":\"s\",\"address\":\"127.0.0.1:$((upstream + i))\","
+    list+="\"data_centre\":\"dc$((i % 3))\",\"state\":\"live\"}"
+  done
+  echo "{\"version\":1,\"hosts\":[$list]}" > "$dir/hosts.json"
+  "$bin/examples/platform" --port "$platform" --hosts "$dir/hosts.json" & pids+=($!)
+  "$bin/examples/upstreams" --port "$upstream" --count "$upstreams" --seconds 3600 & pids+=($!)
+  until curl -sf -o /dev/null "http://127.0.0.1:$platform/hosts"; do sleep 0.05; done
+}
+
+# start_hosts HOSTS: starts entry hosts that learn everything from the platform.
+start_hosts() {
+  local hosts=$1 i
+  for ((i = 0; i < hosts; i++)); do
+    cat > "$dir/e$i.json" <<JSON
+{
+  "host": "e$i", "data_centre": "dc$((i % 3))", "fleet_size_max": $hosts,
+  "caller": "127.0.0.1:$((caller + i))", "admin": "127.0.0.1:$((admin + i))",
+  "peer": "127.0.0.1:$((peer + i))",
+  "platform": {"key_value": ["127.0.0.1:$platform"], "host_list": "127.0.0.1:$platform"}
+}
+JSON
+    RUST_LOG=error "$bin/cornelferryd" --settings "$dir/e$i.json" 2>> "$dir/log" & pids+=($!)
+  done
+  for ((i = 0; i < hosts; i++)); do
+    until curl -sf -o /dev/null "http://127.0.0.1:$((admin + i))/readyz"; do sleep 0.05; done
+  done
+}
+
 # start_fleet HOSTS UPSTREAMS SLOTS POLICY SECONDS [FAULT...]
 start_fleet() {
   local hosts=$1 upstreams=$2 slots=$3 policy=$4 seconds=$5 i
