--- a/src/entry/caller.rs
+++ b/src/entry/caller.rs
@@ -10,16 +10,13 @@
 
 use crate::entry::intake;
 use crate::entry::socket::{CALLER, Caller};
-use crate::error::{Code, Outcome};
+use crate::error::Outcome;
 use crate::event::{EventCode, Subject};
 use crate::forward::answer::{Answer, AnswerBody};
 use crate::forward::{Job, drive};
 use crate::header;
 use crate::node::{Node, Phase};
 
-/// The codes of requests that may have bytes left to read, which nothing may take for a request.
-const UNREAD: [Code; 4] = [Code::BadRequest, Code::HeadTooLarge, Code::BodyTooLarge, Code::BodyCut];
-
 /// Answers one request of a caller.
 pub(crate) async fn handle(
     node: &Arc<Node>,
@@ -29,11 +26,11 @@
     let _busy = caller.begin();
     let id = intake::request_id(req.headers());
     let upgrade = req.headers().contains_key(UPGRADE);
-    let answer = match intake::take_in(node, &caller, &id, req).await {
-        Ok(job) => accepted(node, &caller, &job).await,
-        Err(code) => Answer::own(code),
+    let has_body = intake::has_body(req.headers());
+    let (answer, unread) = match intake::take_in(node, &caller, &id, req).await {
+        Ok(job) => (accepted(node, &caller, &job).await, false),
+        Err(code) => (Answer::own(code), has_body || intake::is_unreadable(code)),
     };
-    let unread = UNREAD.contains(&answer.code);
     let mut res = response(&id, answer);
     if unread || upgrade || caller.is_last() || node.phase() >= Phase::Draining {
         caller.set_last();
--- a/src/entry/intake.rs
+++ b/src/entry/intake.rs
@@ -99,6 +99,16 @@
     })
 }
 
+/// Tells whether a request announces a body.
+pub(crate) fn has_body(headers: &HeaderMap) -> bool {
+    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+}
+
+/// Tells whether it is unsure where a request that was refused with a code ends.
+pub(crate) const fn is_unreadable(code: Code) -> bool {
+    matches!(code, Code::BadRequest | Code::HeadTooLarge | Code::BodyCut)
+}
+
 /// Refuses heads that are over a limit, and those whose body other programs may delimit otherwise.
 fn check_head(parts: &Parts, limits: &Limits) -> Result<(), Code> {
     let headers = &parts.headers;
--- a/src/forward/wire.rs
+++ b/src/forward/wire.rs
@@ -11,6 +11,9 @@
 
 use crate::time::{Clock, Time};
 
+#[cfg(test)]
+mod tests;
+
 /// No request may be written.
 const IDLE: u8 = 0;
 /// A request may be written; no byte of it has been.
--- /dev/null
+++ b/tests/overload.rs
@@ -0,0 +1,147 @@
+//! What waits, what is refused, what is drained, and what stays bounded.
+
+mod harness;
+#[path = "../examples/standin/mod.rs"]
+mod standin;
+
+use std::io::{Read, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::future::join_all;
+use http::Response;
+use serde_json::json;
+
+use harness::{Caller, Daemon, call, code, request, until};
+use standin::upstream::{Behaviour, Upstream};
+
+async fn upstream(service_ms: u64) -> Arc<Upstream> {
+    let service_time = Duration::from_millis(service_ms);
+    let behaviour = Behaviour { service_time, ..Behaviour::default() };
+    Upstream::start(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)), 64, behaviour).await
+}
+
+fn outcome(res: &Response<Bytes>) -> &str {
+    res.headers()["x-cornelferry-outcome"].to_str().expect("text")
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn urgent_requests_go_first_and_the_rest_wait_or_are_told_at_once() {
+    let slow = upstream(50).await;
+    let treat =
+        |priority: &str| json!({"priority": priority, "deadline_ms": 8_000, "wait_ms": 6_000});
+    let rules = json!([
+        {"path": "/urgent", "treatment": treat("urgent")},
+        {"path": "/archive", "treatment": treat("deferrable")},
+        {"path": "/now", "treatment": {"wait_ms": 0}}
+    ]);
+    let service = json!({"slots": 1});
+    let daemon = Daemon::start(&[slow.address], service, json!({"rules": rules}), json!({}));
+    let archive = join_all((0..10).map(|i| {
+        let (daemon, id) = (&daemon, format!("archive-{i}"));
+        async move { call(daemon, "POST", "/archive", &id).await }
+    }));
+    let urgent = async {
+        let first = slow.clone();
+        let started = move || !first.runs.lock().is_empty();
+        tokio::task::spawn_blocking(move || until("the slot is taken", started)).await.unwrap();
+        let refused = call(&daemon, "POST", "/now", "now").await;
+        assert_eq!(outcome(&refused), "not-run", "{refused:?}");
+        assert!(refused.headers().contains_key("retry-after"), "{refused:?}");
+        assert_eq!(slow.runs_of("now"), 0);
+        call(&daemon, "POST", "/urgent", "urgent").await
+    };
+    let (archive, urgent) = tokio::join!(archive, urgent);
+    assert_eq!(code(&urgent), 1000, "{urgent:?}");
+    for (i, res) in archive.iter().enumerate() {
+        let runs = slow.runs_of(&format!("archive-{i}"));
+        assert_eq!(runs, usize::from(outcome(res) == "answered"), "{res:?}");
+        assert_ne!(outcome(res), "unknown", "{res:?}");
+    }
+    let runs = slow.runs.lock().clone();
+    let place = runs.iter().position(|id| id == "urgent").expect("run");
+    assert!(place + 1 < runs.len(), "the urgent request ran last: {runs:?}");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_caller_that_leaves_the_queue_is_not_run() {
+    let slow = upstream(400).await;
+    let profile = json!({"otherwise": {"wait_ms": 6_000, "deadline_ms": 8_000}});
+    let daemon = Daemon::start(&[slow.address], json!({"slots": 1}), profile, json!({}));
+    let ask = |id: &str| {
+        let mut stream = TcpStream::connect(daemon.caller).expect("connect");
+        let head = format!(
+            "POST / HTTP/1.1\r\nhost: a\r\nx-request-id: {id}\r\ncontent-length: 0\r\n\r\n"
+        );
+        stream.write_all(head.as_bytes()).expect("write");
+        stream
+    };
+    let mut first = ask("first");
+    until("the slot is taken", || slow.runs_of("first") == 1);
+    drop(ask("gone"));
+    let last = call(&daemon, "POST", "/", "last").await;
+    assert_eq!(code(&last), 1000, "{last:?}");
+    assert_eq!(*slow.runs.lock(), ["first", "last"]);
+    assert!(first.read(&mut [0; 16]).is_ok_and(|n| n > 0));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_upstream_that_drains_finishes_its_work_and_gets_no_more() {
+    let (leaving, staying) = (upstream(30).await, upstream(5).await);
+    let upstreams = [leaving.address, staying.address];
+    let daemon = Daemon::start(&upstreams, json!({}), json!({}), json!({}));
+    let daemon = &daemon;
+    let calls = |round: usize| {
+        join_all((0..8).map(move |i| async move {
+            call(daemon, "POST", "/book", &format!("{round}-{i}")).await
+        }))
+    };
+    let mut answers = calls(0).await;
+    leaving.behaviour.lock().draining = true;
+    for round in 1..4 {
+        answers.extend(calls(round).await);
+    }
+    let told = leaving.runs.lock().len();
+    answers.extend(calls(4).await);
+    assert_eq!(leaving.runs.lock().len(), told, "new work after the drain signal");
+    assert!(answers.iter().all(|res| code(res) == 1000), "{answers:?}");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn bodies_over_the_memory_bound_are_refused_or_streamed() {
+    let echo = upstream(1).await;
+    let limits = json!({"body_bytes": 100_000});
+    let daemon = Daemon::start(&[echo.address], json!({}), json!({}), limits);
+    let mut caller = Caller::connect(daemon.caller).await.expect("connect");
+    let large = caller.send(request("POST", "/", "large", &"x".repeat(200_000))).await;
+    let large = large.expect("answer");
+    assert_eq!((code(&large), echo.runs_of("large")), (2005, 0), "{:?}", large.headers());
+    assert_eq!(large.headers()["connection"], "close");
+    let mut caller = Caller::connect(daemon.caller).await.expect("connect");
+    for i in 0..3 {
+        let body = "y".repeat(60_000);
+        let res = caller.send(request("POST", "/", &format!("{i}"), &body)).await.expect("answer");
+        assert_eq!((code(&res), res.body().len()), (1000, body.len()));
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn connections_over_the_limit_are_told_at_once() {
+    let echo = upstream(1).await;
+    let limits = json!({"caller_connections": 3});
+    let daemon = Daemon::start(&[echo.address], json!({}), json!({}), limits);
+    let open: Vec<TcpStream> =
+        (0..3).map(|_| TcpStream::connect(daemon.caller).expect("connect")).collect();
+    let over = || std::io::read_to_string(TcpStream::connect(daemon.caller).unwrap());
+    until("one more is refused", || {
+        over().is_ok_and(|a| a.contains("x-cornelferry-outcome: not-run"))
+    });
+    drop(open);
+    until("room is made", || {
+        let res =
+            harness::raw(daemon.caller, b"GET / HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n");
+        res.is_ok_and(|a| harness::status_of(&a) == Some(200))
+    });
+}
