Claim idempotency keys in the key-value service

Cause: copies of one booking that a caller or the balancer sends to two hosts both ran.

Change: a service with `keyed_claims` runs a request that is not idempotent and carries an Idempotency-Key only after a transaction that stores the key if it has no claim. The value is a random token for each acceptance; a lost answer is read back; a request that was not run releases its claim by comparing the token.

DuplicateKey moves from 2014 (not-run) to 3007 (unknown): the copy was not run, but a caller that is told `not-run` for its key would book again under a new one, and the first copy may have run.

Also: after a pause the records are read again and the host counts as current only after a read that began after the pause; at most 10 records are put back into a restored service at a time, by the hosts that hold a watch.

--- a/src/config.rs
+++ b/src/config.rs
@@ -131,6 +131,9 @@
     pub retry_share: f64,
     /// Milliseconds over which a new upstream's share of work grows to its full size.
     pub cold_start_ms: u64,
+    /// Whether a request that is not idempotent and carries an `Idempotency-Key` is run only after
+    /// its key was claimed in the key-value service, so that copies at other hosts don't run.
+    pub keyed_claims: bool,
 }
 
 impl Default for Service {
@@ -151,6 +154,7 @@
             answer_buffer_bytes: 256 << 10,
             retry_share: 0.1,
             cold_start_ms: 3_000,
+            keyed_claims: false,
         }
     }
 }
--- a/src/decide/bucket.rs
+++ b/src/decide/bucket.rs
@@ -22,7 +22,6 @@
     }
 
     /// Takes one token if there is one.
-    #[allow(dead_code, reason = "claims take it into use")]
     pub(crate) fn take(&mut self, now: Time) -> bool {
         self.fill(now);
         if self.tokens < 1.0 {
--- a/src/entry/caller.rs
+++ b/src/entry/caller.rs
@@ -11,6 +11,7 @@
 use xitca_web::body::{Body, RequestBody, ResponseBody};
 use xitca_web::http::{WebRequest, WebResponse};
 
+use crate::claim;
 use crate::entry::socket::{CALLER, Caller};
 use crate::error::Code;
 use crate::event::{EventCode, Subject};
@@ -54,7 +55,7 @@
     };
     let start = node.clock.now();
     node.events.record(EventCode::Accepted, subject.clone(), None);
-    let answer = forward::run(node, job).await;
+    let answer = claim::guard(node, job, forward::run(node, job)).await;
     node.events.record(EventCode::Finished, subject, Some(answer.code.number().into()));
     node.metrics.answered(&job.service.name, answer.code);
     let took = node.clock.now().since(start);
--- a/src/error.rs
+++ b/src/error.rs
@@ -78,8 +78,6 @@
     NotReady = 2012, 503, NotRun, "the host is not ready";
     /// The caller went away before anything was sent.
     CallerGone = 2013, 499, NotRun, "the caller went away before anything was sent";
-    /// A request with the same idempotency key is in flight or has run.
-    DuplicateKey = 2014, 409, NotRun, "a request with the same idempotency key was accepted before";
     /// The idempotency key can't be claimed now.
     KeyUnclaimed = 2015, 503, NotRun, "the idempotency key can't be claimed now";
     /// The request's deadline header is malformed.
@@ -98,6 +96,9 @@
     CallerGoneAfterSend = 3005, 499, Unknown, "the caller went away after the request was sent";
     /// The upstream's answer is no valid HTTP.
     BadAnswer = 3006, 502, Unknown, "the upstream's answer is no valid HTTP";
+    /// A request with the same idempotency key is in flight or has run. This copy was not run, but
+    /// what the key stands for may have been.
+    DuplicateKey = 3007, 409, Unknown, "a request with the same idempotency key was accepted before";
     /// A settings file, profile or service record has faults.
     Invalid = 4001, 400, NotRun, "the document has faults";
     /// A file can't be read.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -60,6 +60,7 @@
 };
 pub use time::{Clock, Time};
 
+mod claim;
 mod decide;
 mod dispatch;
 mod entry;
@@ -67,7 +68,6 @@
 mod metrics;
 mod node;
 mod peer;
-#[allow(dead_code, reason = "the tool and claims take the rest into use")]
 mod platform;
 mod time;
 
--- a/src/node.rs
+++ b/src/node.rs
@@ -6,6 +6,7 @@
 use tokio::sync::Notify;
 use tokio::sync::watch;
 
+use crate::claim::Claims;
 use crate::decide::digest::Version;
 use crate::decide::hosts::HostList;
 use crate::decide::matching::Routes;
@@ -58,6 +59,8 @@
     pub(crate) hosts: Mutex<HostList>,
     /// The key-value service; absent for a host that runs on its settings file alone.
     pub(crate) platform: Option<Arc<Client>>,
+    /// The claims on idempotency keys; absent without a key-value service.
+    pub(crate) claims: Option<Claims>,
     /// Signals that the process was paused and has to hear of the newest records.
     pub(crate) resync: Arc<Notify>,
     pub(crate) pause: Mutex<Pause>,
@@ -81,7 +84,9 @@
         let recorder = Recorder::new(clock);
         let metrics = Metrics::default();
         let platform = settings.platform.as_ref();
-        let platform = platform.map(|cfg| Arc::new(Client::connect(cfg, metrics.count_calls())));
+        let count = || metrics.count_calls();
+        let claims = platform.map(|cfg| Claims::connect(cfg, &settings.host, count()));
+        let platform = platform.map(|cfg| Arc::new(Client::connect(cfg, count())));
         let node = Node {
             clock,
             events: Arc::new(Ring::new(settings.limits.events, hlc.clone())),
@@ -95,6 +100,7 @@
             news: News::default(),
             hosts: Mutex::default(),
             platform,
+            claims,
             resync: Arc::default(),
             pause: Mutex::default(),
             resynced: Notify::new(),
--- a/src/platform/records.rs
+++ b/src/platform/records.rs
@@ -13,6 +13,7 @@
 use crate::platform::backoff::Backoff;
 use crate::platform::call::{Changes, Failure, Range, Update, Watch};
 use crate::platform::client::{Client, Loaded};
+use crate::platform::restore;
 
 /// The duty of holding a watch.
 const WATCH_DUTY: &str = "watch";
@@ -47,6 +48,7 @@
         started,
         watch: None,
         revision: 0,
+        pauses: 0,
         reads: 0,
         up: None,
     };
@@ -64,6 +66,8 @@
     watch: Option<Changes>,
     /// The revision up to which everything was taken in.
     revision: u64,
+    /// The number of pauses before the newest read.
+    pauses: u64,
     /// Reads since the last full one; the next one is full at 0.
     reads: u32,
     up: Option<bool>,
@@ -71,10 +75,15 @@
 
 impl Follower {
     async fn round(&mut self) {
-        if let Err(e) = self.catch_up().await {
-            self.failed(&e).await;
-            return;
+        self.pauses = self.node.pause.lock().pauses();
+        loop {
+            match self.catch_up().await {
+                Ok(true) => break,
+                Ok(false) => self.expect_older_copy(),
+                Err(e) => return self.failed(&e).await,
+            }
         }
+        self.node.resynced(self.pauses);
         self.reached(true);
         self.become_ready().await;
         if let Err(e) = self.open_watch().await {
@@ -85,36 +94,32 @@
         self.listen().await;
     }
 
-    /// Reads what has changed since the last read, and now and then everything.
-    async fn catch_up(&mut self) -> Result<(), Failure> {
+    /// Reads what has changed since the last read, and now and then everything. Returns whether
+    /// the service holds at least what it held then.
+    async fn catch_up(&mut self) -> Result<bool, Failure> {
         let full = self.reads == 0;
         let since = if full { 0 } else { self.revision + 1 };
         let loaded = self.client.load(Range { since, ..self.client.keys.records() }).await?;
         self.reads = (self.reads + 1) % READS_PER_FULL;
         if loaded.revision < self.revision {
-            return self.restored().await;
+            return Ok(false);
         }
         let missed = !full && !loaded.entries.is_empty() && self.watch.is_some();
         if missed {
             self.lose_watch();
         }
         self.take_in(&loaded);
-        if full {
-            crate::platform::restore::put_back(&self.node, &self.client, &loaded).await;
+        if full && self.on_duty() {
+            restore::put_back(&self.node, &self.client, &loaded).await;
         }
-        Ok(())
+        Ok(true)
     }
 
-    /// Starts over with a service that was restored from an older copy.
-    async fn restored(&mut self) -> Result<(), Failure> {
+    /// Prepares a read of everything from a service that was restored from an older copy.
+    fn expect_older_copy(&mut self) {
         self.lose_watch();
         self.revision = 0;
         self.reads = 0;
-        let loaded = self.client.load(self.client.keys.records()).await?;
-        self.reads = 1;
-        self.take_in(&loaded);
-        crate::platform::restore::put_back(&self.node, &self.client, &loaded).await;
-        Ok(())
     }
 
     fn take_in(&mut self, loaded: &Loaded) {
@@ -141,6 +146,9 @@
         let pause = if self.watch.is_some() { CATCH_UP_WATCHING } else { CATCH_UP };
         let until = Instant::now() + pause.mul_f64(self.rng.random_range(0.75..=1.25));
         while Instant::now() < until && self.on_duty() == self.watch.is_some() {
+            if self.pauses != self.node.pause.lock().pauses() {
+                return self.start_over();
+            }
             let step = until.min(Instant::now() + DUTY_CHECK);
             let resync = self.node.resync.clone();
             tokio::select! {
--- a/src/platform/restore.rs
+++ b/src/platform/restore.rs
@@ -6,23 +6,25 @@
 use crate::platform::call::{Compare, Entry, Op, Txn};
 use crate::platform::client::{Client, Loaded};
 
+/// Records put back at a time; the rest follow with the next reads of everything.
+const PUT_BACK_MAX: usize = 10;
+
 /// Stores again what is in force here and newer than what the service holds. The comparison with
 /// the revision that was read fences it: whatever else was stored meanwhile stays.
 pub(crate) async fn put_back(node: &Node, client: &Client, loaded: &Loaded) {
     let records: Vec<Record> = node.catalog.lock().records().to_vec();
-    for record in records.iter().filter(|r| r.version > 0) {
-        let key = client.keys.record(record.kind(), &record.name);
+    let newer = records.iter().filter_map(|r| {
+        let key = client.keys.record(r.kind(), &r.name);
         let found = loaded.entries.binary_search_by(|e| e.key.cmp(&key));
         let entry = found.ok().map(|at| &loaded.entries[at]);
-        if entry.is_none_or(|e| is_older(e, record)) {
-            let revision = entry.map_or(0, |e| e.revision);
-            let done = (client.platform.txn)(put(client, record, revision)).await;
-            log::info!(
-                "{}/{} version {}: put back: {done:?}",
-                record.kind(),
-                record.name,
-                record.version
-            );
+        let older = r.version > 0 && entry.is_none_or(|e| is_older(e, r));
+        older.then(|| put(client, r, entry.map_or(0, |e| e.revision)))
+    });
+    let newer: Vec<Txn> = newer.take(PUT_BACK_MAX).collect();
+    for txn in newer {
+        log::warn!("puts {:?} back into the key-value service", txn.compare);
+        if let Err(e) = (client.platform.txn)(txn).await {
+            log::warn!("key-value service: {e}");
         }
     }
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -83,6 +83,9 @@
     /// Calls a second that this host may make to the platform.
     #[serde(default = "default_calls_per_second")]
     pub calls_per_second: f64,
+    /// Idempotency keys a second that this host may claim in the key-value service.
+    #[serde(default = "default_claims_per_second")]
+    pub claims_per_second: f64,
 }
 
 fn default_prefix() -> String {
@@ -93,6 +96,10 @@
     5.0
 }
 
+fn default_claims_per_second() -> f64 {
+    10.0
+}
+
 /// Bounds and times of one process.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields, default)]
--- a/src/tool/record.rs
+++ b/src/tool/record.rs
@@ -54,6 +54,7 @@
         host_list: None,
         prefix: args.prefix.clone(),
         calls_per_second: CALLS_PER_SECOND,
+        claims_per_second: 0.0,
     };
     Ok(Client::connect(&cfg, Box::new(|_| ())))
 }
--- a/src/tool/tests.rs
+++ b/src/tool/tests.rs
@@ -26,6 +26,7 @@
         host_list: None,
         prefix: "/cf/".to_owned(),
         calls_per_second: 1e6,
+        claims_per_second: 0.0,
     };
     (platform, Client::connect(&cfg, Box::new(|_| ())))
 }
