--- a/src/claim.rs
+++ b/src/claim.rs
@@ -10,8 +10,9 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::decide::bucket::Bucket;
-use crate::error::Code;
-use crate::forward::{Answer, Job};
+use crate::error::{Code, Outcome};
+use crate::forward::Job;
+use crate::forward::answer::Answer;
 use crate::header;
 use crate::node::Node;
 use crate::platform::backoff::Backoff;
@@ -32,8 +33,6 @@
 const CLAIM_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time for which a claim that was not needed is tried to be released.
 const RELEASE_TIMEOUT: Duration = Duration::from_secs(10);
-/// Time after which a caller whose key could not be claimed may come back.
-const RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Bytes that a key may have.
 const KEY_MAX_BYTES: usize = 255;
 /// Calls that one claim may take: the claim, its read-back, and its release.
@@ -83,25 +82,27 @@
     let key = match key(&job.headers) {
         Ok(Some(key)) => key,
         Ok(None) => return run.await,
-        Err(code) => return Answer::own(code, None),
+        Err(code) => return Answer::own(code),
     };
     let Some(claims) = &node.claims else {
-        return Answer::own(Code::KeyUnclaimed, Some(RETRY_AFTER));
+        return Answer::own(Code::KeyUnclaimed);
     };
     let claim = claims.claim(&job.service.name, key, &job.id);
     let now = node.clock.now();
     let patience = CLAIM_TIMEOUT.min(now.until(job.deadline));
     match claims.acquire(&claim, Instant::now() + patience).await {
         Ok(Claimed::Ours) => {}
-        Ok(Claimed::Theirs) => return Answer::own(Code::DuplicateKey, None),
+        Ok(Claimed::Theirs) => return Answer::own(Code::DuplicateKey),
         Err(failure) => {
             log::debug!("claim on {}: {failure}", claim.key);
-            release(node, claim);
-            return Answer::own(Code::KeyUnclaimed, Some(RETRY_AFTER));
+            if matches!(failure, Failure::Lost(_)) {
+                release(node, claim);
+            }
+            return Answer::own(Code::KeyUnclaimed);
         }
     }
     let answer = run.await;
-    if answer.code.outcome() == crate::error::Outcome::NotRun {
+    if answer.code.outcome() == Outcome::NotRun {
         release(node, claim);
     }
     answer
@@ -146,21 +147,29 @@
     }
 
     /// Stores a claim if the key has none. A lost answer is read back.
+    ///
+    /// # Errors
+    ///
+    /// [`Failure::Lost`] if the claim may have been stored.
     async fn acquire(&self, claim: &Claim, until: Instant) -> Result<Claimed, Failure> {
         if !self.bucket.lock().take(self.clock.now()) {
             return Err(Failure::Unsent("claims are over their rate".to_owned()));
         }
         let mut backoff = Backoff::default();
+        let mut lost = None;
         loop {
             let failure = match timeout_at(until, self.try_acquire(claim)).await {
                 Ok(Ok(Some(claimed))) => return Ok(claimed),
-                Ok(Ok(None)) => Failure::Lost("the claim was released meanwhile".to_owned()),
+                Ok(Ok(None)) => Failure::Lost("another's claim was released".to_owned()),
                 Ok(Err(failure)) => failure,
                 Err(_) => return Err(Failure::Lost("no answer in time".to_owned())),
             };
+            if matches!(failure, Failure::Lost(_)) {
+                lost = Some(failure.clone());
+            }
             let pause = backoff.after_failure(&mut rand::rng());
             if Instant::now() + pause > until {
-                return Err(failure);
+                return Err(lost.unwrap_or(failure));
             }
             tokio::time::sleep(pause).await;
         }
