--- a/src/lib.rs
+++ b/src/lib.rs
@@ -63,6 +63,7 @@
 mod claim;
 mod decide;
 mod dispatch;
+mod document;
 mod entry;
 mod forward;
 mod metrics;
