--- a/tests/publish.rs
+++ b/tests/publish.rs
@@ -1,24 +1,26 @@
 //! Tests of the operators' commands, with the programs as they are shipped.
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::process::{Child, Command, Output};
+use std::process::{Command, Output};
 use std::sync::Arc;
 
 use serde_json::{Value, json};
 
+mod harness;
 #[path = "../examples/standin/mod.rs"]
 mod standin;
 
+use harness::Daemon;
 use standin::platform::Platform;
 
 const LOOPBACK: SocketAddr =
     SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
 
-/// Daemons that are killed when the test ends.
+/// Daemons over a stand-in platform, and a directory for documents.
 struct Fleet {
     platform: Arc<Platform>,
-    hosts: Vec<(Child, SocketAddr)>,
+    hosts: Vec<Daemon>,
     dir: PathBuf,
 }
 
@@ -27,32 +29,18 @@
         let platform = Platform::start(LOOPBACK).await;
         let dir = std::env::temp_dir().join(format!("cornelferry-{test}-{}", std::process::id()));
         std::fs::create_dir_all(&dir).expect("directory");
-        let mut fleet = Fleet { platform, hosts: Vec::new(), dir };
-        for i in 0..size {
-            fleet.start_host(i);
-        }
-        let hosts: Vec<Value> =
-            fleet.hosts.iter().enumerate().map(|(i, h)| entry(i, h.1)).collect();
-        fleet.platform.set_hosts(json!({ "version": 2, "hosts": hosts }));
-        fleet
-    }
-
-    fn start_host(&mut self, i: usize) {
-        let (caller, admin, platform) = (free(), free(), self.platform.address);
-        let settings = json!({
-            "host": format!("entry-{i}"),
-            "data_centre": "palermo",
-            "caller": caller,
-            "admin": admin,
-            "platform": { "key_value": [platform], "calls_per_second": 50.0 },
-            "limits": { "grace_ms": 0 },
-        });
-        let file = self.file(&format!("entry-{i}.json"), &settings);
-        let daemon = Command::new(env!("CARGO_BIN_EXE_cornelferryd"))
-            .args(["--settings".as_ref(), file.as_os_str()])
-            .spawn()
-            .expect("daemon");
-        self.hosts.push((daemon, admin));
+        let settings = |i: usize| {
+            json!({
+                "host": format!("entry-{i}"),
+                "data_centre": "palermo",
+                "platform": { "key_value": [platform.address], "calls_per_second": 50.0 },
+            })
+        };
+        let hosts: Vec<Daemon> = (0..size).map(|i| Daemon::run(&settings(i))).collect();
+        let entries: Vec<Value> =
+            hosts.iter().enumerate().map(|(i, h)| entry(i, h.admin)).collect();
+        platform.set_hosts(json!({ "version": 2, "hosts": entries }));
+        Fleet { platform, hosts, dir }
     }
 
     fn file(&self, name: &str, value: &Value) -> PathBuf {
@@ -71,18 +59,10 @@
 
 impl Drop for Fleet {
     fn drop(&mut self) {
-        for (daemon, _) in &mut self.hosts {
-            let _ = daemon.kill();
-            let _ = daemon.wait();
-        }
         let _ = std::fs::remove_dir_all(&self.dir);
     }
 }
 
-fn free() -> SocketAddr {
-    TcpListener::bind(LOOPBACK).and_then(|l| l.local_addr()).expect("port")
-}
-
 /// Returns an address at which nothing listens.
 fn dead() -> SocketAddr {
     SocketAddr::new(LOOPBACK.ip(), 1)
@@ -122,7 +102,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_host_that_gives_no_answer_is_named_and_the_change_is_not_called_in_force() {
     let fleet = Fleet::start("silent", 1).await;
-    let hosts = json!([entry(0, fleet.hosts[0].1), entry(9, dead())]);
+    let hosts = json!([entry(0, fleet.hosts[0].admin), entry(9, dead())]);
     fleet.platform.set_hosts(json!({ "version": 3, "hosts": hosts }));
     let file = fleet.file("p.json", &profile(100));
     let file = file.to_str().expect("path");
