Test what operators see over the tool and the admin address

tests/operate.rs starts a daemon and a stand-in upstream, and checks status, timeline, exit statuses, metrics, filters, and a trace recorded by the tool that replays clean, and not once a second run of a write is appended.

A first form waited for the reader by asking for the trace itself, and became the reader: it hung until its guard. It now reads the header off the tool's pipe first.

--- a/src/tool/timeline.rs
+++ b/src/tool/timeline.rs
@@ -1,5 +1,8 @@
 //! `cornelferry timeline`: the events of every host as one time line.
 
+#[cfg(test)]
+mod tests;
+
 use std::sync::Arc;
 use std::time::{Duration, UNIX_EPOCH};
 
--- /dev/null
+++ b/tests/operate.rs
@@ -0,0 +1,148 @@
+//! What operators see of running hosts: by the tool, and on the admin address.
+
+use std::io::{BufRead, BufReader};
+use std::path::PathBuf;
+use std::process::{Command, Output, Stdio};
+
+use serde_json::{Value, json};
+
+#[path = "../examples/standin/mod.rs"]
+mod standin;
+
+mod harness;
+
+use harness::{Daemon, call, raw, status_of};
+use standin::upstream::{Behaviour, Upstream};
+
+/// An address at which nobody listens.
+const NOBODY: &str = "127.0.0.1:1";
+
+async fn host() -> Daemon {
+    let local = "127.0.0.1:0".parse().expect("an address");
+    let upstream = Upstream::start(local, 4, Behaviour::default()).await;
+    let address = upstream.address;
+    let start = move || Daemon::start(&[address], json!({}), json!({}), json!({}));
+    tokio::task::spawn_blocking(start).await.expect("a daemon")
+}
+
+fn tool(args: &[&str]) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_cornelferry"));
+    command.args(args).output().expect("the tool")
+}
+
+fn text(bytes: &[u8]) -> String {
+    String::from_utf8_lossy(bytes).into_owned()
+}
+
+fn document(output: &Output) -> Value {
+    serde_json::from_slice(&output.stdout).expect("a document")
+}
+
+fn get(daemon: &Daemon, path: &str) -> String {
+    let req = format!("GET {path} HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n");
+    raw(daemon.admin, req.as_bytes()).expect("an answer")
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn status_shows_hosts_and_names_those_without_an_answer() {
+    let daemon = host().await;
+    call(&daemon, "GET", "/", "r1").await;
+    let admin = daemon.admin.to_string();
+    let shown = tool(&["status", "--admin", &admin, "--admin", NOBODY]);
+    assert_eq!(shown.status.code(), Some(0));
+    let (table, named) = (text(&shown.stdout), text(&shown.stderr));
+    assert!(table.lines().all(|l| l.chars().count() <= 100), "{table}");
+    assert!(table.contains("entry-1") && table.contains("service/s") && table.contains("u0"));
+    assert!(named.contains(NOBODY), "{named}");
+    let shown = document(&tool(&["status", "--json", "--admin", &admin, "--admin", NOBODY]));
+    let upstream = &shown["hosts"][0]["services"][0]["upstreams"][0];
+    assert_eq!((&upstream["state"], &upstream["in_flight"]), (&json!("live"), &json!(0)));
+    assert_eq!(shown["hosts"][0]["phase"], json!("ready"));
+    assert_eq!(shown["unreachable"][0]["admin"], json!(NOBODY));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_time_line_tells_one_request_from_acceptance_to_answer() {
+    let daemon = host().await;
+    for id in ["r1", "r2"] {
+        call(&daemon, "GET", "/", id).await;
+    }
+    let admin = daemon.admin.to_string();
+    let args = ["timeline", "--admin", &admin, "--admin", NOBODY, "--request", "r2"];
+    let shown = tool(&args);
+    let table = text(&shown.stdout);
+    assert!(table.lines().all(|l| l.chars().count() <= 100), "{table}");
+    assert!(table.contains("request accepted") && !table.contains("request=r1"));
+    assert!(text(&shown.stderr).contains(NOBODY));
+    let shown = document(&tool(&[&args[..], &["--json", "--since", "5m"]].concat()));
+    let events = shown["events"].as_array().expect("events");
+    let codes: Vec<u64> = events.iter().filter_map(|e| e["code"].as_u64()).collect();
+    assert_eq!((codes.first(), codes.last()), (Some(&2001), Some(&2007)));
+    assert!(events.iter().all(|e| e["request"] == json!("r2")));
+}
+
+#[test]
+fn the_exit_status_tells_why_nothing_is_shown() {
+    for command in ["status", "timeline"] {
+        assert_eq!(tool(&[command, "--admin", NOBODY]).status.code(), Some(5));
+        assert_eq!(tool(&[command, "--host-list", NOBODY]).status.code(), Some(5));
+        assert_eq!(tool(&[command]).status.code(), Some(2));
+    }
+    assert_eq!(tool(&["replay", "absent.jsonl"]).status.code(), Some(2));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_admin_address_counts_requests_and_refuses_unknown_filters() {
+    let daemon = host().await;
+    call(&daemon, "GET", "/", "r1").await;
+    let metrics = get(&daemon, "/metrics");
+    for line in [
+        "cornelferry_requests_total{code=\"1000\",service=\"s\"} 1",
+        "cornelferry_attempts_total{ended=\"answered\",service=\"s\"} 1",
+        "cornelferry_request_seconds_count{outcome=\"answered\",service=\"s\"} 1",
+        "cornelferry_in_flight{service=\"s\"} 0",
+        "cornelferry_waiting{service=\"s\"} 0",
+    ] {
+        assert!(metrics.contains(line), "{line}\n{metrics}");
+    }
+    assert_eq!(status_of(&get(&daemon, "/events?limit=1")), Some(200));
+    assert_eq!(status_of(&get(&daemon, "/events?colour=red")), Some(400));
+    assert_eq!(status_of(&get(&daemon, "/events?limit=-1")), Some(400));
+    assert_eq!(status_of(&get(&daemon, "/healthz")), Some(200));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_trace_is_recorded_for_one_reader_and_replays() {
+    let daemon = host().await;
+    let mut reader = Command::new(env!("CARGO_BIN_EXE_cornelferry"))
+        .args(["trace", "--admin", &daemon.admin.to_string(), "--for", "1m"])
+        .stdout(Stdio::piped())
+        .spawn()
+        .expect("the tool");
+    let mut lines = BufReader::new(reader.stdout.take().expect("a pipe"));
+    let mut trace = Vec::new();
+    lines.read_until(b'\n', &mut trace).expect("the header");
+    assert_eq!(status_of(&get(&daemon, "/trace")), Some(409));
+    for id in ["r1", "r2"] {
+        call(&daemon, "GET", "/", id).await;
+    }
+    while text(&trace).matches("\"code\":2007").count() < 2 {
+        assert_ne!(lines.read_until(b'\n', &mut trace).expect("a line"), 0);
+    }
+    reader.kill().expect("the tool");
+    reader.wait().expect("the tool");
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("recorded.jsonl");
+    let replay = |trace: &[u8]| {
+        std::fs::write(&path, trace).expect("a file");
+        tool(&["replay", path.to_str().expect("text"), "--seed", "7"])
+    };
+    let done = replay(&trace);
+    assert_eq!(done.status.code(), Some(0), "{}", text(&done.stdout));
+    let ran = "{\"at\":0,\"ran\":{\"request\":\"r1\",\"upstream\":\"u0\",\"times\":2}}\n";
+    let told = "{\"at\":0,\"told\":{\"request\":\"r1\",\"idempotent\":false,\
+                \"outcome\":\"unknown\",\"code\":3001}}\n";
+    let done = replay(&[&trace, ran.as_bytes(), told.as_bytes()].concat());
+    assert_eq!(done.status.code(), Some(1));
+    assert!(text(&done.stdout).contains("at-most-once: request r1 ran 2 times"));
+    assert!(text(&done.stderr).starts_with("5006: "));
+}
