--- a/src/document.rs
+++ b/src/document.rs
@@ -65,21 +65,32 @@
 pub fn parse_document<T: DeserializeOwned + JsonSchema>(text: &str) -> Result<T, Vec<Fault>> {
     let value: Value =
         serde_json::from_str(text).map_err(|e| vec![Fault::new("/", &e.to_string())])?;
+    let first = match serde_path_to_error::deserialize(&value) {
+        Ok(document) => return Ok(document),
+        Err(e) => {
+            let place: String = e.path().iter().map(pointer).collect();
+            Fault::new(&place, &e.inner().to_string())
+        }
+    };
+    let faults = shape_faults::<T>(&value);
+    Err(if faults.is_empty() { vec![first] } else { faults })
+}
+
+/// Finds every mismatch of a document with its schema. Only done for a document that doesn't parse:
+/// the validator holds tens of megabytes.
+fn shape_faults<T: JsonSchema>(value: &Value) -> Vec<Fault> {
     let schema = schemars::schema_for!(T).to_value();
     let validator = jsonschema::options()
         .with_format(ADDRESS_FORMAT, |s: &str| s.parse::<SocketAddr>().is_ok())
         .should_validate_formats(true)
-        .build(&schema)
-        .map_err(|e| vec![Fault::new("/", &format!("schema: {e}"))])?;
-    let errors = validator.iter_errors(&value);
-    let faults: Vec<Fault> = errors.flat_map(|e| explain(&e, &schema)).take(FAULTS_MAX).collect();
-    if !faults.is_empty() {
-        return Err(faults);
+        .build(&schema);
+    match validator {
+        Err(e) => vec![Fault::new("/", &format!("schema: {e}"))],
+        Ok(validator) => {
+            let errors = validator.iter_errors(value);
+            errors.flat_map(|e| explain(&e, &schema)).take(FAULTS_MAX).collect()
+        }
     }
-    serde_path_to_error::deserialize(value).map_err(|e| {
-        let place: String = e.path().iter().map(pointer).collect();
-        vec![Fault::new(&place, &e.inner().to_string())]
-    })
 }
 
 /// Makes one error of a document's faults.
