Keep a worker's connections alive until every worker is done; test fault pairs

Cause: with several workers, one that had served its last caller ended its runtime, and with it the connections to upstreams that it had opened and that the pool had lent to others.

Change: a worker waits until no caller's connection is open on any.

--- a/src/entry/listener.rs
+++ b/src/entry/listener.rs
@@ -121,6 +121,10 @@
     drop(listener);
     connections.close();
     connections.wait().await;
+    // The runtime of this worker drives connections to upstreams that other workers may use.
+    while open.load(Ordering::Acquire) > 0 {
+        tokio::time::sleep(STOP_CHECK).await;
+    }
     Ok(())
 }
 
@@ -148,12 +152,12 @@
 impl Slot {
     fn take(open: &Arc<AtomicUsize>, max: usize) -> Option<Slot> {
         let slot = Slot(open.clone());
-        (open.fetch_add(1, Ordering::Relaxed) < max).then_some(slot)
+        (open.fetch_add(1, Ordering::AcqRel) < max).then_some(slot)
     }
 }
 
 impl Drop for Slot {
     fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
+        self.0.fetch_sub(1, Ordering::AcqRel);
     }
 }
--- a/tests/outcomes.rs
+++ b/tests/outcomes.rs
@@ -89,6 +89,37 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_write_runs_at_most_once_between_two_faults() {
+    for (i, one) in FAULTS.into_iter().enumerate() {
+        for other in [FAULTS[(i + 1) % FAULTS.len()], FAULTS[(i + 3) % FAULTS.len()]] {
+            let (a, b) = (upstream(Some(one)).await, upstream(Some(other)).await);
+            let daemon = daemon(&[&a, &b], 150, json!({}));
+            for n in 0..4 {
+                let id = format!("{one:?}-{other:?}-{n}");
+                let res = call(&daemon, "POST", "/book", &id).await;
+                let runs = a.runs_of(&id) + b.runs_of(&id);
+                assert!(runs <= 1, "{id} ran {runs} times: {res:?}");
+                let told = header(&res, "x-cornelferry-outcome");
+                assert!(told == "unknown" || (told == "not-run" && runs == 0), "{id}: {res:?}");
+            }
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_late_read_is_hedged_and_the_loser_cancelled() {
+    let (slow, quick) = (upstream(None).await, upstream(None).await);
+    slow.behaviour.lock().service_time = Duration::from_secs(30);
+    let daemon = daemon(&[&slow, &quick], 2_000, json!({}));
+    for i in 0..6 {
+        let res = call(&daemon, "GET", "/tides", &format!("h{i}")).await;
+        assert_eq!(code(&res), 1000, "{res:?}");
+    }
+    let late = slow.runs.lock().len() as u32;
+    until("losers are cancelled", || slow.cancelled.load(Ordering::SeqCst) == late);
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_read_is_answered_while_one_upstream_is_well() {
     for fault in FAULTS {
