--- a/src/entry/caller.rs
+++ b/src/entry/caller.rs
@@ -8,6 +8,7 @@
 use http::{HeaderValue, Response, StatusCode};
 use xitca_web::http::WebRequest;
 
+use crate::claim;
 use crate::entry::intake;
 use crate::entry::socket::{CALLER, Caller};
 use crate::error::Outcome;
@@ -47,7 +48,7 @@
     };
     let start = node.clock.now();
     node.events.record(EventCode::Accepted, subject.clone(), None);
-    let answer = drive::run(node, job, caller.gone()).await;
+    let answer = claim::guard(node, job, drive::run(node, job, caller.gone())).await;
     node.events.record(EventCode::Finished, subject, Some(answer.code.number().into()));
     node.metrics.answered(&job.service.name, answer.code);
     let took = node.clock.now().since(start);
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -57,8 +57,14 @@
             "profiles": [merged(json!({"name": "p"}), profile)],
             "limits": merged(json!({"grace_ms": 300}), limits),
         });
+        Daemon::run(&settings)
+    }
+
+    /// Starts a daemon with settings that lack the caller and admin addresses, and waits until it
+    /// is ready.
+    pub fn run(settings: &Value) -> Daemon {
         // Another program may have taken a port that was free a moment before.
-        (0..PORT_TRIES).find_map(|_| Daemon::try_start(&settings)).expect("a daemon that is ready")
+        (0..PORT_TRIES).find_map(|_| Daemon::try_start(settings)).expect("a daemon that is ready")
     }
 
     fn try_start(settings: &Value) -> Option<Daemon> {
