Wait for a connection when an upstream's are all in use

Cause: an attempt that found this host's share of an upstream's connections in use was refused at once, cost the service's retry budget and, when that was spent, ended as 2010.

Ruled out: a larger share, since the upstream's bound is for the whole fleet.

Change: the attempt waits for a connection to come back, until the connect timeout or its deadline. An attempt's latency is now counted from the time at which it is sent.

Seen: the new test failed before (2010 for requests from the third on) and passes; overload, outcomes, shutdown and library tests pass.

--- a/examples/standin/upstream.rs
+++ b/examples/standin/upstream.rs
@@ -78,6 +78,9 @@
     pub cancelled: AtomicU32,
     /// Connections accepted.
     pub connections: AtomicU32,
+    /// The most connections that were open at once.
+    pub open_max: AtomicU32,
+    open: AtomicU32,
     /// Connections up to this number swallow every request from now on, and run none.
     pub silent_up_to: AtomicU32,
     slots: Semaphore,
@@ -99,6 +102,8 @@
             deadlines: Mutex::default(),
             cancelled: AtomicU32::new(0),
             connections: AtomicU32::new(0),
+            open_max: AtomicU32::new(0),
+            open: AtomicU32::new(0),
             silent_up_to: AtomicU32::new(0),
             slots: Semaphore::new(slots),
             in_flight: AtomicU32::new(0),
@@ -161,8 +166,12 @@
             if upstream.behaviour.lock().fault == Some(Fault::Garbage) {
                 return answer_garbage(&upstream, stream).await;
             }
-            let service = service_fn(move |req| serve(upstream.clone(), number, req));
+            let open = upstream.open.fetch_add(1, Ordering::SeqCst) + 1;
+            upstream.open_max.fetch_max(open, Ordering::SeqCst);
+            let serving = upstream.clone();
+            let service = service_fn(move |req| serve(serving.clone(), number, req));
             let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+            upstream.open.fetch_sub(1, Ordering::SeqCst);
         });
     }
 }
--- a/src/forward/connection.rs
+++ b/src/forward/connection.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use derive_more::Display;
@@ -13,7 +13,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
-use tokio::time::timeout;
+use tokio::time::timeout_at;
 
 use crate::decide::attempt::Ending;
 use crate::forward::pool::Slot;
@@ -26,6 +26,9 @@
     /// This host's share of the upstream's connections is used up.
     #[display("every connection is in use")]
     Full,
+    /// The request's deadline has passed.
+    #[display("the deadline has passed")]
+    TooLate,
     /// The upstream could not be reached.
     #[display("connect failed")]
     Failed,
@@ -49,7 +52,7 @@
 }
 
 impl Connection {
-    /// Opens a connection.
+    /// Opens a connection, if that takes no longer than `until`.
     ///
     /// # Errors
     ///
@@ -57,10 +60,10 @@
     pub(crate) async fn open(
         address: SocketAddr,
         clock: Clock,
-        limit: Duration,
+        until: Instant,
         slot: Slot,
     ) -> Result<Connection, NoConnection> {
-        let connected = timeout(limit, TcpStream::connect(address)).await;
+        let connected = timeout_at(until.into(), TcpStream::connect(address)).await;
         let stream = connected.ok().and_then(Result::ok).ok_or(NoConnection::Failed)?;
         stream.set_nodelay(true).map_err(|_| NoConnection::Failed)?;
         let wire = Arc::new(Wire::new(clock));
--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -141,24 +141,21 @@
     /// Sends the request on an idle connection, or on a new one if there is none or it turns out
     /// to have ended before a byte left.
     async fn send(&mut self, job: &Job, number: Number) -> Result<Response<Incoming>, Ending> {
-        if let Some(conn) = self.idle(job) {
+        loop {
+            let (conn, is_new) = match self.connection(job).await {
+                Ok(found) => found,
+                Err(NoConnection::Failed) if self.node.clock.now() < job.deadline => {
+                    return Err(self.fail(Ending::Unsent, Ended::Unconnected));
+                }
+                Err(_) => return Err(self.fail(Ending::Unsent, Ended::Cancelled)),
+            };
             match self.send_on(conn, job, number).await {
-                Err(Ending::Unsent) => {}
-                done => return done.map_err(|e| self.fail(e, Ended::Lost)),
+                Err(Ending::Unsent) if !is_new => self.conn = None,
+                Err(Ending::Unsent) => return Err(self.fail(Ending::Unsent, Ended::Cancelled)),
+                Err(ending) => return Err(self.fail(ending, Ended::Lost)),
+                Ok(res) => return Ok(res),
             }
         }
-        let conn = match self.open(job).await {
-            Ok(conn) => conn,
-            Err(NoConnection::Failed) if self.node.clock.now() < job.deadline => {
-                return Err(self.fail(Ending::Unsent, Ended::Unconnected));
-            }
-            Err(_) => return Err(self.fail(Ending::Unsent, Ended::Cancelled)),
-        };
-        let sent = self.send_on(conn, job, number).await;
-        sent.map_err(|e| match e {
-            Ending::Unsent => self.fail(e, Ended::Cancelled),
-            _ => self.fail(e, Ended::Lost),
-        })
     }
 
     async fn send_on(
@@ -169,10 +166,36 @@
     ) -> Result<Response<Incoming>, Ending> {
         *self.track.wire.borrow_mut() = Some(conn.wire().clone());
         self.record(EventCode::Sent, Some(number.get().into()));
-        let req = request(job, number, self.node.clock.now());
+        self.started = self.node.clock.now();
+        let req = request(job, number, self.started);
         self.conn.insert(conn).send(req, job.deadline).await
     }
 
+    /// Returns a connection, and whether it is new. Waits for one while this host's share of the
+    /// upstream's connections is in use.
+    async fn connection(&self, job: &Job) -> Result<(Connection, bool), NoConnection> {
+        let limits = &self.node.settings.limits;
+        let limit = Duration::from_millis(limits.connect_timeout_ms);
+        let until = (self.node.clock.now() + limit).min(job.deadline);
+        let until = self.node.clock.instant(until);
+        let max = self.service.connections / self.node.settings.fleet_size_max.max(1);
+        let address = self.target.address;
+        loop {
+            if self.node.clock.now() >= job.deadline {
+                return Err(NoConnection::TooLate);
+            }
+            if let Some(conn) = self.idle(job) {
+                return Ok((conn, false));
+            }
+            if let Some(slot) = self.node.pool.reserve(address, max.max(1)) {
+                let conn = Connection::open(address, self.node.clock, until, slot).await?;
+                return Ok((conn, true));
+            }
+            let freed = tokio::time::timeout_at(until.into(), self.node.pool.freed(address));
+            freed.await.map_err(|_| NoConnection::Full)?;
+        }
+    }
+
     /// Takes an idle connection. One for a request that is not idempotent has proved alive of late.
     fn idle(&self, job: &Job) -> Option<Connection> {
         let proof = Duration::from_millis(self.node.settings.limits.proof_age_ms);
@@ -183,15 +206,6 @@
         self.node.pool.take(self.target.address, alive_since)
     }
 
-    async fn open(&self, job: &Job) -> Result<Connection, NoConnection> {
-        let address = self.target.address;
-        let max = self.service.connections / self.node.settings.fleet_size_max.max(1);
-        let slot = self.node.pool.reserve(address, max.max(1)).ok_or(NoConnection::Full)?;
-        let left = self.node.clock.now().until(job.deadline);
-        let limit = Duration::from_millis(self.node.settings.limits.connect_timeout_ms).min(left);
-        Connection::open(address, self.node.clock, limit, slot).await
-    }
-
     async fn receive(mut self, job: &Job, res: Response<Incoming>) -> (Ending, Option<Answer>) {
         let (head, mut body) = res.into_parts();
         if head.status.is_informational() {
--- a/src/forward/pool.rs
+++ b/src/forward/pool.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use parking_lot::Mutex;
+use tokio::sync::Notify;
 
 use crate::forward::connection::Connection;
 use crate::time::Time;
@@ -22,11 +23,18 @@
 #[derive(Debug)]
 struct Row {
     address: SocketAddr,
-    open: Arc<AtomicU32>,
+    open: Arc<Open>,
     /// In the order in which they were last alive.
     idle: Vec<Connection>,
 }
 
+/// The connections that are open to one upstream.
+#[derive(Debug, Default)]
+struct Open {
+    count: AtomicU32,
+    freed: Notify,
+}
+
 impl Pool {
     /// Takes the idle connection that was alive last, if it was alive at `alive_since` or later.
     pub(crate) fn take(&self, address: SocketAddr, alive_since: Time) -> Option<Connection> {
@@ -42,21 +50,33 @@
     pub(crate) fn reserve(&self, address: SocketAddr, max: u32) -> Option<Slot> {
         let mut rows = self.rows.lock();
         let row = row(&mut rows, address);
-        if row.open.load(Ordering::Acquire) >= max && !row.idle.is_empty() {
+        if row.open.count.load(Ordering::Acquire) >= max && !row.idle.is_empty() {
             row.idle.remove(0);
         }
-        let open = row.open.clone();
-        let slot = Slot(open.clone());
-        (open.fetch_add(1, Ordering::AcqRel) < max).then_some(slot)
+        if row.open.count.load(Ordering::Acquire) >= max {
+            return None;
+        }
+        row.open.count.fetch_add(1, Ordering::AcqRel);
+        Some(Slot(row.open.clone()))
+    }
+
+    /// Completes when a connection has been given back or closed. May complete early.
+    pub(crate) async fn freed(&self, address: SocketAddr) {
+        let open = row(&mut self.rows.lock(), address).open.clone();
+        open.freed.notified().await;
     }
 
     /// Gives back a connection that has just given a whole answer.
     pub(crate) fn put(&self, address: SocketAddr, mut conn: Connection, now: Time) {
         conn.wire().disarm();
         conn.alive = now;
-        if !conn.is_closed() {
-            row(&mut self.rows.lock(), address).idle.push(conn);
+        if conn.is_closed() {
+            return;
         }
+        let mut rows = self.rows.lock();
+        let row = row(&mut rows, address);
+        row.idle.push(conn);
+        row.open.freed.notify_one();
     }
 
     /// Closes the idle connections that haven't been alive after `alive`, because one of that age
@@ -75,7 +95,7 @@
         for row in rows.iter_mut() {
             row.idle.retain(|c| !c.is_closed() && now.since(c.alive) < IDLE_MAX);
         }
-        rows.retain(|r| r.open.load(Ordering::Acquire) > 0);
+        rows.retain(|r| Arc::strong_count(&r.open) > 1);
     }
 }
 
@@ -89,10 +109,11 @@
 
 /// The right to have one connection open.
 #[derive(Debug)]
-pub(crate) struct Slot(Arc<AtomicU32>);
+pub(crate) struct Slot(Arc<Open>);
 
 impl Drop for Slot {
     fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::AcqRel);
+        self.0.count.fetch_sub(1, Ordering::AcqRel);
+        self.0.freed.notify_one();
     }
 }
--- a/src/forward/probe.rs
+++ b/src/forward/probe.rs
@@ -67,8 +67,8 @@
 ) -> Result<Connection, Ended> {
     let max = service.connections / node.settings.fleet_size_max.max(1);
     let slot = node.pool.reserve(target.address, max.max(1)).ok_or(Ended::Cancelled)?;
-    let limit = node.clock.now().until(deadline);
-    let opened = Connection::open(target.address, node.clock, limit, slot).await;
+    let until = node.clock.instant(deadline);
+    let opened = Connection::open(target.address, node.clock, until, slot).await;
     opened.map_err(|_| Ended::Unconnected)
 }
 
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -7,6 +7,7 @@
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpStream};
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -123,6 +124,18 @@
     assert!(answers.iter().all(|res| code(res) == 1000), "{answers:?}");
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn requests_share_the_few_connections_that_an_upstream_accepts() {
+    let narrow = upstream(5).await;
+    let service = json!({"connections": 36, "slots": 64});
+    let daemon = Daemon::start(&[narrow.address], service, json!({}), json!({}));
+    let daemon = &daemon;
+    let calls = (0..24).map(|i| async move { call(daemon, "POST", "/", &format!("{i}")).await });
+    let answers = join_all(calls).await;
+    assert!(answers.iter().all(|res| code(res) == 1000), "{answers:?}");
+    assert!(narrow.open_max.load(Ordering::SeqCst) <= 2, "over this host's share");
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn bodies_over_the_memory_bound_are_refused_or_streamed() {
     let echo = upstream(1).await;
