--- a/src/platform/records.rs
+++ b/src/platform/records.rs
@@ -98,6 +98,7 @@
     /// the service holds at least what it held then.
     async fn catch_up(&mut self) -> Result<bool, Failure> {
         let full = self.reads == 0;
+        let pauses = self.node.pause.lock().pauses();
         let since = if full { 0 } else { self.revision + 1 };
         let loaded = self.client.load(Range { since, ..self.client.keys.records() }).await?;
         self.reads = (self.reads + 1) % READS_PER_FULL;
@@ -109,6 +110,7 @@
             self.lose_watch();
         }
         self.take_in(&loaded);
+        self.node.resynced(pauses);
         if full && self.on_duty() {
             restore::put_back(&self.node, &self.client, &loaded).await;
         }
