Announce a published version to hosts

Cause: the new test of a key-value service that goes down right after it accepted a change: the watch had reached 1 of 2 hosts, and the other waited for the service. If no watch was served, no host would know.

Change: the tool tells up to 8 live hosts, chosen evenly, by POST /records on the admin address, once it knows that the version is stored. A host reads the record from the service, and takes the announced one only if that can't be reached; peers spread it. So a tool that is pointed at the wrong fleet changes nothing there while the service is up.

Ruled out: sending the record to every host (peers do that), and taking it always as announced.

--- a/src/entry/admin/mod.rs
+++ b/src/entry/admin/mod.rs
@@ -1,5 +1,6 @@
 //! The admin listener: health, readiness, status, metrics and events.
 
+pub(crate) mod announce;
 mod status;
 mod stream;
 #[cfg(test)]
@@ -41,6 +42,7 @@
         .at("/status", fn_service(show_status))
         .at("/events", fn_service(events))
         .at("/trace", fn_service(trace))
+        .at(announce::PATH, fn_service(announce::take))
         .serve()
         .worker_threads(1)
         .disable_signal()
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -16,7 +16,9 @@
 
 use std::sync::Arc;
 
+use crate::decide::profile::Record;
 use crate::node::Node;
+use crate::platform::call::Entry;
 
 /// Follows the platform for the life of the process: loads records, watches them, and applies the
 /// host list. Returns at once if the settings name no platform.
@@ -29,3 +31,16 @@
     let http = host_list::connect(address, cfg.calls_per_second, count);
     tokio::join!(records, host_list::follow(node.clone(), http));
 }
+
+/// Takes in a version that an operator's tool has just stored: as the key-value service holds it,
+/// or as announced if that can't be reached. Returns whether this host has such a service.
+pub(crate) async fn announced(node: &Node, record: &Record) -> bool {
+    let Some(client) = &node.platform else { return false };
+    let key = client.keys.record(record.kind(), &record.name);
+    let entry = match client.get(key.clone()).await {
+        Ok(entry) => entry,
+        Err(_) => serde_json::to_vec(record).ok().map(|value| Entry { key, value, revision: 0 }),
+    };
+    node.offer_entries(&client.keys, entry.as_slice());
+    true
+}
--- a/src/tool/fetch.rs
+++ b/src/tool/fetch.rs
@@ -5,8 +5,8 @@
 
 use anyhow::{anyhow, bail};
 use bytes::Bytes;
-use http::{StatusCode, Uri};
-use http_body_util::{BodyExt, Empty, Limited};
+use http::{Request, StatusCode, Uri};
+use http_body_util::{BodyExt, Empty, Full, Limited};
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::TokioExecutor;
 use serde::de::DeserializeOwned;
@@ -29,8 +29,8 @@
 ) -> Result<T, Error> {
     let url = format!("http://{address}{path_and_query}");
     let failed = |reason: String| Error::new(Code::Unreachable, format!("{url}: {reason}"));
-    let uri: Uri = url.parse().map_err(|e| failed(format!("{e}")))?;
-    let body = tokio::time::timeout(TIMEOUT, whole(uri))
+    let req = Request::get(&url).body(Full::default()).map_err(|e| failed(e.to_string()))?;
+    let body = tokio::time::timeout(TIMEOUT, whole(req))
         .await
         .map_err(|_| failed(format!("no answer in {} s", TIMEOUT.as_secs())))?
         .map_err(|e| failed(format!("{e:#}")))?;
@@ -63,9 +63,23 @@
     Ok(())
 }
 
-async fn whole(uri: Uri) -> anyhow::Result<Bytes> {
-    let client = Client::builder(TokioExecutor::new()).build_http::<Empty<Bytes>>();
-    let res = client.get(uri).await?;
+/// Posts a JSON document.
+///
+/// # Errors
+///
+/// [`Code::Unreachable`] if there is no answer in time, or not the one of success.
+pub(crate) async fn post(address: SocketAddr, path: &str, body: String) -> Result<(), Error> {
+    let url = format!("http://{address}{path}");
+    let failed = |reason: String| Error::new(Code::Unreachable, format!("{url}: {reason}"));
+    let req = Request::post(&url).body(Full::from(body)).map_err(|e| failed(e.to_string()))?;
+    let answer = tokio::time::timeout(TIMEOUT, whole(req)).await;
+    let answer = answer.map_err(|_| failed(format!("no answer in {} s", TIMEOUT.as_secs())))?;
+    answer.map(|_| ()).map_err(|e| failed(format!("{e:#}")))
+}
+
+async fn whole(req: Request<Full<Bytes>>) -> anyhow::Result<Bytes> {
+    let client = Client::builder(TokioExecutor::new()).build_http::<Full<Bytes>>();
+    let res = client.request(req).await?;
     let status = res.status();
     let body = Limited::new(res.into_body(), ANSWER_MAX_BYTES).collect().await;
     let body = body.map_err(|e| anyhow!(e))?.to_bytes();
--- a/src/tool/fleet.rs
+++ b/src/tool/fleet.rs
@@ -41,13 +41,17 @@
     pub(crate) silent: Vec<Silent>,
 }
 
+/// An entry host to ask.
 #[derive(Clone, Debug)]
-struct Asked {
+pub(crate) struct Asked {
     name: String,
     admin: SocketAddr,
     leaving: bool,
 }
 
+/// Hosts that are told of something that they pass on among themselves.
+const TOLD: usize = 8;
+
 /// Gets a path's JSON document from every host.
 ///
 /// # Errors
@@ -58,7 +62,18 @@
     args: &FleetArgs,
     path_and_query: &str,
 ) -> Result<Answers<T>, Error> {
-    let hosts = hosts(args).await?;
+    ask_hosts(hosts(args).await?, path_and_query).await
+}
+
+/// Gets a path's JSON document from every one of some hosts.
+///
+/// # Errors
+///
+/// [`Code::Unreachable`] if every host gives no answer.
+pub(crate) async fn ask_hosts<T: DeserializeOwned>(
+    hosts: Vec<Asked>,
+    path_and_query: &str,
+) -> Result<Answers<T>, Error> {
     let total = hosts.len();
     let asks = hosts.into_iter().map(|host| ask_one(host, path_and_query));
     let replies = with_progress(asks, total).await;
@@ -77,7 +92,23 @@
     Ok(answers)
 }
 
-async fn hosts(args: &FleetArgs) -> Result<Vec<Asked>, Error> {
+/// Sends a document to some of the live hosts, chosen evenly.
+pub(crate) async fn tell(hosts: &[Asked], path: &str, body: &str) {
+    let live: Vec<&Asked> = hosts.iter().filter(|h| !h.leaving).collect();
+    let told = live.iter().step_by(live.len().div_ceil(TOLD).max(1));
+    let sent = told.map(|host| fetch::post(host.admin, path, body.to_owned()));
+    for failed in futures_util::future::join_all(sent).await.iter().filter_map(|r| r.as_ref().err())
+    {
+        log::debug!("{failed}");
+    }
+}
+
+/// Returns the entry hosts that the arguments name.
+///
+/// # Errors
+///
+/// [`Code::Unreachable`] if the host list gives no answer; [`Code::Invalid`] if there is no host.
+pub(crate) async fn hosts(args: &FleetArgs) -> Result<Vec<Asked>, Error> {
     let given = args.admin.iter().map(|admin| Asked {
         name: admin.to_string(),
         admin: *admin,
--- a/src/tool/record.rs
+++ b/src/tool/record.rs
@@ -14,7 +14,7 @@
 use crate::platform::client::Client;
 use crate::settings;
 use crate::tool::publish::{self, Draft};
-use crate::tool::{document, spread, table};
+use crate::tool::{document, fleet, spread, table};
 
 /// Calls a second that the tool may make to the key-value service.
 const CALLS_PER_SECOND: f64 = 20.0;
@@ -151,12 +151,10 @@
         publish: &PublishArgs,
     ) -> Result<()> {
         let fleet = &args.platform.fleet;
-        let in_force = match spread::newest(fleet, self.kind, &name).await {
-            Ok(in_force) => in_force,
-            Err(e) => {
-                eprintln!("what hosts have in force is not known: {e}");
-                None
-            }
+        let hosts = known(fleet::hosts(fleet).await);
+        let in_force = match hosts.is_empty() {
+            true => None,
+            false => known(spread::newest(&hosts, self.kind, &name).await),
         };
         let change = publish.change.clone().unwrap_or_else(random_change);
         let draft = Draft {
@@ -171,8 +169,9 @@
         let rng = &mut rand::rng();
         let record = publish::publish(&self.client, &draft, PATIENCE, rng).await?;
         self.print_published(&record)?;
+        spread::announce(&hosts, &record).await;
         if publish.wait {
-            let hosts = spread::wait(fleet, &record, publish.timeout).await?;
+            let hosts = spread::wait(fleet, hosts, &record, publish.timeout).await?;
             eprintln!("in force on all {hosts} live hosts");
         }
         Ok(())
@@ -222,6 +221,14 @@
     }
 }
 
+/// Says on standard error that nothing is known of the hosts, if so.
+fn known<T: Default>(asked: Result<T, Error>) -> T {
+    asked.unwrap_or_else(|e| {
+        eprintln!("what hosts have in force is not known: {e}");
+        T::default()
+    })
+}
+
 #[allow(clippy::needless_pass_by_value, reason = "an argument of map_err")]
 fn unreachable(failure: Failure) -> Error {
     Error::new(Code::Unreachable, format!("key-value service: {failure}"))
--- a/src/tool/spread.rs
+++ b/src/tool/spread.rs
@@ -7,9 +7,10 @@
 
 use crate::cli::FleetArgs;
 use crate::decide::profile::{Kind, Record};
+use crate::entry::admin::announce;
 use crate::error::{Code, Error};
 use crate::status::RecordStatus;
-use crate::tool::fleet::{self, Answers, Progress};
+use crate::tool::fleet::{self, Answers, Asked, Progress};
 use crate::tool::publish::InForce;
 
 /// Time between two rounds of questions.
@@ -34,18 +35,26 @@
 ///
 /// # Errors
 ///
-/// As [`fleet::ask`].
+/// As [`fleet::ask_hosts`].
 pub(crate) async fn newest(
-    args: &FleetArgs,
+    hosts: &[Asked],
     kind: Kind,
     name: &str,
 ) -> Result<Option<InForce>, Error> {
-    let answers = ask(args).await?;
+    let answers = ask(hosts).await?;
     let versions = answers.given.iter().map(|h| (h.version(kind, name), &h.host));
     let newest = versions.max().filter(|(version, _)| *version > 0);
     Ok(newest.map(|(version, host)| InForce { host: host.clone(), version }))
 }
 
+/// Tells some hosts of a version that was just stored. They read it from the key-value service, or
+/// take it as it is if that has gone down meanwhile.
+pub(crate) async fn announce(hosts: &[Asked], record: &Record) {
+    if let Ok(body) = serde_json::to_string(record) {
+        fleet::tell(hosts, announce::PATH, &body).await;
+    }
+}
+
 /// Waits until every live host has a version in force, or a newer one, and returns how many.
 ///
 /// # Errors
@@ -53,13 +62,17 @@
 /// [`Code::NotInForce`] with the hosts that lack it when `timeout` has passed.
 pub(crate) async fn wait(
     args: &FleetArgs,
+    mut hosts: Vec<Asked>,
     record: &Record,
     timeout: Duration,
 ) -> Result<usize, Error> {
     let until = Instant::now() + timeout;
     let mut progress = Progress::new();
     loop {
-        let spread = ask(args).await.map(|answers| Spread::of(&answers, record));
+        if let Ok(listed) = fleet::hosts(args).await {
+            hosts = listed;
+        }
+        let spread = ask(&hosts).await.map(|answers| Spread::of(&answers, record));
         if let Ok(spread) = &spread {
             if spread.lacking.is_empty() {
                 return Ok(spread.total);
@@ -108,6 +121,6 @@
     Error::new(Code::NotInForce, detail)
 }
 
-async fn ask(args: &FleetArgs) -> Result<Answers<HostRecords>, Error> {
-    fleet::ask(args, "/status").await
+async fn ask(hosts: &[Asked]) -> Result<Answers<HostRecords>, Error> {
+    fleet::ask_hosts(hosts.to_vec(), "/status").await
 }
--- a/tests/publish.rs
+++ b/tests/publish.rs
@@ -156,3 +156,14 @@
     let lines: Value = serde_json::from_slice(&out.stdout).expect("json");
     assert_eq!(lines[0]["state"], "unreadable");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_change_is_in_force_though_the_service_goes_down_right_after_accepting_it() {
+    let fleet = Fleet::start("down", 2).await;
+    let file = fleet.file("p.json", &profile(100));
+    fleet.platform.fault(|f| f.down_after_write = true);
+    let file = file.to_str().expect("path");
+    let out = fleet.run(&["profile", "publish", file, "--wait", "--timeout", "30s"]).await;
+    assert!(out.status.success(), "{}", text(&out.stderr));
+    assert!(text(&out.stderr).contains("in force on all 2 live hosts"), "{}", text(&out.stderr));
+}
