Read records from peers and from the service in one place

Cause: a host that learnt from a peer of a version that it can't read told so by an event only; its status and the catalog did not know. And a calls_per_second of 0 stopped a host from ever reading its records.

Change: peers' records go through the same reader, and the catalog notes what can't be read. Settings with a rate below one call a second, a negative claim rate or no key-value address are refused.

--- a/src/peer/pull.rs
+++ b/src/peer/pull.rs
@@ -9,12 +9,10 @@
 use tokio::task::spawn_local;
 
 use crate::decide::digest::{Version, newer};
-use crate::decide::profile::{Body, Record};
-use crate::event::{EventCode, Subject};
+use crate::decide::stored::{self, Stored};
 use crate::peer::codec;
 use crate::peer::local::Local;
 use crate::peer::session::Session;
-use crate::settings::{profile_faults, service_faults};
 use crate::time::Time;
 
 /// The time after which a fetch that has no answer is given up on.
@@ -115,27 +113,17 @@
     if json.is_empty() {
         return;
     }
-    match serde_json::from_slice::<Record>(json).ok().filter(is_sound) {
-        Some(record) => {
+    match stored::read(version.kind, &version.name, json) {
+        Stored::Readable(record) => {
             local.node.offer(vec![record]);
         }
-        None => {
-            let name = format!("{}/{}", version.kind, version.name);
-            let subject = Subject { record: Some(name.into()), ..Subject::default() };
-            local.node.events.record(EventCode::RecordUnreadable, subject, Some(version.version));
+        Stored::Unreadable(unreadable) => {
+            local.node.refuse(unreadable);
             local.unreadable.borrow_mut().push(version.clone());
         }
     }
 }
 
-fn is_sound(record: &Record) -> bool {
-    match &record.body {
-        Body::Profile(profile) => profile_faults(profile, "").is_empty(),
-        Body::Service(service) => service_faults(service, "").is_empty(),
-        Body::Deleted(_) => true,
-    }
-}
-
 async fn in_time<T>(call: impl Future<Output = Result<T, Error>>) -> Result<T, Error> {
     tokio::time::timeout(FETCH_TIMEOUT, call)
         .await
--- a/src/platform/apply.rs
+++ b/src/platform/apply.rs
@@ -75,7 +75,8 @@
         }
     }
 
-    fn refuse(&self, unreadable: Unreadable) {
+    /// Takes note of a version that this release can't read.
+    pub(crate) fn refuse(&self, unreadable: Unreadable) {
         let subject = Subject {
             record: Some(format!("{}/{}", unreadable.kind, unreadable.name).into()),
             ..Subject::default()
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -186,6 +186,7 @@
             out.push(fault("/fleet_size_max", "must be at least 1"));
         }
         out.extend(limits_faults(&self.limits));
+        out.extend(self.platform.iter().flat_map(platform_faults));
         let at = |i: usize| format!("/services/{i}");
         for (i, service) in self.services.iter().enumerate() {
             out.extend(service_faults(service, &at(i)));
@@ -204,6 +205,21 @@
     }
 }
 
+fn platform_faults(platform: &Platform) -> Vec<Fault> {
+    let mut out = Vec::new();
+    let mut check = |ok: bool, field: &str, reason: &str| {
+        if !ok {
+            out.push(fault(&format!("/platform/{field}"), reason));
+        }
+    };
+    let rate = |r: f64| r.is_finite() && r >= 0.0;
+    let (calls, claims) = (platform.calls_per_second, platform.claims_per_second);
+    check(!platform.key_value.is_empty(), "key_value", "must not be empty");
+    check(rate(calls) && calls >= 1.0, "calls_per_second", "must be at least 1");
+    check(rate(claims), "claims_per_second", "must be 0 or more");
+    out
+}
+
 fn limits_faults(limits: &Limits) -> Vec<Fault> {
     let mut out = Vec::new();
     if limits.workers == 0 {
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -106,6 +106,15 @@
     }
 }
 
+#[test]
+fn faults_of_the_platform_are_reported_at_once() {
+    let platform = json!({ "key_value": [], "calls_per_second": 0, "claims_per_second": -1 });
+    assert_eq!(
+        places(&[("/platform", platform)]),
+        ["/platform/calls_per_second", "/platform/claims_per_second", "/platform/key_value"]
+    );
+}
+
 #[test]
 fn the_check_command_prints_every_fault_and_exits_with_2() {
     let folder = env!("CARGO_TARGET_TMPDIR");
