--- a/src/entry/caller.rs
+++ b/src/entry/caller.rs
@@ -49,7 +49,8 @@
         ..Subject::default()
     };
     let start = node.clock.now();
-    node.events.record(EventCode::Accepted, subject.clone(), None);
+    let left = u64::try_from(start.until(job.deadline).as_millis()).ok();
+    node.events.record(EventCode::Accepted, subject.clone(), left);
     let answer = drive::run(node, job, caller.gone()).await;
     node.events.record(EventCode::Finished, subject, Some(answer.code.number().into()));
     node.metrics.answered(&job.service.name, answer.code);
--- a/tests/replay.rs
+++ b/tests/replay.rs
@@ -2,7 +2,7 @@
 
 use std::fs::File;
 use std::io::BufReader;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
 use cornelferry::error::Code;
 use cornelferry::trace::{Rule, Trace, recorded, rerun};
@@ -187,11 +187,29 @@
     assert_eq!(breaches, rerun(&read(&lines), 7));
 }
 
+/// Returns the recorded traces.
+fn traces() -> Vec<PathBuf> {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("traces");
+    let files = folder.read_dir().expect("traces").map(|e| e.expect("a file").path());
+    files.filter(|p| p.extension().is_some_and(|e| e == "jsonl")).collect()
+}
+
+#[test]
+fn a_write_that_runs_again_is_found_in_every_recorded_trace() {
+    assert!(traces().len() >= 9);
+    for path in traces() {
+        let text = std::fs::read_to_string(&path).expect("a file");
+        let write = |l: &&str| l.contains("\"ran\":{\"request\":\"w");
+        let again = text.lines().find(write).expect("a write");
+        let trace = Trace::read(format!("{text}{again}\n").as_bytes()).expect("a trace");
+        let rules: Vec<Rule> = recorded(&trace).iter().map(|b| b.rule).collect();
+        assert_eq!(rules, [Rule::AtMostOnce], "{}", path.display());
+    }
+}
+
 #[test]
 fn every_recorded_trace_holds() {
-    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("traces");
-    for entry in folder.read_dir().into_iter().flatten() {
-        let path = entry.expect("a file").path();
+    for path in traces() {
         let trace = Trace::read(BufReader::new(File::open(&path).expect("a file")));
         let trace = trace.unwrap_or_else(|e| panic!("{}: {e}", path.display()));
         assert_eq!(recorded(&trace), [], "{}", path.display());
