--- a/src/entry/caller.rs
+++ b/src/entry/caller.rs
@@ -8,18 +8,16 @@
 use http::{HeaderValue, Response, StatusCode};
 use xitca_web::http::WebRequest;
 
+use crate::claim;
 use crate::entry::intake;
 use crate::entry::socket::{CALLER, Caller};
-use crate::error::{Code, Outcome};
+use crate::error::Outcome;
 use crate::event::{EventCode, Subject};
 use crate::forward::answer::{Answer, AnswerBody};
 use crate::forward::{Job, drive};
 use crate::header;
 use crate::node::{Node, Phase};
 
-/// The codes of requests that may have bytes left to read, which nothing may take for a request.
-const UNREAD: [Code; 4] = [Code::BadRequest, Code::HeadTooLarge, Code::BodyTooLarge, Code::BodyCut];
-
 /// Answers one request of a caller.
 pub(crate) async fn handle(
     node: &Arc<Node>,
@@ -29,11 +27,11 @@
     let _busy = caller.begin();
     let id = intake::request_id(req.headers());
     let upgrade = req.headers().contains_key(UPGRADE);
-    let answer = match intake::take_in(node, &caller, &id, req).await {
-        Ok(job) => accepted(node, &caller, &job).await,
-        Err(code) => Answer::own(code),
+    let has_body = intake::has_body(req.headers());
+    let (answer, unread) = match intake::take_in(node, &caller, &id, req).await {
+        Ok(job) => (accepted(node, &caller, &job).await, false),
+        Err(code) => (Answer::own(code), has_body || intake::is_unreadable(code)),
     };
-    let unread = UNREAD.contains(&answer.code);
     let mut res = response(&id, answer);
     if unread || upgrade || caller.is_last() || node.phase() >= Phase::Draining {
         caller.set_last();
@@ -51,7 +49,7 @@
     let start = node.clock.now();
     let left = u64::try_from(start.until(job.deadline).as_millis()).ok();
     node.events.record(EventCode::Accepted, subject.clone(), left);
-    let answer = drive::run(node, job, caller.gone()).await;
+    let answer = claim::guard(node, job, drive::run(node, job, caller.gone())).await;
     node.events.record(EventCode::Finished, subject, Some(answer.code.number().into()));
     node.metrics.answered(&job.service.name, answer.code);
     let took = node.clock.now().since(start);
