Hold the leaving check to what the tables now take for a new process

The decision tables take a drained upstream back only once nobody listened and then somebody answered, and keep each peer's word apart. The check on traces cleared its mark on any new service record and never on a peer's taking its word back: too mild in one case, too strict in the other. It follows the stated rule now, and two tests hold it.

The status field for an incarnation, which nobody filled, is gone.

--- a/src/entry/admin/status.rs
+++ b/src/entry/admin/status.rs
@@ -23,7 +23,6 @@
         host: node.settings.host.clone(),
         data_centre: node.settings.data_centre.clone(),
         phase: phase(node),
-        incarnation: None,
         policy: node.settings.policy,
         records,
         services,
--- a/src/status.rs
+++ b/src/status.rs
@@ -19,9 +19,6 @@
     pub data_centre: Arc<str>,
     /// Where it is between start and exit.
     pub phase: Phase,
-    /// The number of its process's start, if it has peers.
-    #[serde(skip_serializing_if = "Option::is_none", default)]
-    pub incarnation: Option<u64>,
     /// How it chooses an upstream.
     pub policy: Policy,
     /// The records in force, sorted by kind and name.
--- a/src/trace/leaving.rs
+++ b/src/trace/leaving.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crate::config::Upstream;
-use crate::decide::upstream::State;
+use crate::decide::upstream::{Ended, Report, Shared, State};
 use crate::time::Time;
 
 /// Since when an upstream is leaving, by each source that says so.
@@ -14,16 +14,40 @@
     upstream: Arc<str>,
     listed: Option<Time>,
     drained: Option<Time>,
+    /// Whether nobody listened since it said so.
+    gone: bool,
     unnamed: Option<Time>,
+    words: Vec<Word>,
+}
+
+/// A peer's word that an upstream is leaving.
+#[derive(Clone, Debug)]
+struct Word {
+    host: Arc<str>,
+    at: Time,
 }
 
 impl Row {
+    fn new(service: &str, upstream: &str) -> Row {
+        Row {
+            service: service.into(),
+            upstream: upstream.into(),
+            listed: None,
+            drained: None,
+            gone: false,
+            unnamed: None,
+            words: Vec::new(),
+        }
+    }
+
     fn key(&self) -> (&str, &str) {
         (&self.service, &self.upstream)
     }
 
     fn since(&self) -> Option<Time> {
-        [self.listed, self.drained, self.unnamed].into_iter().flatten().min()
+        let words = self.words.iter().map(|w| w.at);
+        let own = [self.listed, self.drained, self.unnamed];
+        own.into_iter().flatten().chain(words).min()
     }
 }
 
@@ -44,10 +68,38 @@
         }
     }
 
-    /// Takes note that an upstream said itself, or a peer said of it, that it is leaving.
-    pub(crate) fn drain(&mut self, service: &str, upstream: &str, at: Time) {
+    /// Takes note of an attempt's end. An upstream that says that it is leaving is.
+    pub(crate) fn finish(&mut self, service: &str, upstream: &str, report: &Report, at: Time) {
+        let row = self.row(service, upstream);
+        if report.draining {
+            (row.drained, row.gone) = (row.drained.or(Some(at)), false);
+        }
+        row.gone |= report.ended == Ended::Unconnected;
+    }
+
+    /// Takes note of a probe's end. An upstream that answers after nobody listened is a new one.
+    pub(crate) fn probed(&mut self, service: &str, upstream: &str, report: &Report, at: Time) {
+        self.finish(service, upstream, report, at);
         let row = self.row(service, upstream);
-        row.drained = row.drained.or(Some(at));
+        if report.ended == Ended::Answered && !report.draining && row.gone {
+            (row.drained, row.gone) = (None, false);
+        }
+    }
+
+    /// Takes note of what a peer says.
+    pub(crate) fn import(&mut self, host: &Arc<str>, shared: &Shared, at: Time) {
+        let words = &mut self.row(&shared.service, &shared.upstream).words;
+        let known = words.iter().position(|w| w.host == *host);
+        match (known, shared.leaving) {
+            (None, true) => words.push(Word { host: host.clone(), at }),
+            (Some(i), false) => _ = words.swap_remove(i),
+            _ => {}
+        }
+    }
+
+    /// Forgets what a peer said.
+    pub(crate) fn forget(&mut self, host: &str) {
+        self.rows.iter_mut().for_each(|r| r.words.retain(|w| *w.host != *host));
     }
 
     /// Takes note of the set of a service's upstreams.
@@ -64,11 +116,6 @@
         }
     }
 
-    /// Takes note of a newer service record: the upstreams that it names start afresh.
-    pub(crate) fn reconfigure(&mut self, service: &str, named: &[Upstream]) {
-        named.iter().for_each(|u| self.row(service, &u.name).drained = None);
-    }
-
     /// Returns what is wrong with giving new work to an upstream, if anything is.
     pub(crate) fn fault(
         &self,
@@ -87,9 +134,7 @@
     fn row(&mut self, service: &str, upstream: &str) -> &mut Row {
         let found = self.rows.binary_search_by(|r| r.key().cmp(&(service, upstream)));
         let at = found.unwrap_or_else(|at| {
-            let (service, upstream) = (service.into(), upstream.into());
-            let row = Row { service, upstream, listed: None, drained: None, unnamed: None };
-            self.rows.insert(at, row);
+            self.rows.insert(at, Row::new(service, upstream));
             at
         });
         &mut self.rows[at]
--- a/src/trace/mod.rs
+++ b/src/trace/mod.rs
@@ -13,6 +13,8 @@
 mod probing;
 pub(crate) mod recorder;
 mod replay;
+#[cfg(test)]
+mod tests;
 
 use std::io::{BufRead, Read};
 use std::sync::Arc;
--- a/src/trace/outcome.rs
+++ b/src/trace/outcome.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::decide::profile::{Body, Offered, Record};
+use crate::decide::profile::{Offered, Record};
 use crate::error::Outcome;
 use crate::event::{Event, EventCode};
 use crate::time::Time;
@@ -69,9 +69,8 @@
             Entry::State { service, upstream, state } => {
                 self.leaving.set_state(service, upstream, *state, at);
             }
-            Entry::Import { shared, .. } if shared.leaving => {
-                self.leaving.drain(&shared.service, &shared.upstream, at);
-            }
+            Entry::Import { host, shared } => self.leaving.import(host, shared, at),
+            Entry::Forget { host } => self.leaving.forget(host),
             Entry::Admit { service, request, decision } => {
                 if matches!(decision, Decision::Run(_)) && at > request.deadline {
                     let late = at.since(request.deadline);
@@ -83,11 +82,11 @@
             Entry::Again { service, upstream: Some(upstream), .. } => {
                 self.work(number, service, &Decision::Run(upstream.clone()), at);
             }
-            Entry::Finish { service, upstream, report }
-            | Entry::Probed { service, upstream, report }
-                if report.draining =>
-            {
-                self.leaving.drain(service, upstream, at);
+            Entry::Finish { service, upstream, report } => {
+                self.leaving.finish(service, upstream, report, at);
+            }
+            Entry::Probed { service, upstream, report } => {
+                self.leaving.probed(service, upstream, report, at);
             }
             Entry::Tick { probes } => {
                 for probe in probes {
@@ -122,9 +121,6 @@
             }
             Err(i) => self.in_force.insert(i, record),
         }
-        if let Body::Service(service) = &record.body {
-            self.leaving.reconfigure(&service.name, &service.upstreams);
-        }
     }
 
     /// Checks that an upstream may get new work.
--- a/src/trace/recorder.rs
+++ b/src/trace/recorder.rs
@@ -10,7 +10,7 @@
 use crate::trace::{Entry, Line};
 
 /// Lines that wait for the reader; more are lost, and the loss is recorded.
-const WAITING_LINES: usize = 65_536;
+pub(super) const WAITING_LINES: usize = 65_536;
 
 /// Hands entries to the reader of a trace, if there is one. Costs one load if there is none.
 #[derive(Debug)]
--- a/src/trace/replay.rs
+++ b/src/trace/replay.rs
@@ -11,7 +11,7 @@
 
 use crate::config::Service;
 use crate::decide::admit::{Admission, Request, Target, Ticket};
-use crate::decide::profile::{Body, Catalog, Offered, Record};
+use crate::decide::profile::{Catalog, Record};
 use crate::decide::service::Again;
 use crate::decide::tick::Tables;
 use crate::decide::upstream::{Report, UpstreamId};
@@ -101,14 +101,15 @@
                 }
             }
             Entry::Import { host, shared } => {
-                if shared.leaving {
-                    self.leaving.drain(&shared.service, &shared.upstream, at);
-                }
+                self.leaving.import(host, shared, at);
                 if let Some(table) = self.tables.service(&shared.service) {
                     table.import(host, shared, at);
                 }
             }
-            Entry::Forget { host } => self.tables.forget(host),
+            Entry::Forget { host } => {
+                self.leaving.forget(host);
+                self.tables.forget(host);
+            }
             Entry::Admit { service, request, decision } => {
                 self.admit(number, service, request, decision, at);
             }
@@ -132,15 +133,12 @@
 
     fn offer(&mut self, number: usize, record: &Record) {
         let before = self.catalog.get(record.kind(), &record.name).map(|r| r.version);
-        let offered = self.catalog.offer(record.clone());
+        self.catalog.offer(record.clone());
         let after = self.catalog.get(record.kind(), &record.name).map(|r| r.version);
         if after < before {
             let detail = format!("{}/{} went back to {after:?}", record.kind(), record.name);
             self.breach(number, Rule::Version, detail);
         }
-        if let (Offered::InForce, Body::Service(service)) = (offered, &record.body) {
-            self.leaving.reconfigure(&service.name, &service.upstreams);
-        }
     }
 
     fn put_service(&mut self, service: &Arc<Service>, at: Time) {
@@ -231,9 +229,7 @@
 
     fn probed(&mut self, service: &str, upstream: &str, report: &Report, at: Time) {
         self.learn(service, upstream, report);
-        if report.draining {
-            self.leaving.drain(service, upstream, at);
-        }
+        self.leaving.probed(service, upstream, report, at);
         let Some(table) = self.tables.service(service) else { return };
         let id = table.rows().iter().find(|r| *r.name == *upstream).map(|r| r.id);
         if let Some(id) = id {
@@ -313,9 +309,7 @@
         let own = own.ok().map(|i| self.endings[i].report);
         let name = row.name.clone();
         let report = own.or(report.copied()).unwrap_or(CANCELLED);
-        if report.draining {
-            self.leaving.drain(service, &name, at);
-        }
+        self.leaving.finish(service, &name, &report, at);
         table.finish(id, &report, at);
     }
 
--- a/tests/replay.rs
+++ b/tests/replay.rs
@@ -138,6 +138,34 @@
     assert_eq!(with(&[put(json!([])), admit(3_000_000, 9_000_000)]), [Rule::Leaving]);
 }
 
+#[test]
+fn a_peer_may_say_and_unsay_that_an_upstream_is_leaving() {
+    let import = |leaving: bool| {
+        let shared = json!({
+            "service": "s", "upstream": "u1", "in_flight": 0, "load": null, "leaving": leaving
+        });
+        json!({"at": 10_000, "import": {"host": "entry-2", "shared": shared}})
+    };
+    let forget = json!({"at": 10_000, "forget": {"host": "entry-2"}});
+    let late = admit(3_000_000, 9_000_000);
+    assert_eq!(with(&[import(true), late.clone()]), [Rule::Leaving]);
+    assert_eq!(with(&[import(true), import(false), late.clone()]), []);
+    assert_eq!(with(&[import(true), forget, late]), []);
+}
+
+#[test]
+fn a_drained_upstream_is_new_once_nobody_listened_and_then_somebody_answered() {
+    let probed = |ended: &str| {
+        let latency = json!({"secs": 0, "nanos": 0});
+        let report = json!({"ended": ended, "latency": latency, "load": null, "draining": false});
+        json!({"at": 20_000, "probed": {"service": "s", "upstream": "u1", "report": report}})
+    };
+    let (drained, late) = (finish(10_000, true), admit(3_000_000, 9_000_000));
+    let answered = [drained.clone(), probed("answered"), late.clone()];
+    assert_eq!(with(&answered), [Rule::Leaving]);
+    assert_eq!(with(&[drained, probed("unconnected"), probed("answered"), late]), []);
+}
+
 #[test]
 fn probes_beyond_the_rate_are_a_breach() {
     assert_eq!(with(&[probe(1_000_000), probe(2_000_000), probe(3_000_000)]), []);
