Test fresh and stopped hosts with the shipped daemons

A fresh host in an outage learns from its peers before it is ready, and a host stopped by SIGSTOP while two versions were published comes back with the newest.

--- /dev/null
+++ b/tests/fleet.rs
@@ -0,0 +1,79 @@
+//! Fleets of daemons over a stand-in platform: outages and pauses.
+
+mod harness;
+#[path = "../examples/standin/mod.rs"]
+mod standin;
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::sync::Arc;
+
+use serde_json::{Value, json};
+
+use harness::{Daemon, raw, until};
+use standin::platform::Platform;
+
+const LOOPBACK: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+
+fn free() -> SocketAddr {
+    TcpListener::bind(LOOPBACK).and_then(|l| l.local_addr()).expect("port")
+}
+
+/// Starts one host of a fleet and waits until it is ready.
+fn host(i: usize, peers: &[SocketAddr], platform: &Platform) -> Daemon {
+    let peer =
+        |at: usize| json!({ "host": format!("e{at}"), "data_centre": "a", "address": peers[at] });
+    let others: Vec<Value> = (0..peers.len()).filter(|at| *at != i).map(peer).collect();
+    Daemon::run(&json!({
+        "host": format!("e{i}"),
+        "data_centre": "a",
+        "peer": peers[i],
+        "peers": others,
+        "platform": { "key_value": [platform.address], "calls_per_second": 50.0 },
+    }))
+}
+
+fn put(platform: &Platform, version: u64) {
+    let body = json!({ "profile": { "name": "p" } });
+    let record = json!({
+        "name": "p", "version": version, "change": "c", "author": "test", "body": body,
+    });
+    platform.store(|s| s.put("/cornelferry/profile/p", &record.to_string()));
+}
+
+fn version(daemon: &Daemon) -> Option<u64> {
+    let req = b"GET /status HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n";
+    let answer = raw(daemon.admin, req).ok()?;
+    let status: Value =
+        serde_json::from_str(&answer[answer.find('{')?..=answer.rfind('}')?]).ok()?;
+    status["records"].as_array()?.iter().find(|r| r["name"] == "p")?["version"].as_u64()
+}
+
+async fn start(size: usize) -> (Arc<Platform>, Vec<SocketAddr>) {
+    let platform = Platform::start(LOOPBACK).await;
+    put(&platform, 1);
+    (platform, (0..size).map(|_| free()).collect())
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_fresh_host_in_an_outage_learns_from_its_peers_before_it_is_ready() {
+    let (platform, peers) = start(4).await;
+    let hosts: Vec<Daemon> = (0..3).map(|i| host(i, &peers, &platform)).collect();
+    put(&platform, 2);
+    until("in force", || hosts.iter().all(|h| version(h) == Some(2)));
+    platform.fault(|f| f.down = true);
+    let fresh = host(3, &peers, &platform);
+    assert_eq!(version(&fresh), Some(2));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_host_that_was_stopped_comes_back_with_the_newest_version() {
+    let (platform, peers) = start(2).await;
+    let hosts: Vec<Daemon> = (0..2).map(|i| host(i, &peers, &platform)).collect();
+    hosts[1].signal("STOP");
+    put(&platform, 2);
+    until("in force", || version(&hosts[0]) == Some(2));
+    put(&platform, 3);
+    until("in force", || version(&hosts[0]) == Some(3));
+    hosts[1].signal("CONT");
+    until("in force again", || version(&hosts[1]) == Some(3));
+}
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -98,8 +98,13 @@
 
     /// Asks the daemon to stop.
     pub fn terminate(&self) {
+        self.signal("TERM");
+    }
+
+    /// Sends a signal to the daemon.
+    pub fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
-        let done = Command::new("kill").args(["-TERM", &pid]).status().expect("kill");
+        let done = Command::new("kill").args([&format!("-{name}"), &pid]).status().expect("kill");
         assert!(done.success());
     }
 
