Keep peers of the settings beside those of the host list

Cause: the first host list replaced the peers that the settings name, though they are meant to be known beside it; a host with a short list lost its peers.

Seen: the new test failed before ([entry-3] for [entry-2, entry-3]) and passes.

--- a/src/platform/apply.rs
+++ b/src/platform/apply.rs
@@ -10,6 +10,7 @@
 use crate::node::Node;
 use crate::platform::call::Entry;
 use crate::platform::keys::Keys;
+use crate::settings::Peer;
 
 impl Node {
     /// Offers stored records to the catalog. Versions that this release can't read are noted and
@@ -34,7 +35,10 @@
             return false;
         }
         let now = self.clock.now();
-        self.members.lock().set_known(&list.peers(&self.settings.host), now);
+        let mut peers = list.peers(&self.settings.host);
+        let listed = |p: &Peer| list.hosts.iter().any(|h| h.name == p.host);
+        peers.extend(self.settings.peers.iter().filter(|p| !listed(p)).cloned());
+        self.members.lock().set_known(&peers, now);
         let mut tables = self.tables.lock();
         for service in catalog.services() {
             let complete = list.complete(&service);
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -257,3 +257,21 @@
         assert!(!(client.platform.txn)(txn).await.expect("answered").succeeded);
     });
 }
+
+#[test]
+fn hosts_named_in_the_settings_stay_known_beside_those_of_the_host_list() {
+    let peer = |host: &str, port: u16| json!({ "host": host, "data_centre": "a", "address": format!("127.0.0.1:{port}") });
+    let settings = json!({
+        "host": "entry-1", "data_centre": "a", "caller": "127.0.0.1:0", "admin": "127.0.0.1:0",
+        "peers": [peer("entry-2", 2), peer("entry-3", 3)],
+    });
+    let node = Node::new(Settings::parse(&settings.to_string()).expect("settings"));
+    let listed = json!({ "version": 1, "hosts": [{
+        "name": "entry-3", "role": "entry", "address": "127.0.0.1:1", "data_centre": "a",
+        "peer": "127.0.0.1:33",
+    }]});
+    assert!(node.apply_hosts(serde_json::from_value(listed).expect("list")));
+    let members = node.members.lock();
+    let known: Vec<_> = members.members().iter().map(|m| (&*m.host, m.address.port())).collect();
+    assert_eq!(known, [("entry-2", 2), ("entry-3", 33)]);
+}
