Hedge to a busy upstream when the late one is far worse

Cause: near saturation no upstream looks idle, so a request held by a straggler was never hedged.

Ruled out: hedging to any upstream, which adds load when all are late.

Change: a hedge also goes to an upstream whose expected time is less than half of the late one's. Without load headers the usual load of other hosts is learnt from digests.

A hedge test failed without the change's second condition by construction.

--- a/src/decide/service/admission.rs
+++ b/src/decide/service/admission.rs
@@ -15,6 +15,8 @@
 
 /// The shortest time after which a hedge is due.
 const HEDGE_FLOOR: Duration = Duration::from_millis(2);
+/// How many times more a late attempt's upstream must cost for a hedge to a busy one.
+const HEDGE_FACTOR: f32 = 2.0;
 /// The shortest time after which a refused caller is told to come back.
 const RETRY_AFTER_MIN: Duration = Duration::from_millis(100);
 /// The longest time after which a refused caller is told to come back.
@@ -193,13 +195,15 @@
         Some(target(row))
     }
 
-    /// Tells whether a hedge to `id` is likely to answer before the attempt at `late`.
+    /// Tells whether a hedge to `id` is likely to answer before the attempt at `late`: it is idle
+    /// and no slower, or the other one is far worse.
     fn better(&self, id: UpstreamId, late: Option<&UpstreamId>, now: Time) -> bool {
+        let cost = |r: &Row| r.cost(&self.baseline, self.cfg.slots, 0.0, now);
         let slowness = |r: &Row| r.slowness(&self.baseline, now);
         let Some(row) = upstream::find(&self.rows, id) else { return false };
         let idle = row.expected(&self.baseline, now) < self.cfg.slots as f32;
-        let late = late.and_then(|id| upstream::find(&self.rows, *id));
-        idle && late.is_none_or(|l| slowness(row) <= slowness(l))
+        let Some(late) = late.and_then(|id| upstream::find(&self.rows, *id)) else { return idle };
+        idle && slowness(row) <= slowness(late) || cost(row) * HEDGE_FACTOR < cost(late)
     }
 
     fn refusal(&self, code: Code) -> Refusal {
--- a/src/decide/service/sharing.rs
+++ b/src/decide/service/sharing.rs
@@ -32,7 +32,7 @@
         };
         row.said(word, now);
         row.refresh();
-        if let (true, Some(said)) = (self.cfg.load_header.is_empty(), row.said) {
+        if let (None, Some(said)) = (row.reading, row.said) {
             self.baseline.read(said.value);
         }
         let Some((value, age)) = shared.load else { return };
--- a/tests/decide_behaviour.rs
+++ b/tests/decide_behaviour.rs
@@ -296,6 +296,18 @@
     assert!(refused.retry_after >= MS * 50, "{:?}", refused.retry_after);
 }
 
+#[test]
+fn a_hedge_goes_to_a_busy_upstream_if_the_late_one_is_far_worse() {
+    let mut bench = Bench::new(2, 1);
+    bench.count(100, "", Ended::Answered);
+    let late = bench.start();
+    bench.pass(MS * 200);
+    let other = bench.start();
+    assert_ne!(other.id, late.id);
+    let hedge = bench.table.again(Again::Hedge, &[late.id], bench.now, &mut bench.rng);
+    assert_eq!(hedge.map(|h| h.id), Some(other.id));
+}
+
 #[test]
 fn a_hedge_goes_only_to_an_idle_upstream() {
     let mut bench = Bench::new(2, 1);
