Note the changes of upstreams in the time line

Cause: events 3001 to 3006 were in the catalogue and nobody recorded the ones about upstreams, so a drain or ejection could not be seen.

Ruled out: comparing states each tick, which costs a scan of every upstream.

Change: a table keeps what changed where it changes; the tick hands it on and the dispatcher records it. Held changes are bounded.

--- a/src/decide/health.rs
+++ b/src/decide/health.rs
@@ -14,6 +14,7 @@
     errors: f32,
     ejected_until: Time,
     refused_until: Time,
+    out: bool,
     /// When its share of work began to grow; nothing once it has its full share.
     pub(crate) growing: Option<Time>,
 }
@@ -65,6 +66,7 @@
         }
         self.ejected_until = now + doubled(EJECTION_BASE, self.ejections, EJECTION_MAX);
         self.ejections += 1;
+        self.out = true;
         self.growing = Some(self.ejected_until);
     }
 
@@ -73,6 +75,13 @@
         now < self.ejected_until
     }
 
+    /// Tells, once, whether an upstream that was ejected has answered again since.
+    pub(crate) fn restored(&mut self, now: Time) -> bool {
+        let restored = self.out && self.failures == 0 && !self.ejected(now);
+        self.out &= !restored;
+        restored
+    }
+
     /// Tells whether the upstream refused a request a short time ago.
     pub(crate) fn refusing(&self, now: Time) -> bool {
         now < self.refused_until
@@ -91,17 +100,20 @@
     }
 }
 
-/// Ejects an upstream, unless it is ejected already or half of the live ones are.
-pub(crate) fn eject(rows: &mut [Row], at: usize, now: Time) {
+/// Ejects an upstream, unless it is ejected already or half of the live ones are. Tells whether it
+/// did.
+pub(crate) fn eject(rows: &mut [Row], at: usize, now: Time) -> bool {
     if rows[at].health.ejected(now) {
-        return;
+        return false;
     }
     let live = rows.iter().filter(|r| r.state == State::Live);
     let (all, ejected) = live
         .fold((0, 0), |(all, ejected), r| (all + 1, ejected + usize::from(r.health.ejected(now))));
-    if ejected < all / 2 {
+    let room = ejected < all / 2;
+    if room {
         rows[at].health.eject(now);
     }
+    room
 }
 
 fn doubled(base: Duration, times: u32, max: Duration) -> Duration {
--- a/src/decide/service.rs
+++ b/src/decide/service.rs
@@ -15,7 +15,8 @@
 use crate::decide::queue::Queue;
 use crate::decide::retry::RetryBudget;
 use crate::decide::route::Policy;
-use crate::decide::upstream::{self, Ended, Report, Row, State, UpstreamId};
+use crate::decide::upstream::{self, Changed, Ended, Report, Row, State, UpstreamId};
+use crate::event::EventCode;
 use crate::time::Time;
 
 /// What a service table needs to know of its host.
@@ -60,10 +61,13 @@
     probes_sought: Time,
     retries: RetryBudget,
     open: Vec<u32>,
+    changes: Vec<Changed>,
 }
 
 /// Time between two searches for an upstream to probe.
 const PROBE_INTERVAL: Duration = Duration::from_millis(50);
+/// Changes that are held until they are asked for.
+const CHANGES_MAX: usize = 1_024;
 /// Share of failures, against that of all upstreams, below which an upstream is no outlier.
 const ERROR_FACTOR: f32 = 1.3;
 impl ServiceTable {
@@ -86,6 +90,7 @@
             probes_sought: now,
             retries: RetryBudget::new(now),
             open: Vec::new(),
+            changes: Vec::new(),
         };
         let upstreams = table.cfg.upstreams.clone();
         table.set_upstreams(&upstreams, now);
@@ -134,9 +139,13 @@
                 row.welcome(now);
             }
             row.named = named;
-            row.refresh();
+            row.refresh(&mut self.changes);
         }
-        self.rows.retain(|r| r.named || r.in_flight > 0);
+        let gone = |r: &Row| !r.named && r.in_flight == 0;
+        let notes =
+            self.rows.iter().filter(|r| gone(r)).map(|r| r.changed(EventCode::UpstreamGone));
+        self.changes.extend(notes);
+        self.rows.retain(|r| !gone(r));
         for upstream in upstreams {
             let same = |r: &Row| r.name == upstream.name && r.address == upstream.address;
             if !self.rows.iter().any(same) {
@@ -155,7 +164,7 @@
                 row.welcome(now);
             }
             row.listed_leaving = leaving;
-            row.refresh();
+            row.refresh(&mut self.changes);
         }
         self.capacity.invalidate();
     }
@@ -168,7 +177,7 @@
         self.in_flight -= 1;
         if report.draining {
             row.drain.signal();
-            row.refresh();
+            row.refresh(&mut self.changes);
         }
         row.learn(report, &self.baseline, now);
         if report.ended == Ended::Answered {
@@ -179,8 +188,10 @@
             self.baseline.read(others);
         }
         self.judge(at, report.ended, now);
+        self.changes.truncate(CHANGES_MAX);
         let row = &self.rows[at];
         if !row.named && row.in_flight == 0 {
+            self.changes.push(row.changed(EventCode::UpstreamGone));
             self.rows.remove(at);
         }
     }
@@ -191,6 +202,11 @@
     /// nothing here.
     pub fn tick(&mut self, _now: Time) {}
 
+    /// Returns the changes of upstreams since the last call.
+    pub fn take_changes(&mut self) -> Vec<Changed> {
+        std::mem::take(&mut self.changes)
+    }
+
     /// Returns the upstreams to probe now. `owned` tells which upstreams are this host's to probe.
     pub fn probes(&mut self, now: Time, owned: impl Fn(&str) -> bool) -> Vec<Target> {
         if now < self.probes_sought || self.cfg.measure.path.is_empty() || !self.probes.ready(now) {
@@ -217,7 +233,7 @@
         } else if report.ended == Ended::Answered && row.drain.answered() {
             row.welcome(now);
         }
-        row.refresh();
+        row.refresh(&mut self.changes);
         self.capacity.invalidate();
         if report.ended != Ended::Answered {
             return self.judge(at, report.ended, now);
@@ -232,6 +248,9 @@
         let mut row = Row::new(self.next_id.into(), upstream, now);
         row.health.growing = started.then_some(now);
         self.next_id += 1;
+        if started {
+            self.changes.push(row.changed(EventCode::UpstreamJoined));
+        }
         self.rows.push(row);
     }
 
@@ -243,8 +262,13 @@
         }
         let health = &mut self.rows[at].health;
         let outlier = health.observe(ended, now);
-        if outlier && health.errors() > self.baseline.errors() * ERROR_FACTOR {
-            health::eject(&mut self.rows, at, now);
+        if health.restored(now) {
+            self.changes.push(self.rows[at].changed(EventCode::UpstreamRestored));
+        } else if outlier
+            && health.errors() > self.baseline.errors() * ERROR_FACTOR
+            && health::eject(&mut self.rows, at, now)
+        {
+            self.changes.push(self.rows[at].changed(EventCode::UpstreamEjected));
             self.capacity.invalidate();
         }
     }
--- a/src/decide/service/sharing.rs
+++ b/src/decide/service/sharing.rs
@@ -31,7 +31,7 @@
             at: now,
         };
         row.said(word, now);
-        row.refresh();
+        row.refresh(&mut self.changes);
         if let (None, Some(said)) = (row.reading, row.said) {
             self.baseline.read(said.value);
         }
@@ -46,7 +46,7 @@
     pub fn forget(&mut self, host: &str) {
         for row in &mut self.rows {
             row.forget(host);
-            row.refresh();
+            row.refresh(&mut self.changes);
         }
         self.capacity.invalidate();
     }
--- a/src/decide/tick.rs
+++ b/src/decide/tick.rs
@@ -7,6 +7,7 @@
 use crate::config::Service;
 use crate::decide::admit::{Admission, Target, Ticket};
 use crate::decide::service::{HostFacts, ServiceTable};
+use crate::decide::upstream::Changed;
 use crate::time::Time;
 
 /// The tables of all services, sorted by name.
@@ -21,6 +22,8 @@
 pub struct Ticked {
     /// Decisions on requests that waited, with the service's name.
     pub released: Vec<(Arc<str>, Ticket, Admission)>,
+    /// Changes of upstreams, with the service's name.
+    pub changes: Vec<(Arc<str>, Changed)>,
     /// Probes to send, with the service's record.
     pub probes: Vec<(Arc<Service>, Target)>,
 }
@@ -72,6 +75,9 @@
         let mut out = Ticked::default();
         for service in &mut self.services {
             service.tick(now);
+            for change in service.take_changes() {
+                out.changes.push((service.cfg().name.clone(), change));
+            }
             for (ticket, admission) in service.release(now, rng) {
                 out.released.push((service.cfg().name.clone(), ticket, admission));
             }
--- a/src/decide/upstream.rs
+++ b/src/decide/upstream.rs
@@ -11,6 +11,7 @@
 use crate::decide::drain::Drain;
 use crate::decide::health::Health;
 use crate::decide::load::{Others, Sent, Word};
+use crate::event::EventCode;
 use crate::time::Time;
 
 /// Identifies an upstream within its service, for the life of the process.
@@ -94,6 +95,15 @@
     pub at: Time,
 }
 
+/// A change of an upstream that operators see in the time line.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Changed {
+    /// The upstream's name.
+    pub upstream: Arc<str>,
+    /// What happened to it.
+    pub code: EventCode,
+}
+
 /// One row of the table.
 #[derive(Clone, Debug)]
 pub struct Row {
@@ -172,10 +182,23 @@
         self.drain.is_set() || self.listed_leaving || !self.named
     }
 
-    /// Derives the state from what is known.
-    pub(crate) fn refresh(&mut self) {
+    /// Derives the state from what is known, and adds a change of it to `changes`.
+    pub(crate) fn refresh(&mut self, changes: &mut Vec<Changed>) {
         let leaving = self.leaving_first_hand() || self.words.iter().any(|w| w.leaving);
-        self.state = if leaving { State::Leaving } else { State::Live };
+        let state = if leaving { State::Leaving } else { State::Live };
+        if state == self.state {
+            return;
+        }
+        self.state = state;
+        changes.push(self.changed(match state {
+            State::Live => EventCode::UpstreamRestored,
+            State::Leaving => EventCode::UpstreamLeaving,
+        }));
+    }
+
+    /// Makes the note of a change.
+    pub(crate) fn changed(&self, code: EventCode) -> Changed {
+        Changed { upstream: self.name.clone(), code }
     }
 }
 
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -15,6 +15,7 @@
 use crate::decide::upstream::{Ended, Report, UpstreamId};
 use crate::entry::waiting::Waiter;
 use crate::error::Code;
+use crate::event::Subject;
 use crate::node::Node;
 use crate::time::Time;
 use crate::trace::{Entry, Probe};
@@ -121,6 +122,11 @@
             self.note_tick(&ticked, now);
             ticked
         };
+        for (service, changed) in ticked.changes {
+            let upstream = Some(changed.upstream);
+            let subject = Subject { service: Some(service), upstream, ..Subject::default() };
+            self.events.record(changed.code, subject, None);
+        }
         for (service, ticket, admission) in ticked.released {
             self.deliver(&service, ticket, admission);
         }
