--- a/tests/decide_behaviour.rs
+++ b/tests/decide_behaviour.rs
@@ -7,6 +7,7 @@
 use cornelferry::admit::{Admission, Refusal, Request, Target};
 use cornelferry::config::{Priority, Service, Upstream};
 use cornelferry::error::Code;
+use cornelferry::event::EventCode;
 use cornelferry::route::Policy;
 use cornelferry::service::{Again, HostFacts, ServiceTable};
 use cornelferry::upstream::{Ended, Report, Shared, State};
@@ -77,6 +78,11 @@
         count
     }
 
+    fn changes(&mut self, name: &str) -> Vec<EventCode> {
+        let changes = self.table.take_changes().into_iter();
+        changes.filter(|c| *c.upstream == *name).map(|c| c.code).collect()
+    }
+
     fn state(&self, name: &str) -> State {
         self.table.rows().iter().find(|r| *r.name == *name).expect("row").state
     }
@@ -127,6 +133,10 @@
     let mut bench = Bench::new(12, 6);
     let failed = bench.count(1_000, "u3", Ended::Failed);
     assert!((1..=12).contains(&failed), "{failed} of 1000");
+    assert_eq!(bench.changes("u3")[0], EventCode::UpstreamEjected);
+    bench.pass(MS * 60_000);
+    bench.count(200, "u3", Ended::Answered);
+    assert_eq!(bench.changes("u3"), [EventCode::UpstreamRestored]);
 }
 
 #[test]
@@ -145,6 +155,7 @@
     let mut bench = Bench::new(3, 6);
     let target = bench.start();
     bench.drain(&target);
+    assert_eq!(bench.changes(&target.name), [EventCode::UpstreamLeaving]);
     let all: Vec<Upstream> = (0..3).map(upstream).collect();
     bench.table.set_upstreams(&all, bench.now);
     bench.table.set_state(&target.name, State::Live, bench.now);
@@ -239,7 +250,22 @@
 
 #[test]
 fn slots_that_other_hosts_fill_are_left_to_them() {
-    let alone = run_until_refused(&mut Bench::new(12, 6));
+    let alone = run_until_one_waits(&mut Bench::new(12, 6));
+    let shared = run_until_one_waits(&mut beside_others());
+    assert!(shared >= 24, "{shared} beside others is less than an even share");
+    assert!(shared + 72 <= alone, "{shared} beside the 72 of others, {alone} alone");
+}
+
+#[test]
+fn what_may_not_wait_is_held_to_the_slots_that_others_leave() {
+    let alone = run_until(&mut Bench::new(12, 6), Duration::ZERO);
+    let shared = run_until(&mut beside_others(), Duration::ZERO);
+    assert!((24..=72).contains(&shared) && shared < alone, "{shared} beside others, {alone} alone");
+    assert_eq!(alone, 72);
+}
+
+/// Makes a table beside two hosts with 36 requests each in flight.
+fn beside_others() -> Bench {
     let mut bench = Bench::new(12, 6);
     for host in ["entry-2", "entry-3"] {
         (0..12).for_each(|i| bench.import(host, &format!("u{i}"), 3, false));
@@ -250,14 +276,18 @@
         let report = Report { ended: Ended::Answered, latency: MS, load: Some(6), draining: false };
         bench.table.probed(id, &report, bench.now);
     }
-    let shared = run_until_refused(&mut bench);
-    assert!((24..=72).contains(&shared) && shared < alone, "{shared} beside others, {alone} alone");
+    bench
 }
 
-fn run_until_refused(bench: &mut Bench) -> usize {
+fn run_until_one_waits(bench: &mut Bench) -> usize {
+    run_until(bench, MS * 100)
+}
+
+/// Admits requests that may wait for `wait` until one doesn't run. Returns how many ran.
+fn run_until(bench: &mut Bench, wait: Duration) -> usize {
     let run = |bench: &mut Bench| {
         bench.pass(MS / 100);
-        matches!(bench.admit(Priority::Normal, MS * 1_000, Duration::ZERO), Admission::Run(_))
+        matches!(bench.admit(Priority::Normal, MS * 1_000, wait), Admission::Run(_))
     };
     (0..1_000).take_while(|_| run(bench)).count()
 }
@@ -285,7 +315,7 @@
     bench.count(100, "", Ended::Answered);
     let close = bench.admit(Priority::Urgent, MS * 3, MS * 3);
     assert_eq!(refusal(close).code, Code::DeadlineTooClose);
-    run_until_refused(&mut bench);
+    run_until_one_waits(&mut bench);
     let normal = |bench: &mut Bench, deadline| bench.admit(Priority::Normal, deadline, deadline);
     while !matches!(normal(&mut bench, MS * 1_000), Admission::Refuse(_))
         && bench.table.waiting() < 200
@@ -295,6 +325,18 @@
     assert!(refused.retry_after >= MS * 50, "{:?}", refused.retry_after);
 }
 
+#[test]
+fn a_hedge_goes_to_a_busy_upstream_if_the_late_one_is_far_worse() {
+    let mut bench = Bench::new(2, 1);
+    bench.count(100, "", Ended::Answered);
+    let late = bench.start();
+    bench.pass(MS * 200);
+    let other = bench.start();
+    assert_ne!(other.id, late.id);
+    let hedge = bench.table.again(Again::Hedge, &[late.id], bench.now, &mut bench.rng);
+    assert_eq!(hedge.map(|h| h.id), Some(other.id));
+}
+
 #[test]
 fn a_hedge_goes_only_to_an_idle_upstream() {
     let mut bench = Bench::new(2, 1);
