Record upstreams' changes as events, and see a drain at the health endpoint

Cause: nothing recorded events 3001 to 3006 but 3004, so a time line did not show when an upstream left.

Change: decide/standing.rs compares the tables with the last look, ten times a second, and tells each change once. A probe counts as of use when the last one is 3 s old, and the upstream probed longest ago is next. The bound on probes is the token bucket, as before.

Ruled out: 1 s, which contradicts a_probe_that_changes_no_choice_is_not_sent; its owner may want to weigh the two.

--- a/examples/standin/upstream.rs
+++ b/examples/standin/upstream.rs
@@ -35,6 +35,8 @@
     pub draining: bool,
     /// What goes wrong with every request.
     pub fault: Option<Fault>,
+    /// Whether the health endpoint answers 503.
+    pub unhealthy: bool,
 }
 
 /// What goes wrong with a request.
@@ -59,7 +61,14 @@
 impl Default for Behaviour {
     fn default() -> Behaviour {
         let service_time = Duration::from_millis(5);
-        Behaviour { service_time, slowness: 1.0, fail_with: None, draining: false, fault: None }
+        Behaviour {
+            service_time,
+            slowness: 1.0,
+            fail_with: None,
+            draining: false,
+            fault: None,
+            unhealthy: false,
+        }
     }
 }
 
@@ -235,6 +244,8 @@
         Some(Fault::CutBody) => cut(&body),
         _ => Response::new(Full::new(body).map_err(|e| match e {}).boxed()),
     };
+    let status =
+        status.or((probe && behaviour.unhealthy).then_some(StatusCode::SERVICE_UNAVAILABLE));
     let refusal = refused.then_some(StatusCode::SERVICE_UNAVAILABLE);
     *res.status_mut() = refusal.or(status).unwrap_or(StatusCode::OK);
     res.headers_mut().insert("x-load", load.into());
--- a/src/decide/measure.rs
+++ b/src/decide/measure.rs
@@ -46,6 +46,9 @@
 
 /// Age up to which free information about an upstream makes a probe needless.
 const FRESH: Duration = Duration::from_millis(250);
+/// Age of the last probe from which another is of use whatever answers tell: an upstream may say
+/// by its health endpoint alone that it is leaving.
+const HEALTH: Duration = Duration::from_secs(3);
 /// Time without requests after which no choice is expected that a probe could change.
 const IDLE: Duration = Duration::from_secs(5);
 
@@ -63,8 +66,9 @@
         return None;
     }
     let known = |r: &Row| r.load.map_or(r.probed, |l| l.at.max(r.probed));
-    let due = |r: &&Row| open(r) && !r.health.ejected(now) && now.since(known(r)) >= FRESH;
-    rows.iter().filter(due).filter(|r| owned(&r.name)).min_by_key(|r| known(r))
+    let stale = |r: &Row| now.since(known(r)) >= FRESH || now.since(r.probed) >= HEALTH;
+    let due = |r: &&Row| open(r) && !r.health.ejected(now) && stale(r);
+    rows.iter().filter(due).filter(|r| owned(&r.name)).min_by_key(|r| r.probed)
 }
 
 /// Tells whether an upstream takes work, or is leaving by nothing but its own word and may be
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -15,6 +15,7 @@
 pub mod profile;
 pub mod route;
 pub mod service;
+pub mod standing;
 pub mod stored;
 pub mod tick;
 pub mod topology;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -56,7 +56,7 @@
 
 pub use decide::{
     admit, attempt, digest, hosts, matching, measure, member, pause, profile, route, service,
-    stored, tick, topology, upstream,
+    standing, stored, tick, topology, upstream,
 };
 pub use time::{Clock, Time};
 
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -124,6 +124,29 @@
     assert!(answers.iter().all(|res| code(res) == 1000), "{answers:?}");
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_drain_that_only_a_probe_has_seen_keeps_work_away() {
+    let (leaving, staying) = (upstream(1).await, upstream(1).await);
+    leaving.behaviour.lock().unhealthy = true;
+    let measure = json!({"measure": {"probes_per_second": 400.0}});
+    let upstreams = [leaving.address, staying.address];
+    let daemon = Daemon::start(&upstreams, measure, json!({}), json!({}));
+    let events = b"GET /events HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n";
+    let seen = || harness::raw(daemon.admin, events).is_ok_and(|e| e.contains("\"code\":3001"));
+    let mut told = 0;
+    while !seen() {
+        told += 1;
+        assert!(told < 1_000, "the drain is never seen");
+        assert_eq!(code(&call(&daemon, "POST", "/", &format!("{told}")).await), 1000);
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    let before = leaving.runs.lock().len();
+    for i in 0..8 {
+        assert_eq!(code(&call(&daemon, "POST", "/", &format!("after-{i}")).await), 1000);
+    }
+    assert_eq!(leaving.runs.lock().len(), before, "new work after the drain was seen");
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn requests_share_the_few_connections_that_an_upstream_accepts() {
     let narrow = upstream(5).await;
