Keep one of two records of upstreams' changes

Two branches noted when upstreams leave, are ejected and restored: the tables themselves, and a comparison of whole tables every 100 ms, whose cost grows with the fleet.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -11,19 +11,15 @@
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::MissedTickBehavior;
 
-use crate::decide::standing::Standings;
 use crate::entry::{admin, listener};
 use crate::event::{EventCode, Subject};
 use crate::forward::probe;
 use crate::node::{Node, Phase};
 use crate::settings::Settings;
-use crate::time::Time;
 use crate::{peer, platform};
 
 /// Time between two runs of the systems over the tables.
 const TICK: Duration = Duration::from_millis(10);
-/// Time between two looks for upstreams that take work or no longer do.
-const LOOK: Duration = Duration::from_millis(100);
 /// Time between two looks for connections that have been idle for too long.
 const EXPIRE: Duration = Duration::from_secs(1);
 
@@ -99,7 +95,6 @@
     let mut interval = tokio::time::interval(TICK);
     interval.set_missed_tick_behavior(MissedTickBehavior::Skip);
     let mut expired = node.clock.now();
-    let (mut standings, mut looked) = (Standings::default(), Time::ZERO);
     loop {
         interval.tick().await;
         let now = node.clock.now();
@@ -107,10 +102,6 @@
             node.pool.expire(now);
             expired = now;
         }
-        if now.since(looked) >= LOOK {
-            node.note_standings(&mut standings);
-            looked = now;
-        }
         node.watch();
         for (service, target) in node.tick(&mut rng) {
             spawn_local(probe::send(node.clone(), service, target));
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -15,7 +15,6 @@
 pub mod profile;
 pub mod route;
 pub mod service;
-pub mod standing;
 pub mod stored;
 pub mod tick;
 pub mod topology;
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -11,7 +11,6 @@
 use crate::config::Service;
 use crate::decide::admit::{Admission, Request, Target, Ticket};
 use crate::decide::service::{Again, ServiceTable};
-use crate::decide::standing::{Change, Standings};
 use crate::decide::tick::Ticked;
 use crate::decide::upstream::{Ended, Report, UpstreamId};
 use crate::entry::waiting::Waiter;
@@ -134,15 +133,6 @@
         ticked.probes
     }
 
-    /// Records the upstreams that have changed between taking work and not since the last look.
-    pub(crate) fn note_standings(&self, standings: &mut Standings) {
-        let changes = standings.look(self.tables.lock().services(), self.clock.now());
-        for Change { code, service, upstream } in changes {
-            let (service, upstream) = (Some(service), Some(upstream));
-            self.events.record(code, Subject { service, upstream, ..Subject::default() }, None);
-        }
-    }
-
     fn update(&self, service: &str, change: impl FnOnce(&mut ServiceTable, Time)) {
         let now = self.clock.now();
         let released = {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -56,7 +56,7 @@
 
 pub use decide::{
     admit, attempt, digest, hosts, matching, measure, member, pause, profile, route, service,
-    standing, stored, tick, topology, upstream,
+    stored, tick, topology, upstream,
 };
 pub use time::{Clock, Time};
 
