Record when upstreams join, leave, are ejected, restored and gone

The catalogue listed these events and nothing recorded them, so that a time line by upstream showed attempts only. The tables can't: they are pure and don't log. Each tick now compares how every row stands with the last look, one place for all causes (host list, record, drain signal, a peer's word, ejection); rows are told apart by identity, since an upstream may come back at another address while its old row finishes.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -6,6 +6,7 @@
 pub mod admit;
 pub mod attempt;
 pub(crate) mod bucket;
+pub mod change;
 pub mod digest;
 pub mod hosts;
 pub mod matching;
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -10,11 +10,13 @@
 
 use crate::config::Service;
 use crate::decide::admit::{Admission, Request, Target, Ticket};
+use crate::decide::change::Standing;
 use crate::decide::service::{Again, ServiceTable};
 use crate::decide::tick::Ticked;
 use crate::decide::upstream::{Ended, Report, UpstreamId};
 use crate::entry::waiting::Waiter;
 use crate::error::Code;
+use crate::event::{EventCode, Subject};
 use crate::node::Node;
 use crate::time::Time;
 use crate::trace::{Entry, Probe};
@@ -119,6 +121,7 @@
             let mut tables = self.tables.lock();
             let ticked = tables.tick(now, rng, owned);
             self.note_tick(&ticked, now);
+            self.note_changes(tables.services(), now);
             ticked
         };
         for (service, ticket, admission) in ticked.released {
@@ -164,6 +167,25 @@
         self.finish(service, target.id, &report);
     }
 
+    /// Records what has changed about upstreams since the last tick.
+    fn note_changes(&self, services: &[ServiceTable], now: Time) {
+        for change in self.changes.lock().look(services, now) {
+            let code = match (change.before, change.now) {
+                (None, _) => EventCode::UpstreamJoined,
+                (_, Standing::Open) => EventCode::UpstreamRestored,
+                (_, Standing::Ejected) => EventCode::UpstreamEjected,
+                (_, Standing::Leaving) => EventCode::UpstreamLeaving,
+                (_, Standing::Gone) => EventCode::UpstreamGone,
+            };
+            let subject = Subject {
+                service: Some(change.service),
+                upstream: Some(change.upstream),
+                ..Subject::default()
+            };
+            self.events.record(code, subject, None);
+        }
+    }
+
     fn note_tick(&self, ticked: &Ticked, now: Time) {
         let probe = |(service, target): &(Arc<Service>, Target)| Probe {
             service: service.name.clone(),
--- a/src/node.rs
+++ b/src/node.rs
@@ -7,6 +7,7 @@
 use tokio::sync::watch;
 
 use crate::claim::Claims;
+use crate::decide::change::Changes;
 use crate::decide::digest::Version;
 use crate::decide::hosts::HostList;
 use crate::decide::matching::Routes;
@@ -57,6 +58,8 @@
     pub(crate) members: Mutex<Members>,
     pub(crate) tables: Mutex<Tables>,
     pub(crate) waiting: Waiting,
+    /// How upstreams stood at the last tick.
+    pub(crate) changes: Mutex<Changes>,
     pub(crate) hlc: Arc<Hlc>,
     pub(crate) news: News,
     /// The newest host list.
@@ -102,6 +105,7 @@
             members: Mutex::new(Members::new(facts.host.clone(), facts.data_centre.clone())),
             tables: Mutex::new(Tables::new(facts)),
             waiting: Waiting::default(),
+            changes: Mutex::default(),
             hlc,
             news: News::default(),
             hosts: Mutex::default(),
