--- a/examples/fleet.rs
+++ b/examples/fleet.rs
@@ -33,6 +33,9 @@
     /// Upstreams of the second service
     #[arg(long, default_value_t = 20)]
     second: u16,
+    /// The platform's key-value service; none without it
+    #[arg(long)]
+    key_value: Option<SocketAddr>,
 }
 
 fn main() -> anyhow::Result<()> {
@@ -55,6 +58,7 @@
         "admin": loopback(port + 1),
         "peer": loopback(port + 2),
         "fleet_size_max": args.hosts,
+        "platform": args.key_value.map(|a| json!({ "key_value": [a] })),
         "peers": others.collect::<Vec<_>>(),
         "profiles": [{ "name": "standard" }],
         "services": [
