--- a/src/decide/digest.rs
+++ b/src/decide/digest.rs
@@ -167,11 +167,13 @@
     }
 
     /// Adds the heartbeats that are newer than the ones told. `known` returns the counter that the
-    /// other side has itself told of a process.
+    /// other side has itself told of a process. The heartbeats of one process are told `gap` apart at
+    /// least, unless it has begun to leave.
     pub fn relay<'a>(
         &mut self,
         members: impl Iterator<Item = &'a Member>,
         known: impl Fn(&Process) -> Option<u32>,
+        gap: Duration,
         now: Time,
         digest: &mut Digest,
     ) {
@@ -181,10 +183,13 @@
             let newer = known(&process).is_none_or(|c| c < member.counter);
             let Some(at) = self.position(&process, digest).filter(|_| newer) else { continue };
             let told = &mut self.processes[at];
-            if told.counter >= member.counter && told.left == member.left {
+            let is_due = told.counter < member.counter && now.since(told.at) >= gap;
+            let is_first = told.counter == 0;
+            if !is_due && !is_first && told.left == member.left {
                 continue;
             }
             told.counter = member.counter;
+            told.at = now;
             told.left = member.left;
             digest.beats.push(Beat {
                 process: at as u16,
--- a/src/decide/member.rs
+++ b/src/decide/member.rs
@@ -17,7 +17,11 @@
 pub const DEAD_AFTER: Duration = Duration::from_millis(1_800);
 
 /// The same for fleets above [`SMALL_FLEET_MAX`], whose heartbeats take more hops.
-pub const DEAD_AFTER_LARGE: Duration = Duration::from_millis(3_000);
+pub const DEAD_AFTER_LARGE: Duration = Duration::from_millis(4_000);
+
+/// The least time between two heartbeats of one host that a link relays in such a fleet. Each host
+/// hears of every other over several links, at different times.
+const RELAY_GAP_LARGE: Duration = Duration::from_millis(2_500);
 
 /// Hosts up to which [`DEAD_AFTER`] applies.
 pub const SMALL_FLEET_MAX: usize = 30;
@@ -363,9 +367,19 @@
         topology::neighbours(&places, &self.host)
     }
 
+    /// Tells whether the fleet has more than [`SMALL_FLEET_MAX`] hosts, this one included.
+    pub fn is_large(&self) -> bool {
+        self.members.len() >= SMALL_FLEET_MAX
+    }
+
     /// Returns the age at which a heartbeat is too old.
     pub fn dead_after(&self) -> Duration {
-        if self.members.len() < SMALL_FLEET_MAX { DEAD_AFTER } else { DEAD_AFTER_LARGE }
+        if self.is_large() { DEAD_AFTER_LARGE } else { DEAD_AFTER }
+    }
+
+    /// Returns the least time between two heartbeats of one host that a link relays.
+    pub fn relay_gap(&self) -> Duration {
+        if self.is_large() { RELAY_GAP_LARGE } else { Duration::ZERO }
     }
 
     fn standing_of(&self, member: &Member, now: Time) -> Standing {
--- a/src/peer/dial.rs
+++ b/src/peer/dial.rs
@@ -109,7 +109,7 @@
         answered(first);
         first = false;
         sleep(EXCHANGE_GAP).await;
-        let wait = jittered(local.traffic.interval(local.node.clock.now()));
+        let wait = jittered(interval(local));
         tokio::select! {
             () = sleep(wait.saturating_sub(EXCHANGE_GAP)) => {}
             _ = news.changed() => {}
@@ -118,6 +118,11 @@
     }
 }
 
+fn interval(local: &Local) -> Duration {
+    let is_large = local.node.members.lock().is_large();
+    local.traffic.interval(is_large, local.node.clock.now())
+}
+
 fn jittered(wait: Duration) -> Duration {
     wait.mul_f64(rand::rng().random_range(1.0 - JITTER..1.0 + JITTER))
 }
--- a/src/peer/session.rs
+++ b/src/peer/session.rs
@@ -188,7 +188,8 @@
         let peer = heard.sender().map(|p| p.host.clone());
         let members = self.local.node.members.lock();
         let others = members.heard(now).filter(|m| Some(&m.host) != peer.as_ref());
-        out.relay(others, |p| heard.counter_of(p), now, digest);
+        let gap = members.relay_gap();
+        out.relay(others, |p| heard.counter_of(p), gap, now, digest);
     }
 
     fn hear(&self, taken: &Taken) -> Result<(), Error> {
--- a/src/peer/traffic.rs
+++ b/src/peer/traffic.rs
@@ -23,11 +23,11 @@
 /// Time between two exchanges over one link.
 const INTERVAL: Duration = Duration::from_millis(500);
 
-/// The same while the host is over its bytes a second.
-const INTERVAL_OVERSPENT: Duration = Duration::from_millis(700);
+/// The same in a large fleet while the host is over its bytes a second.
+const INTERVAL_OVERSPENT: Duration = Duration::from_millis(900);
 
 /// A token bucket of bytes that may be overdrawn: heartbeats and versions go out in any case, and
-/// what they take is saved on load figures and on the interval.
+/// what they take is saved on load figures and, in a large fleet, on the interval.
 #[derive(Debug, Default)]
 pub(crate) struct Traffic {
     tokens: Cell<f64>,
@@ -46,9 +46,10 @@
         (spare / LOAD_BYTES).clamp(0.0, LOADS_MAX) as usize
     }
 
-    /// Returns the time until the next exchange.
-    pub(crate) fn interval(&self, now: Time) -> Duration {
-        if self.tokens_at(now) < 0.0 { INTERVAL_OVERSPENT } else { INTERVAL }
+    /// Returns the time until the next exchange. A small fleet keeps to its interval in any case, as
+    /// its hosts are soon considered dead.
+    pub(crate) fn interval(&self, is_large: bool, now: Time) -> Duration {
+        if is_large && self.tokens_at(now) < 0.0 { INTERVAL_OVERSPENT } else { INTERVAL }
     }
 
     fn tokens_at(&self, now: Time) -> f64 {
--- a/tests/digest.rs
+++ b/tests/digest.rs
@@ -89,7 +89,7 @@
     let mut relay = |known: Option<u32>| {
         let mut digest = Digest::default();
         out.introduce(&process("a", 1), &mut digest);
-        out.relay(members.members().iter(), |_| known, now, &mut digest);
+        out.relay(members.members().iter(), |_| known, Duration::ZERO, now, &mut digest);
         digest
     };
     let first = relay(Some(4));
@@ -102,3 +102,22 @@
     assert_eq!(beat.at, Time::from_millis(89_400));
     assert!(relay(None).beats.is_empty());
 }
+
+#[test]
+fn heartbeats_are_relayed_a_gap_apart_and_a_farewell_at_once() {
+    let gap = Duration::from_secs(2);
+    let mut members = Members::new("a".into(), "dc".into());
+    let mut out = Outgoing::default();
+    let mut told = |counter: u32, millis: u64, left: bool| {
+        let now = Time::from_millis(millis);
+        members.hear(&process("c", 7), Heartbeat { counter, at: now, left });
+        let mut digest = Digest::default();
+        out.relay(members.members().iter(), |_| None, gap, now, &mut digest);
+        digest.beats.len()
+    };
+    assert_eq!(told(1, 100, false), 1);
+    assert_eq!(told(2, 600, false), 0);
+    assert_eq!(told(3, 2_100, false), 1);
+    assert_eq!(told(4, 2_200, true), 1);
+    assert_eq!(told(5, 2_300, true), 0);
+}
