--- a/src/lib.rs
+++ b/src/lib.rs
@@ -60,14 +60,15 @@
 };
 pub use time::{Clock, Time};
 
+mod claim;
 mod decide;
 mod dispatch;
+mod document;
 mod entry;
 mod forward;
 mod metrics;
 mod node;
 mod peer;
-#[allow(dead_code, reason = "the tool and claims take the rest into use")]
 mod platform;
 mod time;
 
--- a/src/trace/mod.rs
+++ b/src/trace/mod.rs
@@ -13,6 +13,8 @@
 mod probing;
 pub(crate) mod recorder;
 mod replay;
+#[cfg(test)]
+mod tests;
 
 use std::io::{BufRead, Read};
 use std::sync::Arc;
@@ -85,6 +87,11 @@
         /// What it knows.
         shared: Shared,
     },
+    /// What a peer had shared was forgotten.
+    Forget {
+        /// The peer.
+        host: Arc<str>,
+    },
     /// A new request was decided on.
     Admit {
         /// The service.
