Estimate other hosts' load once a millisecond, not at each choice

Change: the estimate per row is kept with the capacity's, which reads all rows each millisecond anyway; an upstream that is not slow is told so without a division.

--- a/src/decide/capacity.rs
+++ b/src/decide/capacity.rs
@@ -39,10 +39,10 @@
 }
 
 impl Capacity {
-    /// Makes the estimate anew if it is old.
+    /// Makes the estimate anew if it is old, and with it those of the rows.
     pub(crate) fn refresh(
         &mut self,
-        rows: &[Row],
+        rows: &mut [Row],
         cfg: &Service,
         baseline: &Baseline,
         fleet_size_max: u32,
@@ -53,9 +53,13 @@
         }
         let cold_start = Duration::from_millis(cfg.cold_start_ms);
         let (mut slots, mut others, mut peers) = (0.0, 0.0, 0);
-        for row in rows.iter().filter(|r| r.state == State::Live && !r.health.ejected(now)) {
+        for row in rows.iter_mut() {
+            let estimate = row.estimate_others(baseline, now);
+            if row.state == State::Leaving || row.health.ejected(now) {
+                continue;
+            }
             slots += cfg.slots.max(1) as f32 * row.health.share(cold_start, now);
-            others += row.others(baseline, now);
+            others += estimate;
             peers = peers.max(row.words.len());
         }
         let hosts = if peers > 0 { peers as f32 + 1.0 } else { fleet_size_max.max(1) as f32 };
--- a/src/decide/load.rs
+++ b/src/decide/load.rs
@@ -124,6 +124,9 @@
         let Some(late) = baseline.late() else { return 1.0 };
         let mean = baseline.mean();
         let oldest = self.sent.first().map_or(0.0, |s| age(s.at, now));
+        if oldest <= mean && self.latency <= mean * SLOW_FACTOR {
+            return 1.0;
+        }
         let past = self.latency(baseline, now);
         if oldest <= mean {
             return (past / (mean * SLOW_FACTOR)).max(1.0);
@@ -144,6 +147,12 @@
         weigh([self.said, None], baseline, now)
     }
 
+    /// Takes the estimate of other hosts' requests anew, for [`Self::cost`], and returns it.
+    pub(crate) fn estimate_others(&mut self, baseline: &Baseline, now: Time) -> f32 {
+        self.others_estimate = self.others(baseline, now);
+        self.others_estimate
+    }
+
     /// Returns the requests expected in flight here, this host's own included.
     pub(crate) fn expected(&self, baseline: &Baseline, now: Time) -> f32 {
         self.in_flight as f32 + self.others(baseline, now)
@@ -157,7 +166,7 @@
     pub(crate) fn cost(&self, baseline: &Baseline, slots: u32, extra: f32, now: Time) -> f32 {
         let slots = slots.max(1) as f32;
         let usual = baseline.others();
-        let others = usual + (self.others(baseline, now) - usual) * CORRECTION;
+        let others = usual + (self.others_estimate - usual) * CORRECTION;
         let expected = self.in_flight as f32 + others + extra;
         let queued = (expected + 1.0 - slots).max(0.0) / slots;
         self.slowness(baseline, now) * (1.0 + queued + BUSY_COST * expected / slots)
--- a/src/decide/service/admission.rs
+++ b/src/decide/service/admission.rs
@@ -99,7 +99,7 @@
 
     /// Tells whether one more request like `req` may be in flight.
     fn room(&mut self, req: &Request, now: Time) -> bool {
-        let (rows, cfg, baseline) = (&self.rows, &self.cfg, &self.baseline);
+        let (rows, cfg, baseline) = (&mut self.rows, &self.cfg, &self.baseline);
         self.capacity.refresh(rows, cfg, baseline, self.facts.fleet_size_max, now);
         let limit = match req.wait_until > now {
             true => self.capacity.limit(req.priority),
--- a/src/decide/upstream.rs
+++ b/src/decide/upstream.rs
@@ -135,6 +135,8 @@
     pub(crate) said: Option<Others>,
     /// Other hosts' requests in flight, from the newest load that the upstream reported.
     pub(crate) reading: Option<Others>,
+    /// Other hosts' requests in flight, as estimated a short time ago.
+    pub(crate) others_estimate: f32,
     /// The attempts in flight, oldest first.
     pub(crate) sent: Vec<Sent>,
     /// Mean latency of recent answers, in microseconds; 0 before the first.
@@ -167,6 +169,7 @@
             words: Vec::new(),
             said: None,
             reading: None,
+            others_estimate: 0.0,
             sent: Vec::new(),
             latency: 0.0,
             answered: now,
