--- a/tests/decide_behaviour.rs
+++ b/tests/decide_behaviour.rs
@@ -251,6 +251,21 @@
 #[test]
 fn slots_that_other_hosts_fill_are_left_to_them() {
     let alone = run_until_one_waits(&mut Bench::new(12, 6));
+    let shared = run_until_one_waits(&mut beside_others());
+    assert!(shared >= 24, "{shared} beside others is less than an even share");
+    assert!(shared + 72 <= alone, "{shared} beside the 72 of others, {alone} alone");
+}
+
+#[test]
+fn what_may_not_wait_is_held_to_the_slots_that_others_leave() {
+    let alone = run_until(&mut Bench::new(12, 6), Duration::ZERO);
+    let shared = run_until(&mut beside_others(), Duration::ZERO);
+    assert!((24..=72).contains(&shared) && shared < alone, "{shared} beside others, {alone} alone");
+    assert_eq!(alone, 72);
+}
+
+/// Makes a table beside two hosts with 36 requests each in flight.
+fn beside_others() -> Bench {
     let mut bench = Bench::new(12, 6);
     for host in ["entry-2", "entry-3"] {
         (0..12).for_each(|i| bench.import(host, &format!("u{i}"), 3, false));
@@ -261,15 +276,18 @@
         let report = Report { ended: Ended::Answered, latency: MS, load: Some(6), draining: false };
         bench.table.probed(id, &report, bench.now);
     }
-    let shared = run_until_one_waits(&mut bench);
-    assert!(shared >= 24, "{shared} beside others is less than an even share");
-    assert!(shared + 72 <= alone, "{shared} beside the 72 of others, {alone} alone");
+    bench
 }
 
 fn run_until_one_waits(bench: &mut Bench) -> usize {
+    run_until(bench, MS * 100)
+}
+
+/// Admits requests that may wait for `wait` until one doesn't run. Returns how many ran.
+fn run_until(bench: &mut Bench, wait: Duration) -> usize {
     let run = |bench: &mut Bench| {
         bench.pass(MS / 100);
-        matches!(bench.admit(Priority::Normal, MS * 1_000, MS * 100), Admission::Run(_))
+        matches!(bench.admit(Priority::Normal, MS * 1_000, wait), Admission::Run(_))
     };
     (0..1_000).take_while(|_| run(bench)).count()
 }
