--- a/src/platform/records.rs
+++ b/src/platform/records.rs
@@ -111,8 +111,8 @@
         }
         self.take_in(&loaded);
         self.node.resynced(pauses);
-        if full && self.on_duty() {
-            restore::put_back(&self.node, &self.client, &loaded).await;
+        if full && self.on_duty() && !restore::put_back(&self.node, &self.client, &loaded).await {
+            self.reads = 0;
         }
         Ok(true)
     }
--- a/src/platform/restore.rs
+++ b/src/platform/restore.rs
@@ -6,12 +6,13 @@
 use crate::platform::call::{Compare, Entry, Op, Txn};
 use crate::platform::client::{Client, Loaded};
 
-/// Records put back at a time; the rest follow with the next reads of everything.
+/// Records put back at a time; the rest follow after another read of everything.
 const PUT_BACK_MAX: usize = 10;
 
 /// Stores again what is in force here and newer than what the service holds. The comparison with
-/// the revision that was read fences it: whatever else was stored meanwhile stays.
-pub(crate) async fn put_back(node: &Node, client: &Client, loaded: &Loaded) {
+/// the revision that was read fences it: whatever else was stored meanwhile stays. Returns whether
+/// everything was in place, so that no other read of everything is due.
+pub(crate) async fn put_back(node: &Node, client: &Client, loaded: &Loaded) -> bool {
     let records: Vec<Record> = node.catalog.lock().records().to_vec();
     let newer = records.iter().filter_map(|r| {
         let key = client.keys.record(r.kind(), &r.name);
@@ -21,12 +22,14 @@
         older.then(|| put(client, r, entry.map_or(0, |e| e.revision)))
     });
     let newer: Vec<Txn> = newer.take(PUT_BACK_MAX).collect();
+    let in_place = newer.is_empty();
     for txn in newer {
         log::warn!("puts {:?} back into the key-value service", txn.compare);
         if let Err(e) = (client.platform.txn)(txn).await {
             log::warn!("key-value service: {e}");
         }
     }
+    in_place
 }
 
 fn is_older(entry: &Entry, record: &Record) -> bool {
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -172,6 +172,19 @@
     });
 }
 
+#[test]
+fn more_records_than_are_put_back_at_a_time_are_all_put_back() {
+    following(|platform, node| async move {
+        let older = platform.store(|s| s.clone());
+        (0..25).for_each(|i| put(&platform, &format!("p{i}"), 1));
+        follow(&node);
+        until("in force", || node.catalog.lock().records().len() == 25).await;
+        platform.store(|s| s.restore(older));
+        let stored = || platform.store(|s| s.keys("/cornelferry/profile/").len());
+        until("all are put back", || stored() == 25).await;
+    });
+}
+
 /// Returns a profile record as a host writes it, with every field.
 fn profile_value(name: &str, version: u64) -> String {
     let record: crate::decide::profile::Record =
