Test that changes spread though the watchers die

Of four daemons the first is killed three times over, each time after two were seen to hold a watch, and the rest must have the next version in force. The stand-in tells how many watches are open, since the test passed before they had settled and proved little.

--- a/examples/standin/platform.rs
+++ b/examples/standin/platform.rs
@@ -103,6 +103,11 @@
         *self.hosts.lock() = hosts;
     }
 
+    /// Returns how many watches are open.
+    pub fn watches(&self) -> usize {
+        self.store.receiver_count()
+    }
+
     /// Returns how often each kind of call was made.
     pub fn calls(&self) -> Calls {
         *self.calls.lock()
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -77,3 +77,15 @@
     hosts[1].signal("CONT");
     until("in force again", || version(&hosts[1]) == Some(3));
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn changes_come_into_force_though_the_hosts_that_watch_die() {
+    let (platform, peers) = start(4).await;
+    let mut hosts: Vec<Daemon> = (0..4).map(|i| host(i, &peers, &platform)).collect();
+    for newest in 2..=4 {
+        until("two hosts watch", || platform.watches() == 2);
+        drop(hosts.remove(0));
+        put(&platform, newest);
+        until("in force", || hosts.iter().all(|h| version(h) == Some(newest)));
+    }
+}
