Tell every host of an upstream that leaves

Cause: a host exports only what it saw itself, and exchanges digests with 6 of 17 others, so the word of a leaving upstream stopped at its neighbours.

Change: sightings of leaving upstreams travel on with their age, which no relay makes younger, and end 3 s after the last host that saw it itself. A new one starts an exchange at once.

Ruled out: exporting what peers say (two hosts would confirm each other for good).

Seen: the new test on 8 hosts fails within its guard when sightings are not passed on, and passes with them; so does the pure test of two hosts that tell each other.

--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -18,6 +18,7 @@
   upstreams @8 :List(Upstream);  # Upstreams named for the first time.
   loads @9 :List(Load);          # Upstreams whose figures have changed.
   recent @10 :List(Version);     # Records that have come into force.
+  leaves @12 :List(Leave);       # Upstreams that some host has seen to be leaving.
   stale @11 :Bool;               # The sender was paused and has not heard of the newest records.
 }
 
@@ -49,6 +50,11 @@
   leaving @4 :Bool;
 }
 
+struct Leave {
+  upstream @0 :UInt16;
+  age @1 :UInt8;                 # In units of 20 ms.
+}
+
 enum Kind {
   profile @0;
   service @1;
--- a/src/decide/digest.rs
+++ b/src/decide/digest.rs
@@ -9,6 +9,7 @@
 
 use twox_hash::XxHash64;
 
+use crate::decide::leaving::Sighting;
 use crate::decide::member::{Heartbeat, Member, Process};
 use crate::decide::profile::{Catalog, Kind, Record};
 use crate::decide::upstream::Shared;
@@ -18,6 +19,9 @@
 /// Processes that a connection may name.
 const PROCESSES_MAX: usize = 4_096;
 
+/// Sightings of leaving upstreams that a digest may hold.
+const LEAVES_MAX: usize = 32;
+
 /// Upstreams that a connection may name.
 const UPSTREAMS_MAX: usize = u16::MAX as usize;
 
@@ -84,7 +88,7 @@
 }
 
 /// Names an upstream.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct UpstreamName {
     /// The service.
     pub service: Arc<str>,
@@ -105,6 +109,15 @@
     pub leaving: bool,
 }
 
+/// An upstream that leaves, which is a position in the connection's list of upstreams.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Leave {
+    /// Which upstream.
+    pub upstream: u16,
+    /// The time since some host has seen it itself.
+    pub age: Duration,
+}
+
 /// One digest.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Digest {
@@ -126,6 +139,8 @@
     pub upstreams: Vec<UpstreamName>,
     /// Upstreams whose figures have changed.
     pub loads: Vec<Load>,
+    /// Upstreams that some host has seen to be leaving.
+    pub leaves: Vec<Leave>,
     /// Records that have come into force.
     pub recent: Vec<Version>,
 }
@@ -219,10 +234,40 @@
         }
     }
 
+    /// Adds the newest sightings of upstreams that leave, at most [`LEAVES_MAX`].
+    pub fn pass_on(&mut self, sightings: &[Sighting], now: Time, digest: &mut Digest) {
+        let mut newest: Vec<&Sighting> = sightings.iter().collect();
+        newest.sort_by_key(|s| std::cmp::Reverse(s.at));
+        for sighting in newest.into_iter().take(LEAVES_MAX) {
+            let what = Shared {
+                service: sighting.name.service.clone(),
+                upstream: sighting.name.name.clone(),
+                in_flight: 0,
+                load: None,
+                leaving: false,
+            };
+            let Some(at) = self.place(&what, now, digest) else { continue };
+            digest.leaves.push(Leave { upstream: at as u16, age: now.since(sighting.at) });
+        }
+    }
+
     fn tell(&mut self, shared: &Shared, now: Time, digest: &mut Digest) {
-        let at = match self.find(shared) {
-            Ok(at) => at,
-            Err(_) if self.upstreams.len() == UPSTREAMS_MAX => return,
+        let Some(at) = self.place(shared, now, digest) else { return };
+        self.upstreams[at].what = shared.clone();
+        self.upstreams[at].at = now;
+        digest.loads.push(Load {
+            upstream: at as u16,
+            in_flight: shared.in_flight.min(u32::from(u16::MAX)) as u16,
+            load: shared.load.map(|(value, age)| (value.min(u32::from(u16::MAX)) as u16, age)),
+            leaving: shared.leaving,
+        });
+    }
+
+    /// Returns the position of an upstream, which is named if it isn't yet.
+    fn place(&mut self, shared: &Shared, now: Time, digest: &mut Digest) -> Option<usize> {
+        match self.find(shared) {
+            Ok(at) => Some(at),
+            Err(_) if self.upstreams.len() == UPSTREAMS_MAX => None,
             Err(place) => {
                 self.order.insert(place, self.upstreams.len() as u16);
                 let (service, name) = (shared.service.clone(), shared.upstream.clone());
@@ -233,17 +278,9 @@
                     at: now,
                     left: false,
                 });
-                self.upstreams.len() - 1
+                Some(self.upstreams.len() - 1)
             }
-        };
-        self.upstreams[at].what = shared.clone();
-        self.upstreams[at].at = now;
-        digest.loads.push(Load {
-            upstream: at as u16,
-            in_flight: shared.in_flight.min(u32::from(u16::MAX)) as u16,
-            load: shared.load.map(|(value, age)| (value.min(u32::from(u16::MAX)) as u16, age)),
-            leaving: shared.leaving,
-        });
+        }
     }
 
     /// Returns the position of an upstream, or the place in `order` where it would stand.
@@ -292,6 +329,8 @@
     pub beats: Vec<(Process, Heartbeat)>,
     /// What the sender knows of upstreams.
     pub shared: Vec<Shared>,
+    /// Upstreams that some host has seen to be leaving.
+    pub leaves: Vec<Sighting>,
 }
 
 impl Incoming {
@@ -324,11 +363,17 @@
         for beat in &digest.beats {
             let Some(named) = self.processes.get_mut(usize::from(beat.process)) else { continue };
             named.1 = named.1.max(beat.counter);
-            let at = Time::from_micros(now.as_micros().saturating_sub(micros(beat.age)));
+            let at = before(now, beat.age);
             beats.push((named.0.clone(), Heartbeat { counter: beat.counter, at, left: beat.left }));
         }
         let shared = digest.loads.iter().filter_map(|l| self.shared(l)).collect();
-        Some(Taken { sender, beats, shared })
+        let leaves = digest.leaves.iter().filter_map(|l| self.sighting(l, now)).collect();
+        Some(Taken { sender, beats, shared, leaves })
+    }
+
+    fn sighting(&self, leave: &Leave, now: Time) -> Option<Sighting> {
+        let name = self.upstreams.get(usize::from(leave.upstream))?.clone();
+        Some(Sighting { name, at: before(now, leave.age) })
     }
 
     fn shared(&self, load: &Load) -> Option<Shared> {
@@ -353,6 +398,10 @@
     changed || renewed
 }
 
+fn before(now: Time, age: Duration) -> Time {
+    Time::from_micros(now.as_micros().saturating_sub(micros(age)))
+}
+
 fn micros(d: Duration) -> u64 {
     u64::try_from(d.as_micros()).unwrap_or(u64::MAX)
 }
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -8,6 +8,7 @@
 pub(crate) mod bucket;
 pub mod digest;
 pub mod hosts;
+pub mod leaving;
 pub mod matching;
 pub mod measure;
 pub mod member;
--- a/src/peer/codec.rs
+++ b/src/peer/codec.rs
@@ -5,13 +5,13 @@
 
 use capnp::Error;
 
-use crate::decide::digest::{Beat, Digest, Load, Summary, UpstreamName, Version};
+use crate::decide::digest::{Beat, Digest, Leave, Load, Summary, UpstreamName, Version};
 use crate::decide::member::Process;
 use crate::decide::profile::Kind;
 use crate::hlc::Stamp;
 use crate::peer::peer_capnp as wire;
 
-/// The unit of a heartbeat's age.
+/// The unit of the age of a heartbeat and of a sighting.
 const BEAT_AGE_UNIT: Duration = Duration::from_millis(20);
 
 /// The unit of a load reading's age.
@@ -36,6 +36,7 @@
     write_beats(&digest.beats, &mut out);
     write_upstreams(&digest.upstreams, &mut out);
     write_loads(&digest.loads, &mut out);
+    write_leaves(&digest.leaves, &mut out);
     if !digest.recent.is_empty() {
         write_versions(&digest.recent, out.init_recent(digest.recent.len() as u32));
     }
@@ -60,6 +61,7 @@
         beats: digest.get_beats()?.iter().map(read_beat).collect(),
         upstreams: digest.get_upstreams()?.iter().map(read_upstream).collect::<Result<_, _>>()?,
         loads: digest.get_loads()?.iter().map(read_load).collect(),
+        leaves: digest.get_leaves()?.iter().map(read_leave).collect(),
         recent: read_versions(digest.get_recent()?)?,
     })
 }
@@ -192,6 +194,22 @@
     }
 }
 
+fn write_leaves(leaves: &[Leave], out: &mut wire::digest::Builder<'_>) {
+    if leaves.is_empty() {
+        return;
+    }
+    let mut rows = out.reborrow().init_leaves(leaves.len() as u32);
+    for (i, leave) in leaves.iter().enumerate() {
+        let mut row = rows.reborrow().get(i as u32);
+        row.set_upstream(leave.upstream);
+        row.set_age(units(leave.age, BEAT_AGE_UNIT));
+    }
+}
+
+fn read_leave(row: wire::leave::Reader<'_>) -> Leave {
+    Leave { upstream: row.get_upstream(), age: BEAT_AGE_UNIT * u32::from(row.get_age()) }
+}
+
 /// Rounds an age up to whole units, so that no relay makes anything younger.
 fn units(age: Duration, unit: Duration) -> u8 {
     u8::try_from(age.as_micros().div_ceil(unit.as_micros())).unwrap_or(u8::MAX)
--- a/src/peer/links.rs
+++ b/src/peer/links.rs
@@ -51,6 +51,7 @@
     loop {
         sleep(CHECK).await;
         let now = local.node.clock.now();
+        local.refresh(now);
         let found = local.node.pause.lock().pauses();
         if found != pauses {
             pauses = found;
--- a/src/peer/local.rs
+++ b/src/peer/local.rs
@@ -8,7 +8,8 @@
 
 use prometheus::IntCounter;
 
-use crate::decide::digest::{Summary, Version};
+use crate::decide::digest::{Summary, UpstreamName, Version};
+use crate::decide::leaving::{SIGHTING_AGE_MAX, Sighting, Sightings};
 use crate::decide::member::Process;
 use crate::decide::upstream::Shared;
 use crate::node::Node;
@@ -21,6 +22,9 @@
 /// Time between two rises of the heartbeat counter.
 const BEAT: Duration = Duration::from_millis(100);
 
+/// The name under which relayed sightings of leaving upstreams enter the tables.
+const RELAYED: &str = "(relayed)";
+
 /// The age at which the figures to share are taken from the tables anew.
 const FIGURES_MAX_AGE: Duration = Duration::from_millis(100);
 
@@ -31,6 +35,8 @@
     pub(crate) traffic: Traffic,
     /// Versions that this host can't read.
     pub(crate) unreadable: RefCell<Vec<Version>>,
+    /// Upstreams that some host has seen to be leaving.
+    pub(crate) sightings: RefCell<Sightings>,
     sent: IntCounter,
     received: IntCounter,
     /// Hosts that dial this one, with the time of their last exchange, sorted by name.
@@ -52,6 +58,7 @@
             process: RefCell::new(process),
             traffic: Traffic::default(),
             unreadable: RefCell::default(),
+            sightings: RefCell::default(),
             sent: node.metrics.control_bytes("sent"),
             received: node.metrics.control_bytes("received"),
             dialled_by: RefCell::default(),
@@ -108,12 +115,50 @@
             Some((at, figures)) if now.since(*at) < FIGURES_MAX_AGE => figures.clone(),
             _ => {
                 let tables = self.node.tables.lock();
-                let figures = tables.services().iter().flat_map(|s| s.export(now)).collect();
+                let figures: Vec<Shared> =
+                    tables.services().iter().flat_map(|s| s.export(now)).collect();
+                drop(tables);
+                self.see_leaving(&figures, now);
                 cached.insert((now, Rc::new(figures))).1.clone()
             }
         }
     }
 
+    /// Looks for upstreams that have begun to leave, and for those that nobody sees leaving any more.
+    pub(crate) fn refresh(&self, now: Time) {
+        self.figures(now);
+        let ended = self.sightings.borrow_mut().expire(now);
+        ended.iter().for_each(|name| self.import_leaving(name, false, now));
+    }
+
+    /// Takes note of what another host says about an upstream that leaves.
+    pub(crate) fn told_leaving(&self, sighting: &Sighting, now: Time) {
+        if now.since(sighting.at) >= SIGHTING_AGE_MAX {
+            return;
+        }
+        if self.sightings.borrow_mut().see(&sighting.name, sighting.at) {
+            self.import_leaving(&sighting.name, true, now);
+            self.node.news.signal();
+        }
+    }
+
+    fn see_leaving(&self, figures: &[Shared], now: Time) {
+        let mut is_new = false;
+        for shared in figures.iter().filter(|s| s.leaving) {
+            let (service, name) = (shared.service.clone(), shared.upstream.clone());
+            is_new |= self.sightings.borrow_mut().see(&UpstreamName { service, name }, now);
+        }
+        if is_new {
+            self.node.news.signal();
+        }
+    }
+
+    fn import_leaving(&self, name: &UpstreamName, leaving: bool, now: Time) {
+        let (service, upstream) = (name.service.clone(), name.name.clone());
+        let shared = Shared { service, upstream, in_flight: 0, load: None, leaving };
+        self.node.import(&mut self.node.tables.lock(), RELAYED, &shared, now);
+    }
+
     /// Takes note of an exchange that another host began.
     pub(crate) fn dialled(&self, host: &Arc<str>, now: Time) {
         let mut dialled = self.dialled_by.borrow_mut();
--- a/src/peer/session.rs
+++ b/src/peer/session.rs
@@ -153,7 +153,9 @@
         }
         self.relay(&mut out, now, &mut digest);
         let max = self.local.traffic.loads_max(now);
-        out.share(&self.local.figures(now), now, max, &mut digest);
+        let figures = self.local.figures(now);
+        out.pass_on(self.local.sightings.borrow().rows(), now, &mut digest);
+        out.share(&figures, now, max, &mut digest);
         digest
     }
 
@@ -175,6 +177,7 @@
             return Ok(());
         }
         self.import(&taken, now);
+        taken.leaves.iter().for_each(|s| self.local.told_leaving(s, now));
         self.theirs.set(Some(digest.summary));
         self.is_stale.set(digest.stale);
         self.remember(&digest.recent);
--- a/src/peer/tests.rs
+++ b/src/peer/tests.rs
@@ -14,10 +14,11 @@
 
 use super::peer_capnp as wire;
 use super::{codec, session};
-use crate::config::{Profile, Treatment};
+use crate::config::{Profile, Service, Treatment, Upstream};
 use crate::decide::digest::{Beat, Digest, Load, Summary, UpstreamName, Version};
 use crate::decide::member::{Heartbeat, Process, Standing};
 use crate::decide::profile::{Body, Kind, Record};
+use crate::decide::upstream::State;
 use crate::event::EventCode;
 use crate::hlc::Stamp;
 use crate::node::{Node, Phase};
@@ -180,6 +181,30 @@
     eventually("left", || hosts[1..].iter().all(left));
 }
 
+#[test]
+fn word_of_a_leaving_upstream_reaches_every_host_and_ends() {
+    let (hosts, _) = fleet(8);
+    let service: Arc<str> = "s".into();
+    let upstream = Upstream {
+        name: "u".into(),
+        address: "127.0.0.1:9".parse().unwrap(),
+        data_centre: "dc".into(),
+    };
+    let cfg = Service { name: service.clone(), upstreams: vec![upstream], ..Service::default() };
+    for host in &hosts {
+        host.node.tables.lock().put(Arc::new(cfg.clone()), host.node.clock.now());
+    }
+    let state = |h: &Host| h.node.tables.lock().service(&service).unwrap().rows()[0].state;
+    let set = |state| {
+        let now = hosts[0].node.clock.now();
+        hosts[0].node.tables.lock().service(&service).unwrap().set_state("u", state, now);
+    };
+    set(State::Leaving);
+    eventually("leaving", || hosts.iter().all(|h| state(h) == State::Leaving));
+    set(State::Live);
+    eventually("live again", || hosts.iter().all(|h| state(h) == State::Live));
+}
+
 #[test]
 fn a_paused_host_knows_that_it_is_behind_and_catches_up() {
     let (hosts, _) = fleet(3);
@@ -281,6 +306,7 @@
         stamp: Stamp { millis: head.0, count: head.1 },
         beat: head.2,
         leaving: head.3,
+        leaves: Vec::new(),
         stale: !head.3,
         summary: Summary { fingerprint: head.4, versions: head.0 },
         processes: lists.0,
--- a/tests/digest.rs
+++ b/tests/digest.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use cornelferry::Time;
-use cornelferry::digest::{Beat, Digest, Incoming, Load, Outgoing};
+use cornelferry::digest::{Beat, Digest, Incoming, Load, Outgoing, UpstreamName};
+use cornelferry::leaving::{SIGHTING_AGE_MAX, Sightings};
 use cornelferry::member::{Heartbeat, Members, Process};
 use cornelferry::upstream::Shared;
 use proptest::collection::vec;
@@ -121,3 +122,30 @@
     assert_eq!(told(4, 2_200, true), 1);
     assert_eq!(told(5, 2_300, true), 0);
 }
+
+#[test]
+fn hosts_do_not_confirm_each_other_in_a_sighting() {
+    let name = UpstreamName { service: "s".into(), name: "u".into() };
+    let (mut a, mut b) = (Sightings::default(), Sightings::default());
+    let (mut to_a, mut to_b) = (Outgoing::default(), Outgoing::default());
+    let (mut from_a, mut from_b) = (Incoming::default(), Incoming::default());
+    assert!(a.see(&name, Time::ZERO));
+    let pass =
+        |out: &mut Outgoing, heard: &mut Incoming, of: &Sightings, to: &mut Sightings, now| {
+            let mut digest = Digest::default();
+            out.introduce(&process("x", 1), &mut digest);
+            out.pass_on(of.rows(), now, &mut digest);
+            let taken = heard.take(&digest, now).unwrap();
+            for sighting in taken.leaves {
+                to.see(&sighting.name, sighting.at);
+            }
+        };
+    let mut now = Time::ZERO;
+    while now < Time::ZERO + SIGHTING_AGE_MAX {
+        pass(&mut to_b, &mut from_a, &a, &mut b, now);
+        pass(&mut to_a, &mut from_b, &b, &mut a, now);
+        assert!(a.expire(now).is_empty() && b.expire(now).is_empty());
+        now = now + Duration::from_millis(250);
+    }
+    assert_eq!((a.expire(now), b.expire(now)), (vec![name.clone()], vec![name]));
+}
