--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -6,7 +6,6 @@
 pub mod admit;
 pub mod attempt;
 pub(crate) mod bucket;
-pub mod change;
 pub mod digest;
 pub mod hosts;
 pub mod matching;
@@ -16,6 +15,7 @@
 pub mod profile;
 pub mod route;
 pub mod service;
+pub mod standing;
 pub mod stored;
 pub mod tick;
 pub mod topology;
--- a/src/decide/service/sharing.rs
+++ b/src/decide/service/sharing.rs
@@ -31,8 +31,8 @@
             at: now,
         };
         row.said(word, now);
-        row.refresh();
-        if let (true, Some(said)) = (self.cfg.load_header.is_empty(), row.said) {
+        row.refresh(&mut self.changes);
+        if let (None, Some(said)) = (row.reading, row.said) {
             self.baseline.read(said.value);
         }
         let Some((value, age)) = shared.load else { return };
@@ -46,7 +46,7 @@
     pub fn forget(&mut self, host: &str) {
         for row in &mut self.rows {
             row.forget(host);
-            row.refresh();
+            row.refresh(&mut self.changes);
         }
         self.capacity.invalidate();
     }
--- a/src/trace/leaving.rs
+++ b/src/trace/leaving.rs
@@ -68,13 +68,18 @@
         }
     }
 
+    /// Takes note that an upstream began to leave, whether or not the host has learnt it.
+    pub(crate) fn begin(&mut self, service: &str, upstream: &str, at: Time) {
+        let row = self.row(service, upstream);
+        (row.drained, row.gone) = (row.drained.or(Some(at)), false);
+    }
+
     /// Takes note of an attempt's end. An upstream that says that it is leaving is.
     pub(crate) fn finish(&mut self, service: &str, upstream: &str, report: &Report, at: Time) {
-        let row = self.row(service, upstream);
         if report.draining {
-            (row.drained, row.gone) = (row.drained.or(Some(at)), false);
+            self.begin(service, upstream, at);
         }
-        row.gone |= report.ended == Ended::Unconnected;
+        self.row(service, upstream).gone |= report.ended == Ended::Unconnected;
     }
 
     /// Takes note of a probe's end. An upstream that answers after nobody listened is a new one.
--- a/tests/replay.rs
+++ b/tests/replay.rs
@@ -130,6 +130,8 @@
     let drained = finish(10_000, true);
     assert_eq!(with(&[drained.clone(), admit(2_010_000, 9_000_000)]), []);
     assert_eq!(with(&[drained, admit(2_010_001, 9_000_000)]), [Rule::Leaving]);
+    let leaves = json!({"at": 10_000, "leaves": {"service": "s", "upstream": "u1"}});
+    assert_eq!(with(&[leaves, admit(3_000_000, 9_000_000)]), [Rule::Leaving]);
     let listed = json!({"at": 10_000, "state":
         {"service": "s", "upstream": "u1", "state": "leaving"}});
     let back = json!({"at": 20_000, "state": {"service": "s", "upstream": "u1", "state": "live"}});
