--- a/src/entry/caller.rs
+++ b/src/entry/caller.rs
@@ -18,6 +18,9 @@
 use crate::header;
 use crate::node::{Node, Phase};
 
+/// The service in the metrics of requests that were not taken in.
+const NOT_TAKEN_IN: &str = "";
+
 /// Answers one request of a caller.
 pub(crate) async fn handle(
     node: &Arc<Node>,
@@ -30,7 +33,10 @@
     let has_body = intake::has_body(req.headers());
     let (answer, unread) = match intake::take_in(node, &caller, &id, req).await {
         Ok(job) => (accepted(node, &caller, &job).await, false),
-        Err(code) => (Answer::own(code), has_body || intake::is_unreadable(code)),
+        Err(code) => {
+            node.metrics.answered(NOT_TAKEN_IN, code);
+            (Answer::own(code), has_body || intake::is_unreadable(code))
+        }
     };
     let mut res = response(&id, answer);
     if unread || upgrade || caller.is_last() || node.phase() >= Phase::Draining {
