--- a/src/event.rs
+++ b/src/event.rs
@@ -111,7 +111,7 @@
     pub const fn value_name(self) -> &'static str {
         match self {
             EventCode::Accepted => "deadline_ms",
-            EventCode::Sent | EventCode::Retried | EventCode::Hedged => "attempt",
+            EventCode::Sent => "attempt",
             EventCode::AttemptFailed | EventCode::Finished => "code",
             EventCode::InForce | EventCode::RecordUnreadable | EventCode::OlderIgnored => "version",
             _ => "value",
