--- a/examples/record/main.rs
+++ b/examples/record/main.rs
@@ -54,6 +54,7 @@
 struct Scene {
     upstreams: Vec<Arc<Upstream>>,
     platform: Option<Arc<Platform>>,
+    service: &'static str,
     caller: SocketAddr,
     admin: SocketAddr,
 }
@@ -89,7 +90,8 @@
             true => Some(Platform::start(local).await),
             false => None,
         };
-        Ok(Scene { upstreams, platform, caller: free_address()?, admin: free_address()? })
+        let (caller, admin) = (free_address()?, free_address()?);
+        Ok(Scene { upstreams, platform, service: size.service, caller, admin })
     }
 
     fn settings(&self, size: Size) -> Value {
@@ -132,6 +134,10 @@
         for step in scenario.steps() {
             tokio::time::sleep_until(start + step.at).await;
             tap.add(Entry::Fault { what: format!("{:?}", step.change) });
+            if let Change::Drain(i) = step.change {
+                let (service, upstream) = (self.service.into(), format!("u{i}").into());
+                tap.add(Entry::Leaves { service, upstream });
+            }
             self.change(step.change, settings).await?;
         }
         Ok(())
--- a/src/trace/mod.rs
+++ b/src/trace/mod.rs
@@ -164,6 +164,13 @@
         /// Which.
         what: String,
     },
+    /// An upstream began to leave, as the upstream knows it.
+    Leaves {
+        /// The service.
+        service: Arc<str>,
+        /// The upstream.
+        upstream: Arc<str>,
+    },
     /// How often an upstream ran a request, as the upstream knows it.
     Ran {
         /// The request id.
--- a/src/trace/outcome.rs
+++ b/src/trace/outcome.rs
@@ -82,6 +82,7 @@
             Entry::Again { service, upstream: Some(upstream), .. } => {
                 self.work(number, service, &Decision::Run(upstream.clone()), at);
             }
+            Entry::Leaves { service, upstream } => self.leaving.begin(service, upstream, at),
             Entry::Finish { service, upstream, report } => {
                 self.leaving.finish(service, upstream, report, at);
             }
--- a/tests/operate.rs
+++ b/tests/operate.rs
@@ -95,9 +95,13 @@
 async fn the_admin_address_counts_requests_and_refuses_unknown_filters() {
     let daemon = host().await;
     call(&daemon, "GET", "/", "r1").await;
+    let bad = b"GET / HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\
+                x-cornelferry-deadline-ms: soon\r\n\r\n";
+    assert_eq!(status_of(&raw(daemon.caller, bad).expect("an answer")), Some(400));
     let metrics = get(&daemon, "/metrics");
     for line in [
         "cornelferry_requests_total{code=\"1000\",service=\"s\"} 1",
+        "cornelferry_requests_total{code=\"2016\",service=\"\"} 1",
         "cornelferry_attempts_total{ended=\"answered\",service=\"s\"} 1",
         "cornelferry_request_seconds_count{outcome=\"answered\",service=\"s\"} 1",
         "cornelferry_in_flight{service=\"s\"} 0",
