--- a/tests/outcomes.rs
+++ b/tests/outcomes.rs
@@ -295,6 +295,10 @@
         let refused = answer.matches(&format!("HTTP/1.1 {status} ")).count();
         assert_eq!(answers, refused, "{bytes:.80}: {answer}");
     }
+    let together =
+        b"POST / HTTP/1.1\r\nhost: a\r\nexpect: 100-continue\r\ncontent-length: 2\r\n\r\nab";
+    let answer = raw(daemon.caller, together).expect("an answer");
+    assert!(answer.contains("x-cornelferry-code: 2017"), "{answer}");
     let cut = b"POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n5\r\nab";
     let stream = std::net::TcpStream::connect(daemon.caller).unwrap();
     (&stream).write_all(cut).unwrap();
