--- a/src/decide/digest.rs
+++ b/src/decide/digest.rs
@@ -234,7 +234,7 @@
         }
     }
 
-    /// Adds the newest sightings of upstreams that leave, at most [`LEAVES_MAX`].
+    /// Adds the newest sightings of upstreams that leave, up to a bound.
     pub fn pass_on(&mut self, sightings: &[Sighting], now: Time, digest: &mut Digest) {
         let mut newest: Vec<&Sighting> = sightings.iter().collect();
         newest.sort_by_key(|s| std::cmp::Reverse(s.at));
