Take what neighbours say for their share of the fleet

Cause: since hosts link to some of the others only, the load that digests tell is a part of the fleet's; the tables took it for all of it, and the hosts heard for the whole fleet.

Change: each tick tells the tables how many other hosts are alive (recorded in traces); what neighbours say is scaled to them, and so is the even share.

--- a/src/decide/capacity.rs
+++ b/src/decide/capacity.rs
@@ -23,6 +23,31 @@
     valid: bool,
 }
 
+/// What is known of the fleet's size.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Fleet {
+    /// The most entry hosts that there may be.
+    pub(crate) size_max: u32,
+    /// The other entry hosts that are alive; 0 if that isn't known.
+    pub(crate) others: u32,
+}
+
+impl Fleet {
+    /// Returns by how much the figures of the hosts that were heard fall short of all other hosts':
+    /// only neighbours tell their requests in flight.
+    fn scale(self, heard: usize) -> f32 {
+        (self.others as f32 / heard.max(1) as f32).max(1.0)
+    }
+
+    /// Returns the entry hosts that use a service.
+    fn hosts(self, heard: usize) -> f32 {
+        match self.others.max(heard as u32) {
+            0 => self.size_max.max(1) as f32,
+            others => others as f32 + 1.0,
+        }
+    }
+}
+
 /// Age after which the estimate is made anew.
 const AGE_MAX: Duration = Duration::from_millis(1);
 
@@ -45,25 +70,24 @@
         rows: &mut [Row],
         cfg: &Service,
         baseline: &Baseline,
-        fleet_size_max: u32,
+        fleet: Fleet,
         now: Time,
     ) {
         if self.valid && now.since(self.at) < AGE_MAX {
             return;
         }
         let cold_start = Duration::from_millis(cfg.cold_start_ms);
-        let (mut slots, mut others, mut peers) = (0.0, 0.0, 0);
+        let heard = rows.iter().map(Row::hosts_heard).max().unwrap_or(0);
+        let (mut slots, mut others) = (0.0, 0.0);
         for row in rows.iter_mut() {
-            let estimate = row.estimate_others(baseline, now);
+            let estimate = row.estimate_others(baseline, fleet.scale(heard), now);
             if row.state == State::Leaving || row.health.ejected(now) {
                 continue;
             }
             slots += cfg.slots.max(1) as f32 * row.health.share(cold_start, now);
             others += estimate;
-            peers = peers.max(row.words.len());
         }
-        let hosts = if peers > 0 { peers as f32 + 1.0 } else { fleet_size_max.max(1) as f32 };
-        *self = Capacity { slots, others, hosts, at: now, valid: true };
+        *self = Capacity { slots, others, hosts: fleet.hosts(heard), at: now, valid: true };
     }
 
     /// Has the estimate made anew at the next use.
--- a/src/decide/load.rs
+++ b/src/decide/load.rs
@@ -148,8 +148,9 @@
     }
 
     /// Takes the estimate of other hosts' requests anew, for [`Self::cost`], and returns it.
-    pub(crate) fn estimate_others(&mut self, baseline: &Baseline, now: Time) -> f32 {
-        self.others_estimate = self.others(baseline, now);
+    pub(crate) fn estimate_others(&mut self, baseline: &Baseline, scale: f32, now: Time) -> f32 {
+        let said = self.said.map(|s| Others { value: s.value * scale, at: s.at });
+        self.others_estimate = weigh([self.reading, said], baseline, now);
         self.others_estimate
     }
 
@@ -203,6 +204,11 @@
         self.sum_words();
     }
 
+    /// Returns the other hosts whose requests in flight here are known.
+    pub(crate) fn hosts_heard(&self) -> usize {
+        self.words.iter().filter(|w| !w.leaving || w.in_flight > 0).count()
+    }
+
     fn sum_words(&mut self) {
         let value = self.words.iter().map(|w| w.in_flight).sum::<u32>() as f32;
         let micros = self.words.iter().map(|w| w.at.as_micros()).sum::<u64>();
--- a/src/decide/service.rs
+++ b/src/decide/service.rs
@@ -48,6 +48,7 @@
 pub struct ServiceTable {
     cfg: Arc<Service>,
     facts: HostFacts,
+    others: u32,
     rows: Vec<Row>,
     next_id: u32,
     choices: u64,
@@ -77,6 +78,7 @@
         let mut table = ServiceTable {
             cfg,
             facts,
+            others: 0,
             rows: Vec::new(),
             next_id: 0,
             choices: 0,
@@ -102,6 +104,12 @@
         &self.cfg
     }
 
+    /// Takes note of how many other entry hosts are alive. Only some of them tell their figures.
+    pub fn set_others(&mut self, others: u32) {
+        self.others = others;
+        self.capacity.invalidate();
+    }
+
     /// Returns the rows, sorted by identity.
     pub fn rows(&self) -> &[Row] {
         &self.rows
--- a/src/decide/service/admission.rs
+++ b/src/decide/service/admission.rs
@@ -7,6 +7,7 @@
 use super::{Again, ServiceTable, target};
 use crate::config::Priority;
 use crate::decide::admit::{Admission, Refusal, Request, Target, Ticket};
+use crate::decide::capacity::Fleet;
 use crate::decide::queue::Waiter;
 use crate::decide::route::{self, View};
 use crate::decide::upstream::{self, Row, State, UpstreamId};
@@ -100,7 +101,8 @@
     /// Tells whether one more request like `req` may be in flight.
     fn room(&mut self, req: &Request, now: Time) -> bool {
         let (rows, cfg, baseline) = (&mut self.rows, &self.cfg, &self.baseline);
-        self.capacity.refresh(rows, cfg, baseline, self.facts.fleet_size_max, now);
+        let fleet = Fleet { size_max: self.facts.fleet_size_max, others: self.others };
+        self.capacity.refresh(rows, cfg, baseline, fleet, now);
         let limit = match req.wait_until > now {
             true => self.capacity.limit(req.priority),
             false => self.capacity.limit_without_wait(req.priority),
--- a/src/decide/tick.rs
+++ b/src/decide/tick.rs
@@ -14,6 +14,7 @@
 #[derive(Debug)]
 pub struct Tables {
     facts: HostFacts,
+    others: u32,
     services: Vec<ServiceTable>,
 }
 
@@ -31,7 +32,7 @@
 impl Tables {
     /// Makes an empty set of tables.
     pub fn new(facts: HostFacts) -> Tables {
-        Tables { facts, services: Vec::new() }
+        Tables { facts, others: 0, services: Vec::new() }
     }
 
     /// Returns all services, sorted by name.
@@ -53,12 +54,24 @@
                 self.services[at].set_upstreams(&cfg.upstreams, now);
             }
             Err(at) => {
-                let table = ServiceTable::new(cfg, self.facts.clone(), now);
+                let mut table = ServiceTable::new(cfg, self.facts.clone(), now);
+                table.set_others(self.others);
                 self.services.insert(at, table);
             }
         }
     }
 
+    /// Returns how many other entry hosts are alive, as far as it is known; else 0.
+    pub fn others(&self) -> u32 {
+        self.others
+    }
+
+    /// Takes note of how many other entry hosts are alive.
+    pub fn set_others(&mut self, others: u32) {
+        self.others = others;
+        self.services.iter_mut().for_each(|s| s.set_others(others));
+    }
+
     /// Forgets what a host that died had shared.
     pub fn forget(&mut self, host: &str) {
         self.services.iter_mut().for_each(|s| s.forget(host));
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -118,6 +118,8 @@
                 members.owns(&format!("probe/{service}/{upstream}"), now)
             };
             let mut tables = self.tables.lock();
+            let others = members.alive(now).count();
+            self.set_others(&mut tables, u32::try_from(others).unwrap_or(u32::MAX));
             let ticked = tables.tick(now, rng, owned);
             self.note_tick(&ticked, now);
             ticked
--- a/src/trace/hooks.rs
+++ b/src/trace/hooks.rs
@@ -61,6 +61,14 @@
         tables.forget(host);
     }
 
+    /// Takes note of how many other entry hosts are alive.
+    pub(crate) fn set_others(&self, tables: &mut Tables, others: u32) {
+        if tables.others() != others {
+            self.recorder.note(|| Entry::Fleet { others });
+            tables.set_others(others);
+        }
+    }
+
     /// Shows the events to the recorder.
     pub(crate) fn record_events(&self) {
         let recorder = self.recorder.clone();
--- a/src/trace/mod.rs
+++ b/src/trace/mod.rs
@@ -92,6 +92,11 @@
         /// The peer.
         host: Arc<str>,
     },
+    /// The number of other entry hosts that are alive changed.
+    Fleet {
+        /// The number.
+        others: u32,
+    },
     /// A new request was decided on.
     Admit {
         /// The service.
--- a/src/trace/replay.rs
+++ b/src/trace/replay.rs
@@ -106,6 +106,7 @@
                     table.import(host, shared, at);
                 }
             }
+            Entry::Fleet { others } => self.tables.set_others(*others),
             Entry::Forget { host } => {
                 self.leaving.forget(host);
                 self.tables.forget(host);
--- a/tests/decide_behaviour.rs
+++ b/tests/decide_behaviour.rs
@@ -264,6 +264,21 @@
     assert_eq!(alone, 72);
 }
 
+#[test]
+fn what_neighbours_say_stands_for_the_whole_fleet() {
+    let left_by = |others| {
+        let mut bench = beside_others();
+        bench.table.set_others(others);
+        run_until(&mut bench, Duration::ZERO)
+    };
+    let (two, eight) = (left_by(2), left_by(8));
+    assert!(
+        eight < two,
+        "{eight} beside eight hosts of which two are heard, {two} beside those two"
+    );
+    assert!(eight >= 8, "{eight} is less than an even share");
+}
+
 /// Makes a table beside two hosts with 36 requests each in flight.
 fn beside_others() -> Bench {
     let mut bench = Bench::new(12, 6);
