--- a/src/decide/service.rs
+++ b/src/decide/service.rs
@@ -67,6 +67,8 @@
 
 /// Time between two searches for an upstream to probe.
 const PROBE_INTERVAL: Duration = Duration::from_millis(50);
+/// Time without requests after which a service is quiet.
+const QUIET_AFTER: Duration = Duration::from_secs(5);
 /// Changes that are held until they are asked for.
 const CHANGES_MAX: usize = 1_024;
 /// Share of failures, against that of all upstreams, below which an upstream is no outlier.
@@ -210,6 +212,13 @@
     /// nothing here.
     pub fn tick(&mut self, _now: Time) {}
 
+    /// Tells whether nothing is in flight, waits, or was asked for lately.
+    pub(crate) fn is_quiet(&self, now: Time) -> bool {
+        let asked = self.requested.is_some_and(|at| now.since(at) < QUIET_AFTER);
+        let idle = self.in_flight == 0 && self.queue.is_empty() && self.evicted.is_empty();
+        idle && !asked
+    }
+
     /// Returns the changes of upstreams since the last call.
     pub fn take_changes(&mut self) -> Vec<Changed> {
         std::mem::take(&mut self.changes)
--- a/src/decide/tick.rs
+++ b/src/decide/tick.rs
@@ -1,6 +1,7 @@
 //! The tables of all services, and the systems that run over them each tick.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use rand::Rng;
 
@@ -16,8 +17,14 @@
     facts: HostFacts,
     others: u32,
     services: Vec<ServiceTable>,
+    /// When each service is next looked at, in the order of the services. Kept apart, so that a tick
+    /// touches little of a service without requests.
+    due: Vec<Time>,
 }
 
+/// Time between two looks at a service without requests.
+const QUIET_INTERVAL: Duration = Duration::from_millis(100);
+
 /// What a tick decided.
 #[derive(Debug, Default)]
 pub struct Ticked {
@@ -32,7 +39,7 @@
 impl Tables {
     /// Makes an empty set of tables.
     pub fn new(facts: HostFacts) -> Tables {
-        Tables { facts, others: 0, services: Vec::new() }
+        Tables { facts, others: 0, services: Vec::new(), due: Vec::new() }
     }
 
     /// Returns all services, sorted by name.
@@ -43,6 +50,7 @@
     /// Finds a service by name.
     pub fn service(&mut self, name: &str) -> Option<&mut ServiceTable> {
         let at = self.services.binary_search_by(|s| (*s.cfg().name).cmp(name)).ok()?;
+        self.due[at] = Time::ZERO;
         Some(&mut self.services[at])
     }
 
@@ -52,11 +60,13 @@
             Ok(at) => {
                 self.services[at].reconfigure(cfg.clone(), now);
                 self.services[at].set_upstreams(&cfg.upstreams, now);
+                self.due[at] = Time::ZERO;
             }
             Err(at) => {
                 let mut table = ServiceTable::new(cfg, self.facts.clone(), now);
                 table.set_others(self.others);
                 self.services.insert(at, table);
+                self.due.insert(at, Time::ZERO);
             }
         }
     }
@@ -75,6 +85,7 @@
     /// Forgets what a host that died had shared.
     pub fn forget(&mut self, host: &str) {
         self.services.iter_mut().for_each(|s| s.forget(host));
+        self.due.fill(Time::ZERO);
     }
 
     /// Runs the systems over every table. `owned` tells which upstreams of which service are this
@@ -86,7 +97,10 @@
         owned: impl Fn(&str, &str) -> bool,
     ) -> Ticked {
         let mut out = Ticked::default();
-        for service in &mut self.services {
+        for (service, due) in self.services.iter_mut().zip(&mut self.due) {
+            if now < *due {
+                continue;
+            }
             service.tick(now);
             for change in service.take_changes() {
                 out.changes.push((service.cfg().name.clone(), change));
@@ -97,6 +111,7 @@
             let cfg = service.cfg().clone();
             let probes = service.probes(now, |upstream| owned(&cfg.name, upstream));
             out.probes.extend(probes.into_iter().map(|t| (cfg.clone(), t)));
+            *due = if service.is_quiet(now) { now + QUIET_INTERVAL } else { Time::ZERO };
         }
         out
     }
