--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -20,6 +20,7 @@
   recent @10 :List(Version);     # Records that have come into force.
   leaves @12 :List(Leave);       # Upstreams that some host has seen to be leaving.
   stale @11 :Bool;               # The sender was paused and has not heard of the newest records.
+  registryAge @13 :UInt16;       # Age in ms of the newest read of the platform's store that the sender heard of.
 }
 
 # One run of the daemon on an entry host.
@@ -58,6 +59,8 @@
 enum Kind {
   profile @0;
   service @1;
+  routing @2;
+  host @3;
 }
 
 struct Version {
--- a/src/claim.rs
+++ b/src/claim.rs
@@ -15,11 +15,11 @@
 use crate::forward::answer::Answer;
 use crate::header;
 use crate::node::Node;
-use crate::platform::backoff::Backoff;
-use crate::platform::call::{Call, Compare, Failure, LeaseId, Op, Txn};
-use crate::platform::client::Client;
-use crate::platform::http::Count;
 use crate::settings;
+use crate::store::backoff::Backoff;
+use crate::store::call::{Call, Compare, Failure, LeaseId, Op, Txn};
+use crate::store::client::Client;
+use crate::store::http::Count;
 use crate::time::{Clock, Time};
 
 #[cfg(test)]
--- a/src/claim/tests.rs
+++ b/src/claim/tests.rs
@@ -7,9 +7,9 @@
 use tokio::time::Instant;
 
 use super::{Claim, Claimed, Claims};
-use crate::platform::call::Failure;
 use crate::settings;
 use crate::standin::platform::Platform;
+use crate::store::call::Failure;
 
 async fn start() -> Arc<Platform> {
     Platform::start(SocketAddr::from(([127, 0, 0, 1], 0))).await
--- a/src/config.rs
+++ b/src/config.rs
@@ -52,6 +52,8 @@
     pub hedge: bool,
     /// The most attempts that an idempotent request may take, hedges included.
     pub attempts: u32,
+    /// Milliseconds within which an answer has its full value; 0 if only the deadline counts.
+    pub objective_ms: u64,
 }
 
 impl Default for Treatment {
@@ -63,6 +65,7 @@
             priority: Priority::Normal,
             hedge: false,
             attempts: 3,
+            objective_ms: 0,
         }
     }
 }
@@ -131,6 +134,23 @@
     pub retry_share: f64,
     /// Milliseconds over which a new upstream's share of work grows to its full size.
     pub cold_start_ms: u64,
+    /// How upstreams report their load in [`Service::load_header`].
+    pub load_format: LoadFormat,
+    /// The answer header that proves an upstream made the answer; empty if answers bear none. A
+    /// successful answer without it is discarded.
+    pub signature_header: String,
+    /// The answer header that repeats the request's id; empty if answers bear none. An answer with
+    /// another id is discarded.
+    pub echo_header: String,
+    /// The request header that names the upstream that is meant; empty for none.
+    pub instance_header: String,
+    /// Retries and hedges that the whole fleet may make within [`Service::retry_window_ms`]
+    /// beyond [`Service::retry_share`].
+    pub retry_slack: f64,
+    /// Milliseconds over which retries are counted.
+    pub retry_window_ms: u64,
+    /// Whether a request is preceded by probes of the upstreams that it may go to.
+    pub probe_before_send: bool,
     /// Whether a request that is not idempotent and carries an `Idempotency-Key` is run only after
     /// its key was claimed in the key-value service, so that copies at other hosts don't run.
     pub keyed_claims: bool,
@@ -154,11 +174,30 @@
             answer_buffer_bytes: 256 << 10,
             retry_share: 0.1,
             cold_start_ms: 3_000,
+            load_format: LoadFormat::default(),
+            signature_header: String::new(),
+            echo_header: String::new(),
+            instance_header: String::new(),
+            retry_slack: 100.0,
+            retry_window_ms: 10_000,
+            probe_before_send: false,
             keyed_claims: false,
         }
     }
 }
 
+/// How an upstream reports its load.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "kebab-case")]
+pub enum LoadFormat {
+    /// The number of requests in flight.
+    #[default]
+    InFlight,
+    /// Running, waiting, slots, and optionally the present work time in percent of the usual one,
+    /// separated by commas.
+    Occupancy,
+}
+
 /// One upstream of a service.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
@@ -172,6 +211,44 @@
     pub data_centre: Arc<str>,
 }
 
+/// Routes by host name and path, published as one document.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct Routing {
+    /// The routes, in any order.
+    pub routes: Vec<Route>,
+    /// The services that the routes name.
+    pub services: Vec<Service>,
+    /// The largest request head, in bytes; 0 for the host's own limit.
+    pub head_max_bytes: u64,
+}
+
+/// One route: which requests it takes, how they are treated, and where they go.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Route {
+    /// The route's name.
+    pub name: Arc<str>,
+    /// The `Host` value that matches, without port.
+    pub host: String,
+    /// The path prefix that matches; it begins and ends with a slash. The longest match wins.
+    pub path_prefix: String,
+    /// How its requests are treated.
+    pub treatment: Treatment,
+    /// The services that its requests are distributed among.
+    pub split: Vec<Share>,
+}
+
+/// A service's share of a route's requests.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Share {
+    /// The service.
+    pub service: Arc<str>,
+    /// Its share, relative to the others of the route.
+    pub weight: f64,
+}
+
 /// A signal by which an upstream proves that it did not run a request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -16,7 +16,7 @@
 use crate::forward::probe;
 use crate::node::{Node, Phase};
 use crate::settings::Settings;
-use crate::{peer, platform};
+use crate::{peer, registry, store};
 
 /// Time between two runs of the systems over the tables.
 const TICK: Duration = Duration::from_millis(10);
@@ -32,11 +32,12 @@
     let caller = bind(settings.caller, "caller")?;
     let admin = bind(settings.admin, "admin")?;
     let peer = settings.peer.map(|a| bind(a, "peer")).transpose()?;
+    let metrics = settings.metrics.map(|a| bind(a, "metrics")).transpose()?;
     let node = Node::new(settings);
     node.events.record(EventCode::Started, Subject::default(), None);
     spawn("admin", {
         let node = node.clone();
-        move || admin::run(node, admin)
+        move || admin::run(node, admin, metrics)
     })?;
     spawn("control", {
         let node = node.clone();
@@ -61,13 +62,14 @@
     let rt = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let local = LocalSet::new();
     local.block_on(&rt, async move {
-        spawn_local(platform::run(node.clone()));
+        spawn_local(store::run(node.clone()));
+        spawn_local(registry::run(node.clone()));
         if let Some(listener) = peer {
             let part = peer::run(node.clone(), listener);
             spawn_local(async { part.await.unwrap_or_else(|e| log::error!("peer: {e:#}")) });
         }
         spawn_local(tick(node.clone()));
-        if node.settings.platform.is_none() {
+        if node.settings.platform.is_none() && node.settings.registry.is_none() {
             node.enter(Phase::Ready);
             node.events.record(EventCode::Ready, Subject::default(), None);
         }
--- a/src/decide/digest.rs
+++ b/src/decide/digest.rs
@@ -129,6 +129,8 @@
     pub leaving: bool,
     /// Whether the sender was paused and has not heard of the newest records.
     pub stale: bool,
+    /// The age of what the sender knows of the platform's registry, if it follows one.
+    pub registry_age: Option<Duration>,
     /// The sender's records in force.
     pub summary: Summary,
     /// Processes named for the first time; the connection's first one is the sender.
--- a/src/decide/hosts.rs
+++ b/src/decide/hosts.rs
@@ -36,6 +36,9 @@
     /// Whether it is leaving.
     #[serde(default)]
     pub state: State,
+    /// Requests that an upstream runs at a time; 0 if only its service tells.
+    #[serde(default)]
+    pub slots: u32,
     /// Where an entry host listens for other entry hosts.
     #[serde(default)]
     pub peer: Option<SocketAddr>,
@@ -53,6 +56,9 @@
     pub hosts: Vec<Host>,
 }
 
+/// A quarter of the entry hosts may have started, and not be listed yet.
+const FLEET_MARGIN_DIVISOR: usize = 4;
+
 impl HostList {
     /// Tells whether this version takes the place of `held`. A list that has lost every host is
     /// taken for a fault of the platform.
@@ -70,13 +76,23 @@
         self.hosts.iter().filter_map(peer).collect()
     }
 
+    /// Returns how many entry hosts there may be at most: those of the list, and as many more as may
+    /// have started since.
+    pub fn fleet_size_max(&self) -> u32 {
+        let listed = self.hosts.iter().filter(|h| h.role == Role::Entry).count().max(1);
+        let margin = listed.div_ceil(FLEET_MARGIN_DIVISOR);
+        u32::try_from(listed + margin).unwrap_or(u32::MAX)
+    }
+
     /// Returns a service record with the upstreams of the list beside its own. Where both name
     /// one, the list is right.
     pub fn complete(&self, service: &Service) -> Service {
         let listed: Vec<Upstream> = self.upstreams_of(&service.name).map(upstream).collect();
         let own = service.upstreams.iter().filter(|u| listed.iter().all(|l| l.name != u.name));
         let upstreams = own.cloned().chain(listed.iter().cloned()).collect();
-        Service { upstreams, ..service.clone() }
+        let slots = self.upstreams_of(&service.name).map(|h| h.slots).max().unwrap_or(0);
+        let slots = if slots > 0 { slots } else { service.slots };
+        Service { upstreams, slots, ..service.clone() }
     }
 
     /// Returns the upstreams of a service.
--- a/src/decide/matching.rs
+++ b/src/decide/matching.rs
@@ -1,19 +1,74 @@
 //! Which service a request belongs to, and how it is treated.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 use wildmatch::WildMatch;
 
-use crate::config::{Profile, Service, Treatment};
+use crate::config::{self, Profile, Routing, Service, Treatment};
 
-/// The services and profiles in force, in the order in which requests are matched.
+/// The routes, services and profiles in force, in the order in which requests are matched.
 #[derive(Debug, Default)]
 pub struct Routes {
-    routes: Vec<Route>,
+    /// Routes by host name, sorted by host and then from the longest path prefix to the shortest.
+    hosts: Vec<HostRoute>,
+    routes: Vec<ServiceRoute>,
+    head_max_bytes: Option<usize>,
 }
 
+/// A route of one host name.
 #[derive(Debug)]
-struct Route {
+struct HostRoute {
+    /// The host name in lower case.
+    host: String,
+    path_prefix: String,
+    treatment: Treatment,
+    split: Split,
+}
+
+/// How a route's requests are distributed.
+#[derive(Debug)]
+struct Split {
+    /// Services with the sum of the weights up to and including their own, from 0 to 1.
+    parts: Vec<(f64, Arc<Service>)>,
+    /// Requests distributed so far, from a random start.
+    count: AtomicU64,
+}
+
+/// Multiples of the golden ratio, modulo 1, cover the unit interval evenly at every length of the
+/// sequence, so that shares are met more closely than by independent draws.
+const GOLDEN_RATIO: f64 = 0.618_033_988_749_894_9;
+
+impl Split {
+    fn new(shares: &[config::Share], services: &[Arc<Service>], start: u64) -> Split {
+        let total: f64 = shares.iter().map(|s| s.weight.max(0.0)).sum();
+        let mut sum = 0.0;
+        let mut parts = Vec::with_capacity(shares.len());
+        for share in shares.iter().filter(|s| s.weight > 0.0) {
+            sum += share.weight / total;
+            if let Some(service) = services.iter().find(|s| s.name == share.service) {
+                parts.push((sum, service.clone()));
+            }
+        }
+        Split { parts, count: AtomicU64::new(start) }
+    }
+
+    fn next(&self) -> Option<&Arc<Service>> {
+        if let [(_, only)] = &self.parts[..] {
+            return Some(only);
+        }
+        let count = self.count.fetch_add(1, Ordering::Relaxed);
+        let point = (count as f64 * GOLDEN_RATIO).fract();
+        let part = self.parts.iter().find(|(sum, _)| point < *sum).or(self.parts.last());
+        part.map(|(_, service)| service)
+    }
+}
+
+/// Spreads the starting points of the hosts' sequences.
+const START_MAX: u64 = 1 << 20;
+
+#[derive(Debug)]
+struct ServiceRoute {
     service: Arc<Service>,
     rules: Vec<(Vec<String>, WildMatch, Treatment)>,
     otherwise: Treatment,
@@ -32,19 +87,57 @@
     /// Builds the routes of the services whose profile is known.
     pub fn new(services: &[Arc<Service>], profiles: &[Arc<Profile>]) -> Routes {
         let find = |name: &str| profiles.iter().find(|p| *p.name == *name);
-        let mut routes: Vec<Route> =
+        let mut routes: Vec<ServiceRoute> =
             services.iter().filter_map(|s| Some(route(s, find(&s.profile)?))).collect();
         routes.sort_by_key(|r| {
             let prefix = r.service.path_prefix.trim_end_matches('/').len();
             std::cmp::Reverse((!r.service.hosts.is_empty(), prefix))
         });
-        Routes { routes }
+        Routes { hosts: Vec::new(), routes, head_max_bytes: None }
+    }
+
+    /// Adds routes by host name, which go before those of single services. `start` is any number;
+    /// hosts with different ones don't distribute their requests in step.
+    #[must_use]
+    pub fn with_routing(mut self, routing: &Routing, start: u64) -> Routes {
+        let services: Vec<Arc<Service>> = routing.services.iter().cloned().map(Arc::new).collect();
+        let route = |r: &config::Route| HostRoute {
+            host: without_port(&r.host).to_ascii_lowercase(),
+            path_prefix: r.path_prefix.clone(),
+            treatment: r.treatment.clone(),
+            split: Split::new(&r.split, &services, start % START_MAX),
+        };
+        self.hosts = routing.routes.iter().map(route).collect();
+        self.hosts.sort_by(|a, b| {
+            let lengths = b.path_prefix.len().cmp(&a.path_prefix.len());
+            a.host.cmp(&b.host).then(lengths)
+        });
+        self.head_max_bytes = usize::try_from(routing.head_max_bytes).ok().filter(|&max| max > 0);
+        self
+    }
+
+    /// Returns the largest request head in bytes, if the routes bound it.
+    pub fn head_max_bytes(&self) -> Option<usize> {
+        self.head_max_bytes
+    }
+
+    fn find_host_route(&self, host: &str, path: &str) -> Option<&HostRoute> {
+        if self.hosts.is_empty() {
+            return None;
+        }
+        let host = host.to_ascii_lowercase();
+        let from = self.hosts.partition_point(|r| r.host < host);
+        let mut same = self.hosts[from..].iter().take_while(|r| r.host == host);
+        same.find(|r| path.starts_with(&r.path_prefix))
     }
 
     /// Finds the service with the longest path prefix among those that name the host, else among
     /// those for every host, and the first rule that matches. `host` may carry a port.
     pub fn find(&self, host: &str, method: &str, path: &str) -> Option<Match<'_>> {
         let host = without_port(host);
+        if let Some(route) = self.find_host_route(host, path) {
+            return Some(Match { service: route.split.next()?, treatment: &route.treatment });
+        }
         let route = self.routes.iter().find(|r| serves(&r.service, host, path))?;
         let rule = route.rules.iter().find(|(methods, pattern, _)| {
             (methods.is_empty() || methods.iter().any(|m| m == method)) && pattern.matches(path)
@@ -54,9 +147,9 @@
     }
 }
 
-fn route(service: &Arc<Service>, profile: &Profile) -> Route {
+fn route(service: &Arc<Service>, profile: &Profile) -> ServiceRoute {
     let rules = profile.rules.iter();
-    Route {
+    ServiceRoute {
         service: service.clone(),
         rules: rules
             .map(|r| (r.methods.clone(), WildMatch::new(&r.path), r.treatment.clone()))
--- a/src/decide/profile.rs
+++ b/src/decide/profile.rs
@@ -8,7 +8,8 @@
 use serde::{Deserialize, Serialize};
 use twox_hash::XxHash64;
 
-use crate::config::{Profile, Service};
+use crate::config::{Profile, Routing, Service};
+use crate::decide::hosts::Host;
 use crate::decide::stored::Unreadable;
 
 /// The kind of a record.
@@ -23,6 +24,12 @@
     /// A service.
     #[display("service")]
     Service,
+    /// The routes of a fleet.
+    #[display("routing")]
+    Routing,
+    /// A host of the platform's list.
+    #[display("host")]
+    Host,
 }
 
 /// What a record holds.
@@ -33,6 +40,10 @@
     Profile(Arc<Profile>),
     /// A service.
     Service(Arc<Service>),
+    /// The routes of a fleet.
+    Routing(Arc<Routing>),
+    /// A host of the platform's list.
+    Host(Arc<Host>),
     /// The record was deleted; its version stays, so that no older one comes back.
     Deleted(Kind),
 }
@@ -63,6 +74,8 @@
         match &self.body {
             Body::Profile(_) => Kind::Profile,
             Body::Service(_) => Kind::Service,
+            Body::Routing(_) => Kind::Routing,
+            Body::Host(_) => Kind::Host,
             Body::Deleted(kind) => *kind,
         }
     }
@@ -89,6 +102,10 @@
     unreadable: Vec<Unreadable>,
 }
 
+/// Deletions of hosts that are remembered: several times the hosts that the largest fleet replaces
+/// while its members disagree.
+const DELETED_HOSTS_MAX: usize = 2_000;
+
 impl Catalog {
     /// Puts a record into force if it is newer than the one that is.
     ///
@@ -104,6 +121,9 @@
             Ok((at, Ordering::Greater)) => self.records[at] = record,
             Err(at) => self.records.insert(at, record),
         }
+        if kind == Kind::Host {
+            self.prune_deleted_hosts();
+        }
         self.forget_unreadable(kind, &name);
         Offered::InForce
     }
@@ -147,7 +167,7 @@
         &self.records
     }
 
-    /// Returns the services in force.
+    /// Returns the services in force that stand under records of their own.
     pub fn services(&self) -> Vec<Arc<Service>> {
         let service = |r: &Record| match &r.body {
             Body::Service(s) => Some(s.clone()),
@@ -156,6 +176,12 @@
         self.records.iter().filter_map(service).collect()
     }
 
+    /// Returns all services in force, also those that come with routes.
+    pub fn all_services(&self) -> Vec<Arc<Service>> {
+        let routed = self.routing().into_iter().flat_map(|r| &r.services);
+        self.services().into_iter().chain(routed.cloned().map(Arc::new)).collect()
+    }
+
     /// Returns the profiles in force.
     pub fn profiles(&self) -> Vec<Arc<Profile>> {
         let profile = |r: &Record| match &r.body {
@@ -165,6 +191,45 @@
         self.records.iter().filter_map(profile).collect()
     }
 
+    /// Returns the routes in force.
+    pub fn routing(&self) -> Option<&Arc<Routing>> {
+        self.records.iter().find_map(|r| match &r.body {
+            Body::Routing(routing) => Some(routing),
+            _ => None,
+        })
+    }
+
+    /// Returns the hosts in force that stand under records of their own.
+    pub fn hosts(&self) -> impl Iterator<Item = &Arc<Host>> {
+        self.records.iter().filter_map(|r| match &r.body {
+            Body::Host(host) => Some(host),
+            _ => None,
+        })
+    }
+
+    /// Returns the same with their versions.
+    pub(crate) fn hosts_with_versions(&self) -> Vec<(Arc<Host>, u64)> {
+        let host = |r: &Record| match &r.body {
+            Body::Host(host) => Some((host.clone(), r.version)),
+            _ => None,
+        };
+        self.records.iter().filter_map(host).collect()
+    }
+
+    /// Forgets the older half of the deletions of hosts when there are many, so that they don't
+    /// gather for ever.
+    fn prune_deleted_hosts(&mut self) {
+        let deleted = |r: &&Record| matches!(r.body, Body::Deleted(Kind::Host));
+        let mut versions: Vec<u64> =
+            self.records.iter().filter(deleted).map(|r| r.version).collect();
+        if versions.len() <= DELETED_HOSTS_MAX {
+            return;
+        }
+        versions.sort_unstable();
+        let oldest_kept = versions[versions.len() / 2];
+        self.records.retain(|r| !deleted(&r) || r.version >= oldest_kept);
+    }
+
     fn find(&self, kind: Kind, name: &str) -> Result<usize, usize> {
         self.records.binary_search_by(|r| (r.kind(), &*r.name).cmp(&(kind, name)))
     }
--- a/src/decide/service.rs
+++ b/src/decide/service.rs
@@ -6,6 +6,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use rand::Rng;
+
 use crate::config::{self, Service};
 use crate::decide::admit::{Target, Ticket};
 use crate::decide::baseline::Baseline;
@@ -13,9 +15,10 @@
 use crate::decide::health;
 use crate::decide::measure::{self, Budget};
 use crate::decide::queue::Queue;
-use crate::decide::retry::RetryBudget;
+use crate::decide::retry::{RetryBudget, RetryLimits};
+use crate::decide::route;
 use crate::decide::route::Policy;
-use crate::decide::upstream::{self, Changed, Ended, Report, Row, State, UpstreamId};
+use crate::decide::upstream::{self, Changed, Ended, Occupancy, Report, Row, State, UpstreamId};
 use crate::event::EventCode;
 use crate::time::Time;
 
@@ -65,6 +68,15 @@
     changes: Vec<Changed>,
 }
 
+/// Age up to which an upstream's report is as good as a new one.
+const FRESH_REPORT: Duration = Duration::from_millis(40);
+/// Upstreams that are asked before a request is sent.
+const CANDIDATES: usize = 3;
+/// Spread by which hosts that know the same ask different upstreams, in usual work times.
+const CANDIDATE_SPREAD: f32 = 0.3;
+/// What it costs to send a request to another data centre, in usual work times: the time there and
+/// back, and the bytes.
+const DISTANCE_COST: f32 = 0.25;
 /// Time between two searches for an upstream to probe.
 const PROBE_INTERVAL: Duration = Duration::from_millis(50);
 /// Time without requests after which a service is quiet.
@@ -92,7 +104,7 @@
             evicted: Vec::new(),
             probes,
             probes_sought: now,
-            retries: RetryBudget::new(now),
+            retries: RetryBudget::new(),
             open: Vec::new(),
             changes: Vec::new(),
         };
@@ -241,6 +253,62 @@
         vec![target]
     }
 
+    /// Takes note of what an upstream said of its load.
+    pub fn occupied(&mut self, id: UpstreamId, occupancy: &Occupancy, now: Time) {
+        if let Some(row) = upstream::find_mut(&mut self.rows, id) {
+            row.occupied(occupancy, now);
+        }
+    }
+
+    /// Returns the upstreams that the next request would go to as far as is known, and of which
+    /// nothing recent is known, within the measuring budget.
+    pub fn candidates(&mut self, now: Time, rng: &mut impl Rng) -> Vec<Target> {
+        let fresh = |r: &Row| r.occupancy_age(now).is_some_and(|age| age < FRESH_REPORT);
+        let cold_start = Duration::from_millis(self.cfg.cold_start_ms);
+        route::collect(&self.rows, &[], cold_start, now, rng, &mut self.open);
+        let mut best: Vec<(f32, usize)> = Vec::with_capacity(self.open.len());
+        for &at in &self.open {
+            let cost = self.cost_of(&self.rows[at as usize], now);
+            best.push((cost + rng.random::<f32>() * CANDIDATE_SPREAD, at as usize));
+        }
+        best.sort_by(|a, b| a.0.total_cmp(&b.0));
+        best.truncate(CANDIDATES);
+        let stale: Vec<usize> =
+            best.into_iter().map(|(_, at)| at).filter(|&at| !fresh(&self.rows[at])).collect();
+        let mut out = Vec::with_capacity(stale.len());
+        for at in stale {
+            if !self.probes.take(now) {
+                break;
+            }
+            self.rows[at].probed = now;
+            out.push(target(&self.rows[at]));
+        }
+        out
+    }
+
+    /// Returns the time that one more request is expected to take at an upstream that tells its
+    /// occupancy, in usual work times, with what the distance costs.
+    pub(crate) fn cost_of(&self, row: &Row, now: Time) -> f32 {
+        let is_near = row.data_centre == self.facts.data_centre;
+        let distance = if is_near { 0.0 } else { DISTANCE_COST };
+        row.expected_time(self.cfg.slots, now) + distance
+    }
+
+    /// Returns what this host may spend on retries.
+    pub(crate) fn retry_limits(&self) -> RetryLimits {
+        RetryLimits {
+            share: self.cfg.retry_share,
+            slack: self.cfg.retry_slack / f64::from(self.facts.fleet_size_max.max(1)),
+            window: Duration::from_millis(self.cfg.retry_window_ms),
+        }
+    }
+
+    /// Takes note of how many entry hosts there may be, which divide the fleet's budgets.
+    pub fn set_fleet_size(&mut self, hosts: u32) {
+        self.facts.fleet_size_max = hosts.max(1);
+        self.probes.set_fleet_size(hosts);
+    }
+
     /// Takes note of a probe's result.
     pub fn probed(&mut self, id: UpstreamId, report: &Report, now: Time) {
         let Ok(at) = self.rows.binary_search_by_key(&id, |r| r.id) else { return };
--- a/src/decide/stored.rs
+++ b/src/decide/stored.rs
@@ -51,6 +51,8 @@
     match &record.body {
         Body::Profile(p) => body_faults(named(&p.name), profile_faults(p, "")),
         Body::Service(s) => body_faults(named(&s.name), service_faults(s, "")),
+        Body::Routing(r) => r.services.iter().flat_map(|s| service_faults(s, "")).collect(),
+        Body::Host(h) => body_faults(h.name == record.name, Vec::new()),
         Body::Deleted(_) => Vec::new(),
     }
 }
--- a/src/decide/tick.rs
+++ b/src/decide/tick.rs
@@ -82,6 +82,12 @@
         self.services.iter_mut().for_each(|s| s.set_others(others));
     }
 
+    /// Takes note of how many entry hosts there may be.
+    pub fn set_fleet_size(&mut self, hosts: u32) {
+        self.facts.fleet_size_max = hosts.max(1);
+        self.services.iter_mut().for_each(|s| s.set_fleet_size(hosts));
+    }
+
     /// Forgets what a host that died had shared.
     pub fn forget(&mut self, host: &str) {
         self.services.iter_mut().for_each(|s| s.forget(host));
--- a/src/decide/upstream.rs
+++ b/src/decide/upstream.rs
@@ -86,6 +86,28 @@
     pub leaving: bool,
 }
 
+/// What an upstream said of its load.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Occupancy {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait there.
+    pub waiting: u32,
+    /// Requests that it can run at a time.
+    pub slots: u32,
+    /// The time that work takes there at present, against the usual time; 1 is as usual.
+    pub slowdown: f32,
+}
+
+/// An [`Occupancy`], when it was true, and this host's part of it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct Occupied {
+    pub(crate) occupancy: Occupancy,
+    pub(crate) at: Time,
+    /// This host's attempts in flight at the time.
+    pub(crate) own: u32,
+}
+
 /// A figure and the time at which it was true.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Reading {
@@ -123,6 +145,8 @@
     pub in_flight: u32,
     /// The newest load that the upstream itself reported.
     pub load: Option<Reading>,
+    /// The newest occupancy that the upstream itself reported.
+    pub(crate) occupied: Option<Occupied>,
     /// Whether the service record or host list names it.
     pub(crate) named: bool,
     /// Whether the host list says that it is leaving.
@@ -163,6 +187,7 @@
             joined: now,
             in_flight: 0,
             load: None,
+            occupied: None,
             named: true,
             listed_leaving: false,
             drain: Drain::default(),
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -12,7 +12,7 @@
 use crate::decide::admit::{Admission, Request, Target, Ticket};
 use crate::decide::service::{Again, ServiceTable};
 use crate::decide::tick::Ticked;
-use crate::decide::upstream::{Ended, Report, UpstreamId};
+use crate::decide::upstream::{Ended, Occupancy, Report, UpstreamId};
 use crate::entry::waiting::Waiter;
 use crate::error::Code;
 use crate::event::Subject;
@@ -90,6 +90,22 @@
         });
     }
 
+    /// Takes note of an upstream's occupancy.
+    pub(crate) fn occupied(&self, service: &str, id: UpstreamId, occupancy: &Occupancy) {
+        let now = self.clock.now();
+        let mut tables = self.tables.lock();
+        let Some(table) = tables.service(service) else { return };
+        self.recorder.note_at(now, || Entry::occupied(table, id, occupancy));
+        table.occupied(id, occupancy, now);
+    }
+
+    /// Returns the upstreams that a request may go to and of which too little is known.
+    pub(crate) fn candidates(&self, service: &str) -> Vec<Target> {
+        let now = self.clock.now();
+        let mut tables = self.tables.lock();
+        tables.service(service).map_or_else(Vec::new, |t| t.candidates(now, &mut rand::rng()))
+    }
+
     /// Takes note of a probe's result.
     pub(crate) fn probed(&self, service: &str, id: UpstreamId, report: &Report) {
         self.metrics.probe(service, report.ended);
--- a/src/entry/admin/announce.rs
+++ b/src/entry/admin/announce.rs
@@ -12,7 +12,7 @@
 use crate::decide::profile::Record;
 use crate::entry::admin::{TEXT, answer};
 use crate::node::Node;
-use crate::platform;
+use crate::store;
 
 /// Where versions are announced, by POST of the record in JSON.
 pub(crate) const PATH: &str = "/records";
@@ -34,7 +34,7 @@
         let reason = "the body is no record that this release can read\n".to_owned();
         return Ok(answer(StatusCode::BAD_REQUEST, TEXT, reason));
     };
-    if platform::announced(&node, &record).await {
+    if store::announced(&node, &record).await {
         return Ok(answer(StatusCode::OK, TEXT, "taken in\n".to_owned()));
     }
     let reason = "the host knows no key-value service\n".to_owned();
--- a/src/entry/admin/mod.rs
+++ b/src/entry/admin/mod.rs
@@ -7,6 +7,7 @@
 mod tests;
 
 use std::convert::Infallible;
+use std::net::TcpListener;
 use std::sync::Arc;
 
 use anyhow::{Context, Result};
@@ -33,8 +34,12 @@
 /// # Errors
 ///
 /// If the listener can't be served.
-pub(crate) fn run(node: Arc<Node>, listener: std::net::TcpListener) -> Result<()> {
-    xitca_web::App::new()
+pub(crate) fn run(
+    node: Arc<Node>,
+    listener: TcpListener,
+    metrics_listener: Option<TcpListener>,
+) -> Result<()> {
+    let mut server = xitca_web::App::new()
         .with_state(node)
         .at("/healthz", fn_service(health))
         .at("/readyz", fn_service(ready))
@@ -47,10 +52,11 @@
         .worker_threads(1)
         .disable_signal()
         .listen(listener)
-        .context("admin listener")?
-        .run()
-        .wait()
-        .context("admin listener")
+        .context("admin listener")?;
+    if let Some(listener) = metrics_listener {
+        server = server.listen(listener).context("metrics listener")?;
+    }
+    server.run().wait().context("admin listener")
 }
 
 async fn health(_: WebContext<'_, Arc<Node>>) -> Result<WebResponse, Infallible> {
--- a/src/entry/caller.rs
+++ b/src/entry/caller.rs
@@ -3,6 +3,7 @@
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use http::header::{CONNECTION, CONTENT_LENGTH, RETRY_AFTER, UPGRADE};
 use http::{HeaderValue, Response, StatusCode};
@@ -15,7 +16,7 @@
 use crate::event::{EventCode, Subject};
 use crate::forward::answer::{Answer, AnswerBody};
 use crate::forward::{Job, drive};
-use crate::header;
+use crate::header::{self, Names};
 use crate::node::{Node, Phase};
 
 /// The service in the metrics of requests that were not taken in.
@@ -28,7 +29,7 @@
 ) -> Result<Response<AnswerBody>, Infallible> {
     let caller = CALLER.with(Rc::clone);
     let _busy = caller.begin();
-    let id = intake::request_id(req.headers());
+    let id = intake::request_id(&node.names, req.headers());
     let upgrade = req.headers().contains_key(UPGRADE);
     let has_body = intake::has_body(req.headers());
     let (answer, unread) = match intake::take_in(node, &caller, &id, req).await {
@@ -38,7 +39,7 @@
             (Answer::own(code), has_body || intake::is_unreadable(code))
         }
     };
-    let mut res = response(&id, answer);
+    let mut res = response(&node.names, &id, answer);
     if unread || upgrade || caller.is_last() || node.phase() >= Phase::Draining {
         caller.set_last();
         res.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
@@ -63,7 +64,7 @@
     answer
 }
 
-fn response(id: &str, answer: Answer) -> Response<AnswerBody> {
+fn response(names: &Names, id: &str, answer: Answer) -> Response<AnswerBody> {
     let Answer { code, status, mut headers, body, retry_after } = answer;
     header::strip(&mut headers);
     if matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED) {
@@ -71,10 +72,9 @@
     }
     headers.insert(header::OUTCOME, outcome(code.outcome()));
     headers.insert(header::CODE, code.number().into());
-    headers.insert(header::REQUEST_ID, text(id));
+    headers.insert(&names.request_id, text(id));
     if let Some(after) = retry_after {
-        let seconds = after.as_millis().div_ceil(1_000).max(1);
-        headers.insert(RETRY_AFTER, text(&seconds.to_string()));
+        headers.insert(RETRY_AFTER, text(&retry_after_text(names, after)));
     }
     let mut res = Response::new(body);
     *res.status_mut() = status;
@@ -82,6 +82,15 @@
     res
 }
 
+/// Returns the time as whole seconds, as the standard field has it, or with fractions where callers
+/// are known to take them.
+fn retry_after_text(names: &Names, after: Duration) -> String {
+    match names.fractional_retry_after {
+        true => format!("{:.3}", after.as_secs_f64()),
+        false => after.as_millis().div_ceil(1_000).max(1).to_string(),
+    }
+}
+
 fn outcome(outcome: Outcome) -> HeaderValue {
     HeaderValue::from_static(match outcome {
         Outcome::Answered => "answered",
--- a/src/entry/intake.rs
+++ b/src/entry/intake.rs
@@ -17,7 +17,7 @@
 use crate::error::Code;
 use crate::forward::Job;
 use crate::forward::memory::Share;
-use crate::header;
+use crate::header::{self, Names};
 use crate::node::{Node, Phase};
 use crate::settings::Limits;
 use crate::time::Time;
@@ -31,8 +31,8 @@
 const FIELD_OVERHEAD: usize = 4;
 
 /// Returns the caller's request id if it is visible ASCII and not too long, or makes one.
-pub(crate) fn request_id(headers: &HeaderMap) -> Arc<str> {
-    let given = headers.get(header::REQUEST_ID).map(HeaderValue::as_bytes);
+pub(crate) fn request_id(names: &Names, headers: &HeaderMap) -> Arc<str> {
+    let given = headers.get(&names.request_id).map(HeaderValue::as_bytes);
     let given = given.filter(|id| !id.is_empty() && id.len() <= REQUEST_ID_LEN_MAX);
     let given = given.filter(|id| id.iter().all(u8::is_ascii_graphic));
     match given.and_then(|id| std::str::from_utf8(id).ok()) {
@@ -62,13 +62,13 @@
         return Err(if stopping { Code::Stopping } else { Code::BadRequest });
     }
     let (parts, ext) = req.into_parts();
-    check_head(&parts, &node.settings.limits)?;
-    let target = Target::new(&parts)?;
     let routes = node.routes();
+    check_head(&parts, &node.settings.limits, routes.head_max_bytes())?;
+    let target = Target::new(&parts)?;
     let method = parts.method.as_str();
     let found = routes.find(&target.host, method, target.path.path()).ok_or(Code::NoService)?;
     let (service, treatment) = (found.service.clone(), found.treatment.clone());
-    let deadline = deadline(&parts.headers, now, treatment.deadline_ms)?;
+    let deadline = deadline(&node.names, &parts.headers, now, treatment.deadline_ms)?;
     let mut held = node.memory.share();
     let body = match parts.headers.contains_key(UPGRADE) {
         true => Bytes::new(),
@@ -93,7 +93,7 @@
         deadline,
         method: parts.method,
         uri: Uri::from(target.path),
-        headers: passed_on(parts.headers, id),
+        headers: passed_on(&node.names, parts.headers, id),
         body,
         _held: held,
     })
@@ -110,11 +110,13 @@
 }
 
 /// Refuses heads that are over a limit, and those whose body other programs may delimit otherwise.
-fn check_head(parts: &Parts, limits: &Limits) -> Result<(), Code> {
+fn check_head(parts: &Parts, limits: &Limits, max: Option<usize>) -> Result<(), Code> {
     let headers = &parts.headers;
     let fields = headers.iter().map(|(n, v)| n.as_str().len() + v.len() + FIELD_OVERHEAD);
     let uri = parts.uri.path_and_query().map_or(0, |p| p.as_str().len());
-    if headers.len() > limits.headers || fields.sum::<usize>() + uri > limits.head_bytes {
+    if headers.len() > limits.headers
+        || fields.sum::<usize>() + uri > max.unwrap_or(limits.head_bytes)
+    {
         return Err(Code::HeadTooLarge);
     }
     let lengths = headers.get_all(CONTENT_LENGTH).iter().count();
@@ -167,8 +169,8 @@
 }
 
 /// Returns the sooner of the profile's deadline and the caller's own.
-fn deadline(headers: &HeaderMap, now: Time, profile_ms: u64) -> Result<Time, Code> {
-    let Some(value) = headers.get(header::DEADLINE) else {
+fn deadline(names: &Names, headers: &HeaderMap, now: Time, profile_ms: u64) -> Result<Time, Code> {
+    let Some(value) = headers.get(&names.deadline) else {
         return Ok(now + Duration::from_millis(profile_ms));
     };
     let digits = value.to_str().ok().filter(|v| v.bytes().all(|b| b.is_ascii_digit()));
@@ -207,10 +209,10 @@
 }
 
 /// Returns the header that goes on to an upstream. The body's length is written anew.
-fn passed_on(mut headers: HeaderMap, id: &str) -> HeaderMap {
+fn passed_on(names: &Names, mut headers: HeaderMap, id: &str) -> HeaderMap {
     header::strip(&mut headers);
     headers.remove(CONTENT_LENGTH);
     let id = HeaderValue::from_str(id).expect("visible ASCII");
-    headers.insert(header::REQUEST_ID, id);
+    headers.insert(&names.request_id, id);
     headers
 }
--- a/src/event.rs
+++ b/src/event.rs
@@ -69,6 +69,8 @@
     UpstreamJoined = 3005, "upstream joined";
     /// An upstream is gone.
     UpstreamGone = 3006, "upstream gone";
+    /// An answer was not the upstream's to this request.
+    AnswerDiscarded = 3007, "answer discarded, not this request's";
     /// A record version came into force.
     InForce = 4001, "record version in force";
     /// A newer record can't be read and the old one stays.
--- a/src/forward/drive.rs
+++ b/src/forward/drive.rs
@@ -21,6 +21,7 @@
 use crate::forward::Job;
 use crate::forward::answer::Answer;
 use crate::forward::exchange::{Attempt, Finished, Track};
+use crate::forward::probe;
 use crate::node::Node;
 use crate::time::Time;
 
@@ -30,6 +31,9 @@
 /// Runs a request to its final answer. `gone` completes when the caller has gone away.
 pub(crate) async fn run(node: &Arc<Node>, job: &Job, gone: impl Future<Output = ()>) -> Answer {
     let mut gone = pin!(gone);
+    if job.service.probe_before_send {
+        probe::refresh(node, job).await;
+    }
     match admitted(node, job, gone.as_mut()).await {
         Ok(target) => Drive::new(node, job).run(target, gone).await,
         Err(answer) => *answer,
--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -7,20 +7,20 @@
 
 use bytes::Bytes;
 use http::response::Parts;
-use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::{Body, Incoming};
 
-use crate::config::{Refusal, Service};
+use crate::config::{LoadFormat, Refusal, Service};
 use crate::decide::admit::Target;
 use crate::decide::attempt::{Ending, Number};
-use crate::decide::upstream::{Ended, Report};
+use crate::decide::upstream::{Ended, Occupancy, Report};
 use crate::event::{EventCode, Subject};
 use crate::forward::Job;
 use crate::forward::answer::{self, Answer, AnswerBody, Taken};
 use crate::forward::connection::{Connection, NoConnection};
 use crate::forward::wire::Wire;
-use crate::header;
+use crate::header::{self, Names};
 use crate::node::Node;
 use crate::time::Time;
 
@@ -63,8 +63,7 @@
     request: Arc<str>,
     target: Target,
     started: Time,
-    load: Option<u32>,
-    draining: bool,
+    reading: Reading,
     /// The end to report when the answer is whole.
     ended: Ended,
     conn: Option<Connection>,
@@ -81,8 +80,7 @@
             request: job.id.clone(),
             target,
             started: node.clock.now(),
-            load: None,
-            draining: false,
+            reading: Reading::default(),
             ended: Ended::Answered,
             conn: None,
             track,
@@ -124,7 +122,11 @@
             return;
         }
         let latency = self.node.clock.now().since(self.started);
-        let report = Report { ended, latency, load: self.load, draining: self.draining };
+        let Reading { load, draining, occupancy } = self.reading;
+        if let Some(occupancy) = occupancy {
+            self.node.occupied(&self.service.name, self.target.id, &occupancy);
+        }
+        let report = Report { ended, latency, load, draining };
         self.node.finish(&self.service.name, self.target.id, &report);
     }
 
@@ -167,7 +169,7 @@
         *self.track.wire.borrow_mut() = Some(conn.wire().clone());
         self.record(EventCode::Sent, Some(number.get().into()));
         self.started = self.node.clock.now();
-        let req = request(job, number, self.started);
+        let req = request(&self.node.names, job, &self.target, number, self.started);
         self.conn.insert(conn).send(req, job.deadline).await
     }
 
@@ -211,9 +213,12 @@
         if head.status.is_informational() {
             return (self.fail(Ending::BadAnswer, Ended::Lost), None);
         }
-        let reading = Reading::new(&self.service, &head.headers);
-        self.load = reading.load;
-        self.draining = reading.draining;
+        if !is_answer_to(&self.service, &job.id, &head) {
+            self.record(EventCode::AnswerDiscarded, Some(head.status.as_u16().into()));
+            self.node.pool.distrust(self.target.address, self.node.clock.now());
+            return (self.fail(Ending::BadAnswer, Ended::Lost), None);
+        }
+        self.reading = Reading::new(&self.service, &head.headers);
         let (ending, ended) = classify(&self.service, &head);
         self.ended = ended;
         let length = body.size_hint().exact();
@@ -224,6 +229,10 @@
         if ending != Ending::Answered {
             self.record(EventCode::AttemptFailed, Some(ending.code().number().into()));
         }
+        if ending == Ending::ServerError && says_not_run(&self.service, head.status) {
+            self.close(Ended::Failed);
+            return (ending, None);
+        }
         let whole = matches!(taken, Taken::Whole(..));
         if whole {
             self.succeed();
@@ -256,10 +265,11 @@
 }
 
 /// What an answer's header says of its upstream.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Reading {
     pub(crate) load: Option<u32>,
     pub(crate) draining: bool,
+    pub(crate) occupancy: Option<Occupancy>,
 }
 
 impl Reading {
@@ -267,18 +277,66 @@
     pub(crate) fn new(service: &Service, headers: &HeaderMap) -> Reading {
         let value = |name: &str| headers.get(name).and_then(|v| v.to_str().ok()).map(str::trim);
         let says_no = |v: &str| v == "0" || v.eq_ignore_ascii_case("false");
+        let load = value(&service.load_header);
+        let occupancy = match service.load_format {
+            LoadFormat::InFlight => None,
+            LoadFormat::Occupancy => load.and_then(occupancy),
+        };
+        let in_flight = occupancy.map(|o| o.running.saturating_add(o.waiting));
         Reading {
-            load: value(&service.load_header).and_then(|v| v.parse().ok()),
+            load: in_flight.or_else(|| load.and_then(|v| v.parse().ok())),
             draining: value(&service.drain_header).is_some_and(|v| !says_no(v)),
+            occupancy,
         }
     }
 }
 
+/// The slowdown that stands for the usual speed, and the largest one that is believed, in percent.
+const SLOWDOWN_PERCENT: std::ops::RangeInclusive<f32> = 100.0..=100_000.0;
+
+/// Reads running, waiting, slots and, if it is there, the present work time in percent.
+fn occupancy(text: &str) -> Option<Occupancy> {
+    let mut fields = text.split(',').map(str::trim);
+    let mut count = || fields.next()?.parse::<u32>().ok();
+    let (running, waiting, slots) = (count()?, count()?, count()?);
+    let usual = *SLOWDOWN_PERCENT.start();
+    let percent = match fields.next() {
+        Some(text) => text.parse::<f32>().ok().filter(|p| p.is_finite())?,
+        None => usual,
+    };
+    let slowdown = percent.clamp(usual, *SLOWDOWN_PERCENT.end()) / usual;
+    Some(Occupancy { running, waiting, slots, slowdown })
+}
+
+/// Tells whether an answer is an upstream's to this request, and not one that came late to an
+/// earlier request on the connection or one that something between made.
+fn is_answer_to(service: &Service, id: &str, head: &Parts) -> bool {
+    let value = |name: &str| head.headers.get(name).map(HeaderValue::as_bytes);
+    let echoes = service.echo_header.is_empty()
+        || match value(&service.echo_header) {
+            Some(echo) => echo == id.as_bytes(),
+            None => service.refusals.iter().any(|r| is_refusal(r, head)),
+        };
+    let signed = service.signature_header.is_empty()
+        || !head.status.is_success()
+        || value(&service.signature_header).is_some() && value("content-encoding").is_none();
+    echoes && signed
+}
+
+/// Tells whether callers take a status as proof that the request was not run. An upstream's own
+/// answer without a declared refusal proves nothing of the kind.
+fn says_not_run(service: &Service, status: StatusCode) -> bool {
+    service.refusals.iter().any(|r| r.status == status.as_u16())
+        || status == StatusCode::REQUEST_TIMEOUT
+}
+
 fn classify(service: &Service, head: &Parts) -> (Ending, Ended) {
     if service.refusals.iter().any(|r| is_refusal(r, head)) {
         return (Ending::Refused, Ended::Refused);
     }
-    if head.status.is_server_error() {
+    if head.status.is_server_error()
+        || !service.signature_header.is_empty() && says_not_run(service, head.status)
+    {
         return (Ending::ServerError, Ended::Failed);
     }
     (Ending::Answered, Ended::Answered)
@@ -293,14 +351,24 @@
     method == Method::HEAD || matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED)
 }
 
-fn request(job: &Job, number: Number, now: Time) -> Request<Full<Bytes>> {
+fn request(
+    names: &Names,
+    job: &Job,
+    target: &Target,
+    number: Number,
+    now: Time,
+) -> Request<Full<Bytes>> {
     let left = u64::try_from(now.until(job.deadline).as_millis()).unwrap_or(u64::MAX);
     let mut req = Request::new(Full::new(job.body.clone()));
     *req.method_mut() = job.method.clone();
     *req.uri_mut() = job.uri.clone();
     *req.headers_mut() = job.headers.clone();
     let headers = req.headers_mut();
-    headers.insert(header::DEADLINE, left.into());
+    headers.insert(&names.deadline, left.into());
+    let instance = HeaderName::try_from(job.service.instance_header.as_str()).ok();
+    if let (Some(name), Ok(value)) = (instance, HeaderValue::from_str(&target.name)) {
+        headers.insert(name, value);
+    }
     headers.insert(header::ATTEMPT, number.get().into());
     req
 }
--- a/src/forward/pool.rs
+++ b/src/forward/pool.rs
@@ -14,6 +14,10 @@
 /// Time after which an idle connection is closed.
 const IDLE_MAX: Duration = Duration::from_secs(30);
 
+/// Time after an unasked answer for which an upstream's connections carry one request each: such
+/// faults last for seconds.
+const DISTRUST: Duration = Duration::from_secs(5);
+
 /// The idle connections of all upstreams, sorted by address.
 #[derive(Debug, Default)]
 pub(crate) struct Pool {
@@ -24,6 +28,8 @@
 struct Row {
     address: SocketAddr,
     open: Arc<Open>,
+    /// Until when a connection carries one request only.
+    distrusted_until: Time,
     /// In the order in which they were last alive.
     idle: Vec<Connection>,
 }
@@ -75,10 +81,22 @@
         }
         let mut rows = self.rows.lock();
         let row = row(&mut rows, address);
+        if now < row.distrusted_until {
+            return;
+        }
         row.idle.push(conn);
         row.open.freed.notify_one();
     }
 
+    /// Notes that an upstream sends answers that nobody asked for. For a while its connections
+    /// carry one request each, so that no such answer meets a later request.
+    pub(crate) fn distrust(&self, address: SocketAddr, now: Time) {
+        let mut rows = self.rows.lock();
+        let row = row(&mut rows, address);
+        row.distrusted_until = now + DISTRUST;
+        row.idle.clear();
+    }
+
     /// Closes the idle connections that haven't been alive after `alive`, because one of that age
     /// went silent. Returns how many.
     pub(crate) fn suspect(&self, address: SocketAddr, alive: Time) -> usize {
@@ -95,13 +113,16 @@
         for row in rows.iter_mut() {
             row.idle.retain(|c| !c.is_closed() && now.since(c.alive) < IDLE_MAX);
         }
-        rows.retain(|r| Arc::strong_count(&r.open) > 1);
+        rows.retain(|r| Arc::strong_count(&r.open) > 1 || now < r.distrusted_until);
     }
 }
 
 fn row(rows: &mut Vec<Row>, address: SocketAddr) -> &mut Row {
     let at = rows.binary_search_by_key(&address, |r| r.address).unwrap_or_else(|at| {
-        rows.insert(at, Row { address, open: Arc::default(), idle: Vec::new() });
+        rows.insert(
+            at,
+            Row { address, open: Arc::default(), distrusted_until: Time::ZERO, idle: Vec::new() },
+        );
         at
     });
     &mut rows[at]
--- a/src/forward/probe.rs
+++ b/src/forward/probe.rs
@@ -4,18 +4,25 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_util::future::join_all;
 use http::header::HOST;
 use http::{HeaderValue, Request, StatusCode, Uri};
 use http_body_util::{BodyExt, Full};
+use tokio::task::spawn_local;
 
 use crate::config::Service;
 use crate::decide::admit::Target;
 use crate::decide::upstream::{Ended, Report};
+use crate::forward::Job;
 use crate::forward::connection::Connection;
 use crate::forward::exchange::Reading;
 use crate::node::Node;
 use crate::time::Time;
 
+/// The longest time for which a request waits for its probes: several times what a sound upstream of
+/// a near data centre takes.
+const REFRESH_MAX: Duration = Duration::from_millis(12);
+
 /// Sends one probe and reports its result to the tables.
 pub(crate) async fn send(node: Arc<Node>, service: Arc<Service>, target: Target) {
     let start = node.clock.now();
@@ -25,6 +32,9 @@
     let ended = |ended| Report { ended, latency, load: None, draining: false };
     let report = match probed {
         Ok(Ok((ended, reading))) => {
+            if let Some(occupancy) = &reading.occupancy {
+                node.occupied(&service.name, target.id, occupancy);
+            }
             Report { ended, latency, load: reading.load, draining: reading.draining }
         }
         Ok(Err(failed)) => ended(failed),
@@ -33,6 +43,18 @@
     node.probed(&service.name, target.id, &report);
 }
 
+/// Asks the upstreams that a request may go to for their load, and waits a little for the answers.
+/// What comes later is taken in as well.
+pub(crate) async fn refresh(node: &Arc<Node>, job: &Job) {
+    let targets = node.candidates(&job.service.name);
+    if targets.is_empty() {
+        return;
+    }
+    let probes =
+        targets.into_iter().map(|t| spawn_local(send(node.clone(), job.service.clone(), t)));
+    let _ = tokio::time::timeout(REFRESH_MAX, join_all(probes)).await;
+}
+
 /// Asks on an idle connection if there is one, so that it is known to be alive; else on one that
 /// is closed afterwards.
 async fn probe(
@@ -42,7 +64,7 @@
     deadline: Time,
 ) -> Result<(Ended, Reading), Ended> {
     let idle = node.pool.take(target.address, Time::ZERO);
-    let pooled = idle.is_some();
+    let pooled = idle.is_some() || service.probe_before_send;
     let mut conn = match idle {
         Some(conn) => conn,
         None => open(node, service, target, deadline).await?,
@@ -50,6 +72,10 @@
     let res = conn.send(request(service, target)?, deadline).await.map_err(|_| Ended::Lost)?;
     let (head, body) = res.into_parts();
     body.collect().await.map_err(|_| Ended::Lost)?;
+    if head.headers.contains_key(&service.echo_header) {
+        node.pool.distrust(target.address, node.clock.now());
+        return Err(Ended::Lost);
+    }
     if pooled {
         node.pool.put(target.address, conn, node.clock.now());
     }
--- a/src/header.rs
+++ b/src/header.rs
@@ -20,6 +20,39 @@
 /// The caller's key by which copies of a request are known.
 pub const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
 
+/// The names of the fields in which a deployment's callers and upstreams carry what cornelferry
+/// needs to know of a request.
+#[derive(Clone, Debug)]
+pub(crate) struct Names {
+    /// The request id, on requests and answers.
+    pub(crate) request_id: HeaderName,
+    /// Milliseconds left until the deadline.
+    pub(crate) deadline: HeaderName,
+    /// Whether callers take `Retry-After` with fractions of a second.
+    pub(crate) fractional_retry_after: bool,
+}
+
+impl Default for Names {
+    fn default() -> Names {
+        Names { request_id: REQUEST_ID, deadline: DEADLINE, fractional_retry_after: false }
+    }
+}
+
+impl Names {
+    /// Makes names from texts in lower case, for callers that take `Retry-After` with fractions.
+    ///
+    /// # Panics
+    ///
+    /// If a text is no name of a header field in lower case.
+    pub(crate) const fn new(request_id: &'static str, deadline: &'static str) -> Names {
+        Names {
+            request_id: HeaderName::from_static(request_id),
+            deadline: HeaderName::from_static(deadline),
+            fractional_retry_after: true,
+        }
+    }
+}
+
 /// Hop-by-hop fields (RFC 9110, section 7.6.1), which are never passed on.
 pub const HOP_BY_HOP: &[&str] = &[
     "connection",
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -55,8 +55,8 @@
 pub mod trace;
 
 pub use decide::{
-    admit, attempt, digest, hosts, leaving, matching, measure, member, pause, profile, route,
-    service, stored, tick, topology, upstream,
+    admit, attempt, digest, hosts, lapse, leaving, matching, measure, member, pause, profile,
+    route, service, stored, tick, topology, upstream,
 };
 pub use time::{Clock, Time};
 
@@ -70,6 +70,8 @@
 mod node;
 mod peer;
 mod platform;
+mod registry;
+mod store;
 mod time;
 
 #[cfg(test)]
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -12,7 +12,7 @@
 
 use crate::decide::upstream::Ended;
 use crate::error::{Code, Outcome};
-use crate::platform::http::Count;
+use crate::store::http::Count;
 
 /// The most services that have labels of their own; the rest share [`OTHER`].
 const SERVICES_MAX: usize = 256;
--- a/src/node.rs
+++ b/src/node.rs
@@ -12,7 +12,7 @@
 use crate::decide::matching::Routes;
 use crate::decide::member::{Change, Members, Standing};
 use crate::decide::pause::{Pause, RESYNC_MAX};
-use crate::decide::profile::{Body, Catalog, Offered, Record};
+use crate::decide::profile::{Body, Catalog, Kind, Offered, Record};
 use crate::decide::service::HostFacts;
 use crate::decide::tick::Tables;
 use crate::entry::waiting::Waiting;
@@ -22,11 +22,13 @@
 use crate::hlc::Hlc;
 use crate::metrics::Metrics;
 use crate::peer::news::News;
-use crate::platform::client::Client;
+use crate::registry::Knowledge;
 use crate::settings::Settings;
+use crate::store::client::Client;
 use crate::time::Clock;
 use crate::trace::Entry as TraceEntry;
 use crate::trace::recorder::Recorder;
+use crate::{header, platform};
 
 /// Where a host is between start and exit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -70,6 +72,10 @@
     pub(crate) pool: Pool,
     pub(crate) memory: Memory,
     pub(crate) pause: Mutex<Pause>,
+    /// How old this host's knowledge of the registry is.
+    pub(crate) knowledge: Knowledge,
+    /// The names of the header fields that callers and upstreams use.
+    pub(crate) names: header::Names,
     resynced: Notify,
     routes: RwLock<Arc<Routes>>,
     phase: watch::Sender<Phase>,
@@ -111,6 +117,11 @@
             pool: Pool::default(),
             memory: Memory::new(settings.limits.body_bytes),
             pause: Mutex::default(),
+            knowledge: Knowledge::default(),
+            names: match settings.registry {
+                Some(_) => platform::headers::names(),
+                None => header::Names::default(),
+            },
             resynced: Notify::new(),
             routes: RwLock::default(),
             phase: watch::Sender::new(Phase::Starting),
@@ -129,7 +140,19 @@
         let offered: Vec<Offered> =
             records.iter().map(|r| self.offer_one(&mut catalog, r.clone())).collect();
         if offered.contains(&Offered::InForce) {
-            *self.routes.write() = Arc::new(Routes::new(&catalog.services(), &catalog.profiles()));
+            let mut routes = Routes::new(&catalog.services(), &catalog.profiles());
+            if let Some(routing) = catalog.routing() {
+                routes = routes.with_routing(routing, rand::random());
+            }
+            *self.routes.write() = Arc::new(routes);
+        }
+        let in_force = |(record, offered): (&Record, &Offered)| {
+            record.kind() == Kind::Host && *offered == Offered::InForce
+        };
+        let hosts_changed = records.iter().zip(&offered).any(in_force);
+        drop(catalog);
+        if hosts_changed {
+            self.apply_host_records();
         }
         offered
     }
@@ -194,7 +217,8 @@
             self.events.record(EventCode::Paused, Subject::default(), Some(pauses));
             self.members.lock().resume(now);
             self.resync.notify_one();
-            if self.settings.platform.is_none() && self.members.lock().members().is_empty() {
+            let alone = self.settings.platform.is_none() && self.settings.registry.is_none();
+            if alone && self.members.lock().members().is_empty() {
                 self.resynced(pauses);
             }
         }
--- a/src/peer/codec.rs
+++ b/src/peer/codec.rs
@@ -30,6 +30,7 @@
     out.set_beat(digest.beat);
     out.set_leaving(digest.leaving);
     out.set_stale(digest.stale);
+    out.set_registry_age(digest.registry_age.map_or(0, registry_age_units));
     out.set_fingerprint(digest.summary.fingerprint);
     out.set_versions(digest.summary.versions);
     write_processes(&digest.processes, &mut out);
@@ -56,6 +57,7 @@
         beat: digest.get_beat(),
         leaving: digest.get_leaving(),
         stale: digest.get_stale(),
+        registry_age: registry_age(digest.get_registry_age()),
         summary,
         processes: digest.get_processes()?.iter().map(read_process).collect::<Result<_, _>>()?,
         beats: digest.get_beats()?.iter().map(read_beat).collect(),
@@ -66,6 +68,16 @@
     })
 }
 
+/// Returns an age in milliseconds plus one; 0 stands for none.
+fn registry_age_units(age: Duration) -> u16 {
+    u16::try_from(age.as_millis() + 1).unwrap_or(u16::MAX)
+}
+
+fn registry_age(units: u16) -> Option<Duration> {
+    let millis = units.checked_sub(1).filter(|ms| *ms < u16::MAX - 1)?;
+    Some(Duration::from_millis(millis.into()))
+}
+
 /// Writes names of versions.
 pub(crate) fn write_versions(
     versions: &[Version],
@@ -76,6 +88,8 @@
         row.set_kind(match version.kind {
             Kind::Profile => wire::Kind::Profile,
             Kind::Service => wire::Kind::Service,
+            Kind::Routing => wire::Kind::Routing,
+            Kind::Host => wire::Kind::Host,
         });
         row.set_version(version.version);
         row.set_name(&*version.name);
@@ -95,6 +109,8 @@
         let kind = match row.get_kind() {
             Ok(wire::Kind::Profile) => Kind::Profile,
             Ok(wire::Kind::Service) => Kind::Service,
+            Ok(wire::Kind::Routing) => Kind::Routing,
+            Ok(wire::Kind::Host) => Kind::Host,
             Err(_) => continue,
         };
         out.push(Version { kind, name: text(row.get_name()?)?, version: row.get_version() });
--- a/src/peer/links.rs
+++ b/src/peer/links.rs
@@ -93,7 +93,7 @@
     }
 }
 
-/// Tries dead hosts one after the other, so that the two sides of a mended network meet again.
+/// Tries dead hosts, and seeds while no host is known to be alive, one after the other, so that the two sides of a mended network meet again.
 #[derive(Default)]
 struct Trial {
     target: Option<Target>,
@@ -115,6 +115,13 @@
     let is_dead = |host: &str| {
         matches!(members.standing(host, now), Some(Standing::Dead | Standing::Unknown))
     };
-    let member = members.members().iter().filter(|m| is_dead(&m.host)).choose(&mut rand::rng())?;
+    let rng = &mut rand::rng();
+    if members.alive(now).next().is_none()
+        && let Some(&address) = local.node.settings.seeds.iter().choose(rng)
+        && Some(address) != local.node.settings.peer
+    {
+        return Some(Target { host: address.to_string().into(), address });
+    }
+    let member = members.members().iter().filter(|m| is_dead(&m.host)).choose(rng)?;
     Some(Target { host: member.host.clone(), address: member.address })
 }
--- a/src/peer/peer_capnp.rs
+++ b/src/peer/peer_capnp.rs
@@ -142,6 +142,10 @@
         pub fn has_leaves(&self) -> bool {
             !self.reader.get_pointer_field(5).is_null()
         }
+        #[inline]
+        pub fn get_registry_age(self) -> u16 {
+            self.reader.get_data_field::<u16>(17)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -348,6 +352,14 @@
         pub fn has_leaves(&self) -> bool {
             !self.builder.is_pointer_field_null(5)
         }
+        #[inline]
+        pub fn get_registry_age(self) -> u16 {
+            self.builder.get_data_field::<u16>(17)
+        }
+        #[inline]
+        pub fn set_registry_age(&mut self, value: u16)  {
+            self.builder.set_data_field::<u16>(17, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -359,7 +371,7 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 240] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 256] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(75, 129, 217, 106, 37, 199, 47, 173),
             ::capnp::word(11, 0, 0, 0, 1, 0, 5, 0),
@@ -369,105 +381,112 @@
             ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 223, 2, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 23, 3, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 68, 105, 103, 101, 115),
             ::capnp::word(116, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(52, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(56, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(93, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(121, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(88, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(100, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(116, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(125, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(92, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(104, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(120, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(129, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(124, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(133, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(132, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(113, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(141, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(124, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(140, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 0, 1, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(121, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(149, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(128, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(144, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(153, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(152, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(152, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(180, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(149, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(177, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(144, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(172, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(172, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(200, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(169, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(197, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(168, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(196, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(196, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(193, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(221, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(188, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(216, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(213, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(241, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(208, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(236, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(236, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 1, 1, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(233, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(5, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(228, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(240, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(0, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(9, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(4, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(32, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(13, 0, 0, 0, 17, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 2, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(232, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(4, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(28, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(40, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(109, 105, 108, 108, 105, 115, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -600,6 +619,15 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 103, 105, 115, 116, 114, 121),
+            ::capnp::word(65, 103, 101, 0, 0, 0, 0, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -616,6 +644,7 @@
                 10 => <::capnp::struct_list::Owned<crate::peer::peer_capnp::version::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 11 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 12 => <::capnp::struct_list::Owned<crate::peer::peer_capnp::leave::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                13 => <u16 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -629,9 +658,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,7,1,3,12,5,9,0,6,10,11,8,4];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,7,1,3,12,5,9,0,6,10,13,11,8,4];
         pub(crate) const TYPE_ID: u64 = 0xad2f_c725_6ad9_814b;
     }
 }
@@ -2015,6 +2044,8 @@
 pub enum Kind {
     Profile = 0,
     Service = 1,
+    Routing = 2,
+    Host = 3,
 }
 
 impl ::capnp::introspect::Introspect for Kind {
@@ -2029,6 +2060,8 @@
         match value {
             0 => ::core::result::Result::Ok(Self::Profile),
             1 => ::core::result::Result::Ok(Self::Service),
+            2 => ::core::result::Result::Ok(Self::Routing),
+            3 => ::core::result::Result::Ok(Self::Host),
             n => ::core::result::Result::Err(::capnp::NotInSchema(n)),
         }
     }
@@ -2041,7 +2074,7 @@
     const TYPE_ID: u64 = 0xe196_0a52_674c_650du64;
 }
 mod kind {
-pub(crate) static ENCODED_NODE: [::capnp::Word; 24] = [
+pub(crate) static ENCODED_NODE: [::capnp::Word; 32] = [
     ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
     ::capnp::word(13, 101, 76, 103, 82, 10, 150, 225),
     ::capnp::word(11, 0, 0, 0, 2, 0, 0, 0),
@@ -2051,21 +2084,29 @@
     ::capnp::word(21, 0, 0, 0, 130, 0, 0, 0),
     ::capnp::word(25, 0, 0, 0, 7, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(21, 0, 0, 0, 55, 0, 0, 0),
+    ::capnp::word(21, 0, 0, 0, 103, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
     ::capnp::word(110, 112, 58, 75, 105, 110, 100, 0),
     ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-    ::capnp::word(8, 0, 0, 0, 1, 0, 2, 0),
+    ::capnp::word(16, 0, 0, 0, 1, 0, 2, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(17, 0, 0, 0, 66, 0, 0, 0),
+    ::capnp::word(41, 0, 0, 0, 66, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(9, 0, 0, 0, 66, 0, 0, 0),
+    ::capnp::word(33, 0, 0, 0, 66, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(25, 0, 0, 0, 66, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(17, 0, 0, 0, 42, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(112, 114, 111, 102, 105, 108, 101, 0),
     ::capnp::word(115, 101, 114, 118, 105, 99, 101, 0),
+    ::capnp::word(114, 111, 117, 116, 105, 110, 103, 0),
+    ::capnp::word(104, 111, 115, 116, 0, 0, 0, 0),
 ];
 pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
     ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
--- a/src/peer/session.rs
+++ b/src/peer/session.rs
@@ -141,6 +141,7 @@
             beat: self.local.beat(now),
             leaving: node.phase() >= Phase::Draining,
             stale: node.pause.lock().stale(now),
+            registry_age: node.knowledge.as_of().map(|at| now.since(at)),
             summary: self.local.summary(),
             recent: recent.into_iter().filter(|v| v.version > 0 && !known.contains(v)).collect(),
             ..Digest::default()
@@ -180,6 +181,9 @@
         taken.leaves.iter().for_each(|s| self.local.told_leaving(s, now));
         self.theirs.set(Some(digest.summary));
         self.is_stale.set(digest.stale);
+        if let Some(age) = digest.registry_age.filter(|_| digest.summary == self.local.summary()) {
+            node.knowledge.complete_to(now.before(age));
+        }
         self.remember(&digest.recent);
         let wanted = newer(&node.catalog.lock(), digest.recent.clone());
         pull::start(self, wanted, pauses);
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -1,66 +1,244 @@
-//! The key-value service as the rest of the program sees it.
+//! The calls of the platform's store.
 
-use std::sync::Arc;
+use std::net::SocketAddr;
+use std::time::Duration;
 
-use crate::platform::call::{Entry, Failure, Platform, Range};
-use crate::platform::etcd;
-use crate::platform::http::{Count, Http};
-use crate::platform::keys::Keys;
-use crate::settings;
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use bytes::Bytes;
+use http::{Method, StatusCode};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Deserializer, de};
+use serde_json::{Value, json};
 
-/// Entries asked for in one call.
-const PAGE_ENTRIES: u64 = 200;
+use crate::store::call::{CallKind, Failure, LeaseId};
+use crate::store::http::{Count, Http, Request};
 
-/// The calls of the key-value service, and the keys under which things are stored there.
+/// Time allowed for an answer: the store takes milliseconds, and some 60 times that when it is slow.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// A client of the store.
 pub(crate) struct Client {
-    /// The calls.
-    pub(crate) platform: Platform,
-    /// The keys.
-    pub(crate) keys: Keys,
+    http: Http,
+}
+
+/// A key as the store holds it, or its removal.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Change {
+    /// The key.
+    pub(crate) key: String,
+    /// The store's revision of the change.
+    pub(crate) revision: u64,
+    /// The value; nothing if the key was removed.
+    pub(crate) value: Option<Vec<u8>>,
 }
 
-/// Everything that a range held.
-#[derive(Debug, Default)]
-pub(crate) struct Loaded {
-    /// The entries, sorted by key.
-    pub(crate) entries: Vec<Entry>,
-    /// The revision up to which the entries are complete.
+/// Everything under a prefix.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Items {
+    /// The keys and their values, sorted by key.
+    pub(crate) items: Vec<Change>,
+    /// The store's revision before the items were read.
     pub(crate) revision: u64,
 }
 
+/// What has changed under a prefix.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Watched {
+    /// The changes, in order, and the revision up to which they are complete.
+    Changes(Vec<Change>, u64),
+    /// The store has discarded that part of its history.
+    Forgotten,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Range {
+    items: Vec<Item>,
+    has_more: bool,
+    current_rev: u64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Events {
+    events: Vec<Item>,
+    current_rev: u64,
+}
+
+/// A key with its value, or, in a watch, a key that was removed.
+#[derive(Deserialize)]
+struct Item {
+    key: String,
+    #[serde(default, deserialize_with = "base64")]
+    value: Vec<u8>,
+    revision: u64,
+    #[serde(default)]
+    deleted: bool,
+}
+
+impl From<Item> for Change {
+    fn from(item: Item) -> Change {
+        let value = (!item.deleted).then_some(item.value);
+        Change { key: item.key, revision: item.revision, value }
+    }
+}
+
+#[derive(Deserialize)]
+struct Lease {
+    lease: u64,
+}
+
 impl Client {
     /// Makes a client. No connection is opened until the first call.
-    pub(crate) fn connect(cfg: &settings::Platform, count: Count) -> Client {
-        let http = Http::new(cfg.key_value.clone(), cfg.calls_per_second, count);
-        Client { platform: etcd::platform(Arc::new(http)), keys: Keys::new(&cfg.prefix) }
+    pub(crate) fn connect(address: SocketAddr, calls_per_second: f64, count: Count) -> Client {
+        Client { http: Http::new(vec![address], calls_per_second, count) }
     }
 
-    /// Reads a range of any size, page by page.
+    /// Reads everything under a prefix. Keys that change meanwhile may be read as they were before
+    /// or after; [`Client::changes`] since the revision returned has them all.
     ///
     /// # Errors
     ///
-    /// The first page's [`Failure`] that was not answered.
-    pub(crate) async fn load(&self, range: Range) -> Result<Loaded, Failure> {
-        let mut range = Range { limit: PAGE_ENTRIES, ..range };
-        let mut out = Loaded::default();
+    /// The [`Failure`] of the first page that was not answered.
+    pub(crate) async fn items(&self, prefix: &str) -> Result<Items, Failure> {
+        let mut out = Items::default();
         loop {
-            let page = (self.platform.range)(range.clone()).await?;
+            let after = out.items.last().map_or("", |item| item.key.as_str());
+            let query = [("pathPrefix", prefix), ("after", after)];
+            let query = if after.is_empty() { &query[..1] } else { &query[..] };
+            let page: Range = self.read(CallKind::Range, "/api/kv-range", query, None).await?;
             if out.revision == 0 {
-                out.revision = page.revision;
+                out.revision = page.current_rev;
+            }
+            let is_last = !page.has_more || page.items.is_empty();
+            out.items.extend(page.items.into_iter().map(Change::from));
+            if is_last {
+                return Ok(out);
             }
-            out.entries.extend(page.entries);
-            let Some(last) = out.entries.last().filter(|_| page.more) else { return Ok(out) };
-            range.key = format!("{}\0", last.key);
         }
     }
 
-    /// Reads one key.
+    /// Reads what has changed under a prefix after a revision, at once.
     ///
     /// # Errors
     ///
     /// A [`Failure`] if there is no answer.
-    pub(crate) async fn get(&self, key: String) -> Result<Option<Entry>, Failure> {
-        let page = (self.platform.range)(Range { key, limit: 1, ..Range::default() }).await?;
-        Ok(page.entries.into_iter().next())
+    pub(crate) async fn changes(&self, prefix: &str, after: u64) -> Result<Watched, Failure> {
+        let after = after.to_string();
+        let query = [("pathPrefix", prefix), ("after", &after), ("waitMs", "0")];
+        let gone = Some(StatusCode::GONE);
+        match self.read_unless(CallKind::Watch, "/api/kv-watch", &query, gone).await? {
+            None => Ok(Watched::Forgotten),
+            Some(Events { events, current_rev }) => {
+                let changes = events.into_iter().map(Change::from).collect();
+                Ok(Watched::Changes(changes, current_rev))
+            }
+        }
     }
+
+    /// Grants a lease.
+    ///
+    /// # Errors
+    ///
+    /// A [`Failure`] if there is no answer.
+    pub(crate) async fn grant(&self, ttl: Duration) -> Result<LeaseId, Failure> {
+        let body = json!({ "ttlS_time": ttl.as_secs_f64() });
+        let path = "/api/kv-lease";
+        let (status, text) = self.call(CallKind::Lease, Method::POST, path, Some(&body)).await?;
+        let lease: Lease = parsed(path, status, &text)?;
+        Ok(LeaseId(lease.lease))
+    }
+
+    /// Renews a lease. Returns whether it had not ended.
+    ///
+    /// # Errors
+    ///
+    /// A [`Failure`] if there is no answer.
+    pub(crate) async fn keep(&self, lease: LeaseId) -> Result<bool, Failure> {
+        let path = format!("/api/kv-keep/{}", lease.0);
+        let (status, text) = self.call(CallKind::Lease, Method::POST, &path, None).await?;
+        match status {
+            StatusCode::NOT_FOUND => Ok(false),
+            s if s.is_success() => Ok(true),
+            s => Err(refused(&path, s, &text)),
+        }
+    }
+
+    /// Stores a value until a lease ends. Returns whether the lease had not ended.
+    ///
+    /// # Errors
+    ///
+    /// A [`Failure`] if there is no answer; the value may have been stored.
+    pub(crate) async fn put(
+        &self,
+        key: &str,
+        value: &[u8],
+        lease: LeaseId,
+    ) -> Result<bool, Failure> {
+        let put = json!({ "key": key, "value": STANDARD.encode(value), "lease": lease.0 });
+        let body = json!({ "expected": [], "puts": [put], "remove": [] });
+        let path = "/api/kv-txn";
+        let (status, text) = self.call(CallKind::Txn, Method::POST, path, Some(&body)).await?;
+        match status {
+            StatusCode::NOT_FOUND => Ok(false),
+            s if s.is_success() => Ok(true),
+            s => Err(refused(path, s, &text)),
+        }
+    }
+
+    async fn read<T: DeserializeOwned>(
+        &self,
+        kind: CallKind,
+        path: &str,
+        query: &[(&str, &str)],
+        absent: Option<StatusCode>,
+    ) -> Result<T, Failure> {
+        let read = self.read_unless(kind, path, query, absent).await?;
+        read.ok_or_else(|| Failure::Lost(format!("{path}: no content")))
+    }
+
+    /// Reads, and returns nothing for the status `absent`.
+    async fn read_unless<T: DeserializeOwned>(
+        &self,
+        kind: CallKind,
+        path: &str,
+        query: &[(&str, &str)],
+        absent: Option<StatusCode>,
+    ) -> Result<Option<T>, Failure> {
+        let query = serde_urlencoded::to_string(query)
+            .map_err(|e| Failure::Unsent(format!("{path}: {e}")))?;
+        let (status, text) = self.call(kind, Method::GET, &format!("{path}?{query}"), None).await?;
+        match absent == Some(status) {
+            true => Ok(None),
+            false => parsed(path, status, &text).map(Some),
+        }
+    }
+
+    async fn call(
+        &self,
+        kind: CallKind,
+        method: Method,
+        path: &str,
+        body: Option<&Value>,
+    ) -> Result<(StatusCode, Bytes), Failure> {
+        let request = Request { method, path, body };
+        self.http.answer(kind, &request, ANSWER_TIMEOUT).await
+    }
+}
+
+fn parsed<T: DeserializeOwned>(path: &str, status: StatusCode, text: &[u8]) -> Result<T, Failure> {
+    if !status.is_success() {
+        return Err(refused(path, status, text));
+    }
+    serde_json::from_slice(text).map_err(|e| Failure::Lost(format!("{path}: {e}")))
+}
+
+fn refused(path: &str, status: StatusCode, text: &[u8]) -> Failure {
+    Failure::Refused(format!("{path}: status {status}: {}", String::from_utf8_lossy(text).trim()))
+}
+
+fn base64<'de, D: Deserializer<'de>>(de: D) -> Result<Vec<u8>, D::Error> {
+    let text = String::deserialize(de)?;
+    STANDARD.decode(text).map_err(de::Error::custom)
 }
--- /dev/null
+++ b/src/platform/config.rs
@@ -0,0 +1,165 @@
+//! The config document that the platform's operator publishes.
+
+use std::sync::Arc;
+
+use serde::Deserialize;
+
+use crate::config::{Measure, Priority, Route, Routing, Service, Share, Treatment};
+use crate::platform::headers;
+use crate::settings::Registry;
+
+/// The key of the document.
+pub(crate) const KEY: &str = "op/config";
+
+#[derive(Deserialize)]
+struct Document {
+    version: u64,
+    limits: Limits,
+    listeners: Vec<Listener>,
+    clusters: Vec<Cluster>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Limits {
+    max_header_bytes: u64,
+    max_body_bytes: u64,
+}
+
+#[derive(Deserialize)]
+struct Listener {
+    host: String,
+    rules: Vec<Rule>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Rule {
+    name: Arc<str>,
+    kind: RequestKind,
+    #[serde(default)]
+    latency_goal_s: f64,
+    #[serde(default)]
+    priority: u32,
+    r#match: Match,
+    action: Action,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum RequestKind {
+    Idempotent,
+    #[serde(other)]
+    NonIdempotent,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Match {
+    path_prefix: String,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Action {
+    service: Option<Arc<str>>,
+    #[serde(default)]
+    traffic_split: Vec<Share>,
+    timeout_s: f64,
+    max_attempts: u32,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Cluster {
+    name: Arc<str>,
+    health_path: String,
+    max_connections: u32,
+}
+
+/// Reads the document and returns its version beside its content.
+///
+/// # Errors
+///
+/// Why it can't be read.
+pub(crate) fn decode(value: &[u8], cfg: &Registry) -> Result<(u64, Routing), serde_json::Error> {
+    let document: Document = serde_json::from_slice(value)?;
+    let body_max = document.limits.max_body_bytes;
+    let services = document.clusters.into_iter().map(|c| c.into_service(cfg, body_max));
+    let routes = document.listeners.into_iter().flat_map(Listener::into_routes);
+    let routing = Routing {
+        routes: routes.collect(),
+        services: services.collect(),
+        head_max_bytes: document.limits.max_header_bytes,
+    };
+    Ok((document.version, routing))
+}
+
+impl Listener {
+    fn into_routes(self) -> impl Iterator<Item = Route> {
+        let host = self.host;
+        self.rules.into_iter().map(move |rule| rule.into_route(host.clone()))
+    }
+}
+
+impl Rule {
+    fn into_route(self, host: String) -> Route {
+        let deadline_ms = millis(self.action.timeout_s).max(1);
+        let idempotent = self.kind == RequestKind::Idempotent;
+        let split = match self.action.service {
+            Some(service) => vec![Share { service, weight: 1.0 }],
+            None => self.action.traffic_split,
+        };
+        Route {
+            name: self.name,
+            host,
+            path_prefix: self.r#match.path_prefix,
+            treatment: Treatment {
+                idempotent,
+                deadline_ms,
+                wait_ms: deadline_ms,
+                priority: priority(self.priority),
+                hedge: idempotent,
+                attempts: self.action.max_attempts.max(1),
+                objective_ms: millis(self.latency_goal_s),
+            },
+            split,
+        }
+    }
+}
+
+impl Cluster {
+    fn into_service(self, cfg: &Registry, body_max_bytes: u64) -> Service {
+        let mut service = Service {
+            profile: self.name.clone(),
+            name: self.name,
+            connections: self.max_connections.max(1),
+            body_max_bytes,
+            retry_share: cfg.retry_share,
+            retry_slack: cfg.retry_slack,
+            retry_window_ms: millis(cfg.retry_window_s).max(1),
+            probe_before_send: true,
+            measure: Measure {
+                probes_per_second: cfg.probes_per_second,
+                path: self.health_path,
+                ..Measure::default()
+            },
+            ..Service::default()
+        };
+        headers::set(&mut service);
+        service
+    }
+}
+
+/// The platform's ranks, of which 0 is the highest.
+fn priority(rank: u32) -> Priority {
+    match rank {
+        0 => Priority::Urgent,
+        1 => Priority::Normal,
+        _ => Priority::Deferrable,
+    }
+}
+
+fn millis(seconds: f64) -> u64 {
+    (seconds * 1_000.0).round() as u64
+}
--- /dev/null
+++ b/src/registry.rs
@@ -0,0 +1,339 @@
+//! Follows the platform's store: the operator's config, the upstreams, and the other entry hosts.
+//!
+//! One host of the fleet reads what has changed twice a second and the others hear of it by digest.
+//! A host whose knowledge is older than [`AGE_MAX`], whatever the reason, reads for itself. So the
+//! age of what any host knows is bounded without anybody having to notice that the reader is gone.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use tokio::time::{Instant, sleep};
+
+use crate::decide::hosts::{Host, Role};
+use crate::decide::lapse::Lapses;
+use crate::decide::profile::{Body, Kind, Record};
+use crate::decide::upstream::State;
+use crate::event::{EventCode, Subject};
+use crate::node::{Node, Phase};
+use crate::platform::{Change, Client, Items, Watched, config, entry};
+use crate::settings;
+use crate::store::backoff::Backoff;
+use crate::store::call::{Failure, LeaseId};
+use crate::time::Time;
+
+/// The duty of reading what has changed.
+const READ_DUTY: &str = "registry";
+/// Time between two reads of the host that reads.
+const READ_INTERVAL: Duration = Duration::from_millis(500);
+/// The age of its knowledge at which any other host reads: the platform's bounds are 2 s, of which a
+/// slow store's answer takes a quarter second.
+const AGE_MAX: Duration = Duration::from_millis(1_500);
+/// Time since its own last read from which a host reads everything: the changes since then would
+/// be more than that.
+const CHANGES_MAX_AGE: Duration = Duration::from_secs(3);
+/// Everything under this prefix is read: config, upstreams and entry hosts.
+const EVERYTHING: &str = "";
+/// Where entry hosts register, below the settings' prefix.
+const HOSTS: &str = "hosts/";
+/// The time for which a host's registration lasts.
+const LEASE: Duration = Duration::from_secs(30);
+/// Time between two renewals of it.
+const RENEWAL: Duration = Duration::from_secs(10);
+/// Time for which a host that can't read the store waits for peers' records before it is ready with
+/// those of one peer.
+const PEER_PATIENCE: Duration = Duration::from_secs(1);
+
+/// How old this host's knowledge of the store is.
+#[derive(Debug, Default)]
+pub(crate) struct Knowledge {
+    /// The time up to which every change is known, in microseconds; 0 before the first read.
+    as_of: AtomicU64,
+}
+
+impl Knowledge {
+    /// Returns the time up to which every change is known.
+    pub(crate) fn as_of(&self) -> Option<Time> {
+        let micros = self.as_of.load(Ordering::Relaxed);
+        (micros > 0).then(|| Time::from_micros(micros))
+    }
+
+    /// Notes that every change up to a time is known.
+    pub(crate) fn complete_to(&self, at: Time) {
+        self.as_of.fetch_max(at.as_micros(), Ordering::Relaxed);
+    }
+}
+
+/// Follows the store for the life of the process. Returns at once if the settings name none.
+pub(crate) async fn run(node: Arc<Node>) {
+    let Some(cfg) = node.settings.registry.clone() else { return };
+    let calls = node.metrics.count_calls();
+    let client = Client::connect(cfg.address, cfg.calls_per_second, calls);
+    let mut follower = Follower::new(&node, &cfg, &client);
+    tokio::join!(register(&node, &cfg, &client), follower.run());
+}
+
+/// Keeps this host's registration, by which others find it.
+async fn register(node: &Arc<Node>, cfg: &settings::Registry, client: &Client) {
+    let Some(peer) = node.settings.peer else { return };
+    let host = Host {
+        name: node.settings.host.clone(),
+        address: node.settings.caller,
+        data_centre: node.settings.data_centre.clone(),
+        role: Role::Entry,
+        service: None,
+        state: State::Live,
+        slots: 0,
+        peer: Some(peer),
+        admin: Some(node.settings.admin),
+    };
+    let key = format!("{}{HOSTS}{}", cfg.prefix, host.name);
+    let value = serde_json::to_vec(&host).expect("plain data");
+    let (mut rng, mut backoff) = (SmallRng::from_os_rng(), Backoff::default());
+    let mut lease = None;
+    loop {
+        match renew(client, &key, &value, lease).await {
+            Ok(renewed) => {
+                lease = renewed;
+                if lease.is_some() {
+                    backoff.reset();
+                    sleep(RENEWAL).await;
+                }
+            }
+            Err(e) => {
+                log::debug!("registration: {e}");
+                sleep(backoff.after_failure(&mut rng)).await;
+            }
+        }
+    }
+}
+
+/// Renews a registration, or makes one. Returns the lease under which it stands, if it does.
+async fn renew(
+    client: &Client,
+    key: &str,
+    value: &[u8],
+    lease: Option<LeaseId>,
+) -> Result<Option<LeaseId>, Failure> {
+    if let Some(lease) = lease {
+        return Ok(client.keep(lease).await?.then_some(lease));
+    }
+    let lease = client.grant(LEASE).await?;
+    Ok(client.put(key, value, lease).await?.then_some(lease))
+}
+
+struct Follower<'a> {
+    node: &'a Arc<Node>,
+    client: &'a Client,
+    cfg: &'a settings::Registry,
+    hosts_prefix: String,
+    lapses: Lapses,
+    rng: SmallRng,
+    backoff: Backoff,
+    /// The revision up to which changes were read, and when.
+    read: Option<(u64, Time)>,
+    failing_since: Option<Instant>,
+}
+
+impl<'a> Follower<'a> {
+    fn new(node: &'a Arc<Node>, cfg: &'a settings::Registry, client: &'a Client) -> Follower<'a> {
+        Follower {
+            node,
+            client,
+            cfg,
+            hosts_prefix: format!("{}{HOSTS}", cfg.prefix),
+            lapses: Lapses::default(),
+            rng: SmallRng::from_os_rng(),
+            backoff: Backoff::default(),
+            read: None,
+            failing_since: None,
+        }
+    }
+
+    async fn run(&mut self) {
+        loop {
+            self.wait().await;
+            let pauses = self.node.pause.lock().pauses();
+            let now = self.node.clock.now();
+            match self.read(now).await {
+                Ok(()) => self.succeeded(now, pauses),
+                Err(e) => self.failed(&e).await,
+            }
+            self.become_ready();
+        }
+    }
+
+    /// Waits until a read is due.
+    async fn wait(&mut self) {
+        let node = self.node.clone();
+        loop {
+            let now = node.clock.now();
+            let due = self.due(now);
+            let resync = node.pause.lock().stale(now);
+            if due <= now || resync {
+                return;
+            }
+            tokio::select! {
+                () = tokio::time::sleep_until(node.clock.instant(due).into()) => {}
+                () = node.resync.notified() => return,
+            }
+        }
+    }
+
+    fn due(&mut self, now: Time) -> Time {
+        let Some(as_of) = self.node.knowledge.as_of() else { return now };
+        let reads = self.node.members.lock().owns(READ_DUTY, now);
+        let interval = if reads { READ_INTERVAL } else { AGE_MAX };
+        as_of + interval.mul_f64(self.rng.random_range(0.9..=1.0))
+    }
+
+    async fn read(&mut self, now: Time) -> Result<(), Failure> {
+        let recent = self.read.filter(|(_, at)| now.since(*at) < CHANGES_MAX_AGE);
+        if let Some((revision, _)) = recent {
+            match self.client.changes(EVERYTHING, revision).await? {
+                Watched::Changes(changes, revision) => {
+                    self.returned(now);
+                    self.take(&changes, now);
+                    self.read = Some((revision, now));
+                    return Ok(());
+                }
+                Watched::Forgotten => log::info!("store history is gone, reading everything"),
+            }
+        }
+        let items = self.client.items(EVERYTHING).await?;
+        self.returned(now);
+        self.take_all(&items, now);
+        self.read = Some((items.revision, now));
+        Ok(())
+    }
+
+    fn returned(&mut self, now: Time) {
+        if self.lapses.succeeded(now) && self.failing_since.take().is_some() {
+            self.node.events.record(EventCode::PlatformUp, Subject::default(), None);
+        }
+    }
+
+    fn succeeded(&mut self, now: Time, pauses: u64) {
+        self.backoff.reset();
+        let gone = self.lapses.expired(now);
+        let deleted = gone.iter().map(|m| deleted(&m.name, m.revision)).collect();
+        self.offer(deleted);
+        self.node.knowledge.complete_to(now);
+        self.node.resynced(pauses);
+    }
+
+    async fn failed(&mut self, failure: &Failure) {
+        self.lapses.failed();
+        if self.failing_since.is_none() {
+            self.failing_since = Some(Instant::now());
+            log::warn!("store: {failure}");
+            self.node.events.record(EventCode::PlatformDown, Subject::default(), None);
+        }
+        self.become_ready();
+        sleep(self.backoff.after_failure(&mut self.rng)).await;
+    }
+
+    /// Takes changes in.
+    fn take(&mut self, changes: &[Change], now: Time) {
+        let mut records = Vec::new();
+        for change in changes {
+            if let Some(record) = self.record(change, now) {
+                records.push(record);
+            }
+        }
+        self.offer(records);
+    }
+
+    /// Takes in everything that the store holds. Hosts that it doesn't hold have vanished.
+    fn take_all(&mut self, all: &Items, now: Time) {
+        self.take(&all.items, now);
+        let known: Vec<(Arc<Host>, u64)> = self.node.catalog.lock().hosts_with_versions();
+        let mut gone = Vec::new();
+        for (host, version) in known {
+            let key = match host.role {
+                Role::Upstream => format!("{}{}", entry::PREFIX, host.name),
+                Role::Entry => format!("{}{}", self.hosts_prefix, host.name),
+            };
+            let is_there = all.items.binary_search_by(|i| i.key.as_str().cmp(&key)).is_ok();
+            if is_there || version > all.revision {
+                continue;
+            }
+            let leaving = host.state == State::Leaving;
+            if self.lapses.vanished(&host.name, all.revision, leaving, now) {
+                gone.push(deleted(&host.name, all.revision));
+            }
+        }
+        self.offer(gone);
+    }
+
+    /// Returns the record that a change amounts to, if it is new here.
+    fn record(&mut self, change: &Change, now: Time) -> Option<Record> {
+        if change.key == config::KEY {
+            return self.routing(change);
+        }
+        let upstream = change.key.strip_prefix(entry::PREFIX);
+        let name = upstream.or_else(|| change.key.strip_prefix(&self.hosts_prefix))?;
+        let held = self.node.catalog.lock().get(Kind::Host, name).map(|r| r.body.clone());
+        let Some(value) = &change.value else {
+            let Some(Body::Host(held)) = held else { return None };
+            let leaving = held.state == State::Leaving;
+            let gone = self.lapses.vanished(&held.name, change.revision, leaving, now);
+            return gone.then(|| deleted(&held.name, change.revision));
+        };
+        let host = match upstream {
+            Some(_) => entry::decode(&change.key, value),
+            None => serde_json::from_slice(value).ok(),
+        };
+        let Some(host) = host else {
+            // Whoever wrote it, it names nothing to use, and what stood there before is no more.
+            log::info!("store: {} names no host that can be used", change.key);
+            return matches!(held, Some(Body::Host(_))).then(|| deleted(name, change.revision));
+        };
+        self.lapses.registered(name);
+        let body = Body::Host(Arc::new(host));
+        (held.as_ref() != Some(&body)).then(|| record(name, change.revision, body))
+    }
+
+    fn routing(&self, change: &Change) -> Option<Record> {
+        let value = change.value.as_ref()?;
+        match config::decode(value, self.cfg) {
+            Ok((version, routing)) => {
+                Some(record(config::KEY, version, Body::Routing(Arc::new(routing))))
+            }
+            Err(e) => {
+                log::warn!("store: {}: {e}; the config in force stays", config::KEY);
+                None
+            }
+        }
+    }
+
+    fn offer(&self, records: Vec<Record>) {
+        if !records.is_empty() {
+            self.node.offer(records);
+        }
+    }
+
+    /// Makes the host ready once it knows the routes: from the store, or, while that can't be
+    /// read, from a peer.
+    fn become_ready(&self) {
+        if self.node.phase() != Phase::Starting || self.node.catalog.lock().routing().is_none() {
+            return;
+        }
+        let patient = self.failing_since.is_some_and(|t| t.elapsed() >= PEER_PATIENCE);
+        let from_peer = patient && self.node.members.lock().synced() > 0;
+        if self.read.is_some() || from_peer {
+            self.node.enter(Phase::Ready);
+            self.node.events.record(EventCode::Ready, Subject::default(), None);
+        }
+    }
+}
+
+fn record(name: &str, version: u64, body: Body) -> Record {
+    Record { name: name.into(), version, change: "".into(), author: "".into(), body }
+}
+
+fn deleted(name: &str, revision: u64) -> Record {
+    record(name, revision, Body::Deleted(Kind::Host))
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -45,6 +45,18 @@
     /// The platform's services; absent for a host that runs on this file alone.
     #[serde(default)]
     pub platform: Option<Platform>,
+    /// The store of the deployment platform, in which it keeps config and upstreams; absent where
+    /// there is none.
+    #[serde(default)]
+    pub registry: Option<Registry>,
+    /// Peer addresses to try while no other entry host is known; some may be out of date.
+    #[serde(default)]
+    #[schemars(with = "Vec<Address>")]
+    pub seeds: Vec<SocketAddr>,
+    /// Where metrics are served beside the admin address.
+    #[serde(default)]
+    #[schemars(with = "Option<Address>")]
+    pub metrics: Option<SocketAddr>,
     /// Services given in this file, as version 0.
     #[serde(default)]
     pub services: Vec<Service>,
@@ -110,6 +122,53 @@
     10.0
 }
 
+/// The store of the deployment platform.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Registry {
+    /// Its address.
+    #[schemars(with = "Address")]
+    pub address: SocketAddr,
+    /// The prefix of the keys that entry hosts write.
+    #[serde(default = "default_registry_prefix")]
+    pub prefix: String,
+    /// Calls a second that this host may make.
+    #[serde(default = "default_registry_calls_per_second")]
+    pub calls_per_second: f64,
+    /// Retries and hedges as a share of requests, from 0 to 1.
+    #[serde(default = "default_registry_retry_share")]
+    pub retry_share: f64,
+    /// Retries of the whole fleet beyond that share, within [`Registry::retry_window_s`].
+    #[serde(default)]
+    pub retry_slack: f64,
+    /// Seconds over which retries are counted.
+    #[serde(default = "default_registry_retry_window_s")]
+    pub retry_window_s: f64,
+    /// Probes a second that the whole fleet may send to one upstream.
+    #[serde(default = "default_registry_probes_per_second")]
+    pub probes_per_second: f64,
+}
+
+fn default_registry_retry_share() -> f64 {
+    0.1
+}
+
+fn default_registry_retry_window_s() -> f64 {
+    10.0
+}
+
+fn default_registry_probes_per_second() -> f64 {
+    10.0
+}
+
+fn default_registry_prefix() -> String {
+    "cornelferry/".to_owned()
+}
+
+fn default_registry_calls_per_second() -> f64 {
+    20.0
+}
+
 /// Bounds and times of one process.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields, default)]
@@ -187,11 +246,12 @@
         }
         out.extend(limits_faults(&self.limits));
         out.extend(self.platform.iter().flat_map(platform_faults));
+        out.extend(self.registry.iter().flat_map(registry_faults));
         let at = |i: usize| format!("/services/{i}");
         for (i, service) in self.services.iter().enumerate() {
             out.extend(service_faults(service, &at(i)));
             let known = self.profiles.iter().any(|p| p.name == service.profile);
-            if !known && self.platform.is_none() {
+            if !known && self.platform.is_none() && self.registry.is_none() {
                 let reason = format!("profile {:?} does not exist", service.profile);
                 out.push(fault(&format!("{}/profile", at(i)), &reason));
             }
@@ -220,6 +280,24 @@
     out
 }
 
+fn registry_faults(registry: &Registry) -> Vec<Fault> {
+    let mut out = Vec::new();
+    let mut check = |ok: bool, field: &str, reason: &str| {
+        if !ok {
+            out.push(fault(&format!("/registry/{field}"), reason));
+        }
+    };
+    let rate = |r: f64| r.is_finite() && r >= 0.0;
+    let calls = registry.calls_per_second;
+    check(rate(calls) && calls >= 1.0, "calls_per_second", "must be at least 1");
+    check((0.0..=1.0).contains(&registry.retry_share), "retry_share", "must be from 0 to 1");
+    check(rate(registry.retry_slack), "retry_slack", "must be 0 or more");
+    let window = registry.retry_window_s;
+    check(rate(window) && window > 0.0, "retry_window_s", "must be more than 0");
+    check(rate(registry.probes_per_second), "probes_per_second", "must be 0 or more");
+    out
+}
+
 fn limits_faults(limits: &Limits) -> Vec<Fault> {
     let mut out = Vec::new();
     if limits.workers == 0 {
--- a/src/platform/apply.rs
+++ b/src/store/apply.rs
@@ -3,14 +3,16 @@
 use std::sync::Arc;
 
 use crate::config::Service;
-use crate::decide::hosts::HostList;
+use crate::decide::hosts::{Host, HostList};
 use crate::decide::profile::{Body, Kind, Offered, Record};
 use crate::decide::stored::{self, Stored, Unreadable};
+use crate::decide::tick::Tables;
 use crate::event::{EventCode, Subject};
 use crate::node::Node;
-use crate::platform::call::Entry;
-use crate::platform::keys::Keys;
 use crate::settings::Peer;
+use crate::store::call::Entry;
+use crate::store::keys::Keys;
+use crate::time::Time;
 
 impl Node {
     /// Offers stored records to the catalog. Versions that this release can't read are noted and
@@ -27,6 +29,13 @@
         self.offer(readable);
     }
 
+    /// Puts the hosts that stand under records of their own into force.
+    pub(crate) fn apply_host_records(&self) {
+        let hosts: Vec<Host> = self.catalog.lock().hosts().map(|h| Host::clone(h)).collect();
+        let version = self.hosts.lock().version + 1;
+        self.apply_hosts(HostList { version, hosts });
+    }
+
     /// Puts a newer host list into force. Returns whether it was newer.
     pub(crate) fn apply_hosts(&self, list: HostList) -> bool {
         let catalog = self.catalog.lock();
@@ -40,7 +49,10 @@
         peers.extend(self.settings.peers.iter().filter(|p| !listed(p)).cloned());
         self.members.lock().set_known(&peers, now);
         let mut tables = self.tables.lock();
-        for service in catalog.services() {
+        if self.settings.registry.is_some() {
+            tables.set_fleet_size(list.fleet_size_max());
+        }
+        for service in catalog.all_services() {
             let complete = list.complete(&service);
             let same = |t: &mut _| Self::has_upstreams(t, &complete);
             if !tables.service(&service.name).is_some_and(same) {
@@ -69,16 +81,30 @@
                 let emptied = Service { upstreams: Vec::new(), ..cfg };
                 self.put(&mut tables, Arc::new(emptied), now);
             }
-            Body::Profile(_) | Body::Deleted(Kind::Profile) => {}
+            Body::Routing(routing) => {
+                for service in &routing.services {
+                    let complete = held.complete(service);
+                    let same = tables.service(&service.name).is_some_and(|t| **t.cfg() == complete);
+                    if !same {
+                        self.put(&mut tables, Arc::new(complete), now);
+                        self.set_leaving(&mut tables, &held, &service.name, now);
+                    }
+                }
+            }
+            Body::Profile(_) | Body::Host(_) | Body::Deleted(_) => {}
         }
-        let Some(table) = tables.service(&record.name) else { return };
         if record.kind() == Kind::Service {
-            let nothing = HostList::default();
-            let leaving = held.changed(&nothing, &record.name);
-            leaving.for_each(|h| self.set_state(table, &h.name, h.state, now));
+            self.set_leaving(&mut tables, &held, &record.name, now);
         }
     }
 
+    fn set_leaving(&self, tables: &mut Tables, held: &HostList, service: &str, now: Time) {
+        let Some(table) = tables.service(service) else { return };
+        let nothing = HostList::default();
+        let leaving = held.changed(&nothing, service);
+        leaving.for_each(|h| self.set_state(table, &h.name, h.state, now));
+    }
+
     /// Takes note of a version that this release can't read.
     pub(crate) fn refuse(&self, unreadable: Unreadable) {
         let subject = Subject {
--- /dev/null
+++ b/src/store/client.rs
@@ -0,0 +1,66 @@
+//! The key-value service as the rest of the program sees it.
+
+use std::sync::Arc;
+
+use crate::settings;
+use crate::store::call::{Entry, Failure, Platform, Range};
+use crate::store::etcd;
+use crate::store::http::{Count, Http};
+use crate::store::keys::Keys;
+
+/// Entries asked for in one call.
+const PAGE_ENTRIES: u64 = 200;
+
+/// The calls of the key-value service, and the keys under which things are stored there.
+pub(crate) struct Client {
+    /// The calls.
+    pub(crate) platform: Platform,
+    /// The keys.
+    pub(crate) keys: Keys,
+}
+
+/// Everything that a range held.
+#[derive(Debug, Default)]
+pub(crate) struct Loaded {
+    /// The entries, sorted by key.
+    pub(crate) entries: Vec<Entry>,
+    /// The revision up to which the entries are complete.
+    pub(crate) revision: u64,
+}
+
+impl Client {
+    /// Makes a client. No connection is opened until the first call.
+    pub(crate) fn connect(cfg: &settings::Platform, count: Count) -> Client {
+        let http = Http::new(cfg.key_value.clone(), cfg.calls_per_second, count);
+        Client { platform: etcd::platform(Arc::new(http)), keys: Keys::new(&cfg.prefix) }
+    }
+
+    /// Reads a range of any size, page by page.
+    ///
+    /// # Errors
+    ///
+    /// The first page's [`Failure`] that was not answered.
+    pub(crate) async fn load(&self, range: Range) -> Result<Loaded, Failure> {
+        let mut range = Range { limit: PAGE_ENTRIES, ..range };
+        let mut out = Loaded::default();
+        loop {
+            let page = (self.platform.range)(range.clone()).await?;
+            if out.revision == 0 {
+                out.revision = page.revision;
+            }
+            out.entries.extend(page.entries);
+            let Some(last) = out.entries.last().filter(|_| page.more) else { return Ok(out) };
+            range.key = format!("{}\0", last.key);
+        }
+    }
+
+    /// Reads one key.
+    ///
+    /// # Errors
+    ///
+    /// A [`Failure`] if there is no answer.
+    pub(crate) async fn get(&self, key: String) -> Result<Option<Entry>, Failure> {
+        let page = (self.platform.range)(Range { key, limit: 1, ..Range::default() }).await?;
+        Ok(page.entries.into_iter().next())
+    }
+}
--- a/src/platform/etcd.rs
+++ b/src/store/etcd.rs
@@ -8,11 +8,11 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
-use crate::platform::call::{
+use crate::store::call::{
     CallKind, Changes, Committed, Failure, LeaseId, Page, Platform, Range, Txn, Update, Watch,
 };
-use crate::platform::gateway::{self, GrantAnswer, RangeAnswer, TxnAnswer, WatchMessage};
-use crate::platform::http::Http;
+use crate::store::gateway::{self, GrantAnswer, RangeAnswer, TxnAnswer, WatchMessage};
+use crate::store::http::Http;
 
 /// Bytes that one message of a watch may have.
 const MESSAGE_MAX_BYTES: usize = 64 << 20;
--- a/src/platform/gateway.rs
+++ b/src/store/gateway.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Deserializer, de};
 use serde_json::{Value, json};
 
-use crate::platform::call::{Compare, Entry, LeaseId, Op, Page, Range, Txn, Update, Watch};
+use crate::store::call::{Compare, Entry, LeaseId, Op, Page, Range, Txn, Update, Watch};
 
 /// The path of a range read.
 pub(crate) const RANGE_PATH: &str = "/v3/kv/range";
--- a/src/platform/host_list.rs
+++ b/src/store/host_list.rs
@@ -10,8 +10,8 @@
 
 use crate::decide::hosts::HostList;
 use crate::node::Node;
-use crate::platform::call::{CallKind, Failure};
-use crate::platform::http::{Count, Http};
+use crate::store::call::{CallKind, Failure};
+use crate::store::http::{Count, Http};
 
 /// The path of the list.
 const PATH: &str = "/hosts";
--- a/src/platform/http.rs
+++ b/src/store/http.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Method, Request, Response};
+use http::header::CONTENT_TYPE;
+use http::{Method, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
@@ -16,7 +17,7 @@
 use serde_json::Value;
 
 use crate::decide::bucket::Bucket;
-use crate::platform::call::{CallKind, Failure};
+use crate::store::call::{CallKind, Failure};
 use crate::time::Clock;
 
 /// Time allowed for a new connection.
@@ -31,6 +32,25 @@
 /// Counts a call by kind.
 pub(crate) type Count = Box<dyn Fn(CallKind) + Send + Sync>;
 
+/// What to ask a service.
+#[derive(Debug)]
+pub(crate) struct Request<'a> {
+    /// The method.
+    pub(crate) method: Method,
+    /// The path with its query.
+    pub(crate) path: &'a str,
+    /// The body, sent as JSON.
+    pub(crate) body: Option<&'a Value>,
+}
+
+impl<'a> Request<'a> {
+    /// Makes a POST of a body, or a GET without one.
+    fn new(path: &'a str, body: Option<&'a Value>) -> Request<'a> {
+        let method = if body.is_some() { Method::POST } else { Method::GET };
+        Request { method, path, body }
+    }
+}
+
 /// A client of a service that answers at several addresses.
 pub(crate) struct Http {
     client: Client<HttpConnector, Full<Bytes>>,
@@ -117,8 +137,9 @@
     ) -> Result<Response<Incoming>, Failure> {
         self.permitted(kind).await;
         let at = self.current.load(Ordering::Relaxed);
-        let sent = self.send(at, path, Some(body));
-        let res = within(sent).await.inspect_err(|_| self.turn(at))?;
+        let req = Request::new(path, Some(body));
+        let res =
+            within(ANSWER_TIMEOUT, self.send(at, &req)).await.inspect_err(|_| self.turn(at))?;
         if res.status().is_success() {
             return Ok(res);
         }
@@ -133,16 +154,38 @@
     ) -> Result<T, Failure> {
         self.permitted(kind).await;
         let at = self.current.load(Ordering::Relaxed);
-        let answer = within(self.whole(at, path, body)).await;
+        let answer = within(ANSWER_TIMEOUT, self.whole(at, path, body)).await;
         let text = answer.inspect_err(|e| self.turn_on(at, e))?;
         serde_json::from_slice(&text).map_err(|e| Failure::Lost(format!("{path}: {e}")))
     }
 
-    async fn whole(&self, at: usize, path: &str, body: Option<&Value>) -> Result<Bytes, Failure> {
-        let res = self.send(at, path, body).await?;
+    /// Makes one call and returns its status and body, whatever the status is.
+    ///
+    /// # Errors
+    ///
+    /// A [`Failure`] if there is no whole answer within `timeout`.
+    pub(crate) async fn answer(
+        &self,
+        kind: CallKind,
+        req: &Request<'_>,
+        timeout: Duration,
+    ) -> Result<(StatusCode, Bytes), Failure> {
+        self.permitted(kind).await;
+        let at = self.current.load(Ordering::Relaxed);
+        let answer = within(timeout, self.received(at, req)).await;
+        answer.inspect_err(|e| self.turn_on(at, e))
+    }
+
+    async fn received(&self, at: usize, req: &Request<'_>) -> Result<(StatusCode, Bytes), Failure> {
+        let res = self.send(at, req).await?;
         let status = res.status();
         let body = Limited::new(res.into_body(), ANSWER_MAX_BYTES).collect().await;
-        let text = body.map_err(|e| Failure::Lost(format!("{path}: {e}")))?.to_bytes();
+        let text = body.map_err(|e| Failure::Lost(format!("{}: {e}", req.path)))?.to_bytes();
+        Ok((status, text))
+    }
+
+    async fn whole(&self, at: usize, path: &str, body: Option<&Value>) -> Result<Bytes, Failure> {
+        let (status, text) = self.received(at, &Request::new(path, body)).await?;
         if status.is_success() {
             return Ok(text);
         }
@@ -150,19 +193,17 @@
         Err(if status.is_client_error() { Failure::Refused(reason) } else { Failure::Lost(reason) })
     }
 
-    async fn send(
-        &self,
-        at: usize,
-        path: &str,
-        body: Option<&Value>,
-    ) -> Result<Response<Incoming>, Failure> {
+    async fn send(&self, at: usize, req: &Request<'_>) -> Result<Response<Incoming>, Failure> {
         let Some(address) = self.addresses.get(at % self.addresses.len().max(1)) else {
             return Err(Failure::Unsent("no address is known".to_owned()));
         };
-        let uri = format!("http://{address}{path}");
-        let method = if body.is_some() { Method::POST } else { Method::GET };
-        let text = body.map(ToString::to_string).unwrap_or_default();
-        let req = Request::builder().method(method).uri(&uri).body(Full::new(Bytes::from(text)));
+        let uri = format!("http://{address}{}", req.path);
+        let text = req.body.map(ToString::to_string).unwrap_or_default();
+        let mut builder = http::Request::builder().method(req.method.clone()).uri(&uri);
+        if req.body.is_some() {
+            builder = builder.header(CONTENT_TYPE, "application/json");
+        }
+        let req = builder.body(Full::new(Bytes::from(text)));
         let req = req.map_err(|e| Failure::Unsent(format!("{uri}: {e}")))?;
         self.client.request(req).await.map_err(|e| {
             let reason = format!("{uri}: {e}");
@@ -192,7 +233,10 @@
     }
 }
 
-async fn within<T>(call: impl Future<Output = Result<T, Failure>>) -> Result<T, Failure> {
-    let lost = || Failure::Lost(format!("no answer within {} ms", ANSWER_TIMEOUT.as_millis()));
-    tokio::time::timeout(ANSWER_TIMEOUT, call).await.unwrap_or_else(|_| Err(lost()))
+async fn within<T>(
+    timeout: Duration,
+    call: impl Future<Output = Result<T, Failure>>,
+) -> Result<T, Failure> {
+    let lost = || Failure::Lost(format!("no answer within {} ms", timeout.as_millis()));
+    tokio::time::timeout(timeout, call).await.unwrap_or_else(|_| Err(lost()))
 }
--- a/src/platform/keys.rs
+++ b/src/store/keys.rs
@@ -1,7 +1,7 @@
 //! The keys under which records, their history and claims are stored.
 
 use crate::decide::profile::Kind;
-use crate::platform::call::Range;
+use crate::store::call::Range;
 
 /// Makes keys under a prefix.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/src/platform/records.rs
+++ b/src/store/records.rs
@@ -10,10 +10,10 @@
 
 use crate::event::{EventCode, Subject};
 use crate::node::{Node, Phase};
-use crate::platform::backoff::Backoff;
-use crate::platform::call::{Changes, Failure, Range, Update, Watch};
-use crate::platform::client::{Client, Loaded};
-use crate::platform::restore;
+use crate::store::backoff::Backoff;
+use crate::store::call::{Changes, Failure, Range, Update, Watch};
+use crate::store::client::{Client, Loaded};
+use crate::store::restore;
 
 /// The duty of holding a watch.
 const WATCH_DUTY: &str = "watch";
--- a/src/platform/restore.rs
+++ b/src/store/restore.rs
@@ -3,8 +3,8 @@
 use crate::decide::profile::Record;
 use crate::decide::stored::{self, Stored};
 use crate::node::Node;
-use crate::platform::call::{Compare, Entry, Op, Txn};
-use crate::platform::client::{Client, Loaded};
+use crate::store::call::{Compare, Entry, Op, Txn};
+use crate::store::client::{Client, Loaded};
 
 /// Records put back at a time; the rest follow after another read of everything.
 const PUT_BACK_MAX: usize = 10;
--- a/src/tool/document.rs
+++ b/src/tool/document.rs
@@ -48,6 +48,10 @@
             let faults = settings::service_faults(&service, "");
             (service.name.clone(), Body::Service(Arc::new(service)), faults)
         }
+        Kind::Routing | Kind::Host => {
+            let reason = format!("a {kind} record is written by the platform alone");
+            return Err(vec![Fault { place: "/".to_owned(), reason }]);
+        }
     };
     faults.extend(name_fault(&name));
     if faults.is_empty() { Ok(Document { name, body }) } else { Err(faults) }
@@ -58,6 +62,8 @@
     let value = match body {
         Body::Profile(p) => serde_json::to_value(p),
         Body::Service(s) => serde_json::to_value(s),
+        Body::Routing(r) => serde_json::to_value(r),
+        Body::Host(h) => serde_json::to_value(h),
         Body::Deleted(_) => return String::new(),
     };
     let pretty = value.and_then(|v: Value| serde_json::to_string_pretty(&v));
--- a/src/tool/publish.rs
+++ b/src/tool/publish.rs
@@ -9,9 +9,9 @@
 use crate::decide::profile::{Body, Kind, Record};
 use crate::decide::stored::{self, Stored};
 use crate::error::{Code, Error};
-use crate::platform::backoff::Backoff;
-use crate::platform::call::{Compare, Entry, Failure, Op, Txn};
-use crate::platform::client::Client;
+use crate::store::backoff::Backoff;
+use crate::store::call::{Compare, Entry, Failure, Op, Txn};
+use crate::store::client::Client;
 use crate::tool::document;
 
 /// Versions of a record that are kept.
--- a/src/tool/record.rs
+++ b/src/tool/record.rs
@@ -10,9 +10,9 @@
 use crate::decide::profile::{Body, Kind, Record};
 use crate::decide::stored::{self, Stored};
 use crate::error::{Code, Error};
-use crate::platform::call::Failure;
-use crate::platform::client::Client;
 use crate::settings;
+use crate::store::call::Failure;
+use crate::store::client::Client;
 use crate::tool::publish::{self, Draft};
 use crate::tool::{document, fleet, spread, table};
 
--- a/src/tool/tests.rs
+++ b/src/tool/tests.rs
@@ -12,9 +12,9 @@
 use crate::decide::profile::{Kind, Record};
 use crate::decide::stored::{self, Stored};
 use crate::error::{Code, Error};
-use crate::platform::client::Client;
 use crate::settings;
 use crate::standin::platform::Platform;
+use crate::store::client::Client;
 
 /// Long enough for any read-back, so that only a test of giving up sets a shorter one.
 const PATIENCE: Duration = Duration::from_secs(20);
--- a/src/trace/hooks.rs
+++ b/src/trace/hooks.rs
@@ -9,7 +9,7 @@
 use crate::decide::profile::Offered;
 use crate::decide::service::{Again, ServiceTable};
 use crate::decide::tick::Tables;
-use crate::decide::upstream::{Report, Shared, State, UpstreamId};
+use crate::decide::upstream::{Occupancy, Report, Shared, State, UpstreamId};
 use crate::node::Node;
 use crate::time::Time;
 use crate::trace::{Decision, Entry, FORMAT, Facts, Header, Line, Outcomes};
@@ -124,6 +124,11 @@
         Entry::Finish { service, upstream: name(table, id), report: *report }
     }
 
+    pub(crate) fn occupied(table: &ServiceTable, id: UpstreamId, told: &Occupancy) -> Entry {
+        let service = table.cfg().name.clone();
+        Entry::Occupied { service, upstream: name(table, id), occupancy: *told }
+    }
+
     pub(crate) fn probed(table: &ServiceTable, id: UpstreamId, report: &Report) -> Entry {
         let service = table.cfg().name.clone();
         Entry::Probed { service, upstream: name(table, id), report: *report }
--- a/src/trace/mod.rs
+++ b/src/trace/mod.rs
@@ -28,7 +28,7 @@
 use crate::decide::profile::{Offered, Record};
 use crate::decide::route::Policy;
 use crate::decide::service::HostFacts;
-use crate::decide::upstream::{Report, Shared, State};
+use crate::decide::upstream::{Occupancy, Report, Shared, State};
 use crate::error::{Code, Outcome};
 use crate::event::Event;
 use crate::time::Time;
@@ -151,6 +151,15 @@
         /// What it taught.
         report: Report,
     },
+    /// An upstream told its occupancy.
+    Occupied {
+        /// The service.
+        service: Arc<str>,
+        /// The upstream.
+        upstream: Arc<str>,
+        /// What it told.
+        occupancy: Occupancy,
+    },
     /// The systems ran over the tables.
     Tick {
         /// The probes that they decided on.
