--- a/src/registry.rs
+++ b/src/registry.rs
@@ -42,6 +42,8 @@
 const LEASE: Duration = Duration::from_secs(30);
 /// Time between two renewals of it.
 const RENEWAL: Duration = Duration::from_secs(10);
+/// Time between two looks at whether a host that starts is ready.
+const READY_CHECK: Duration = Duration::from_millis(50);
 /// Time for which a host that can't read the store waits for peers' records before it is ready with
 /// those of one peer.
 const PEER_PATIENCE: Duration = Duration::from_secs(1);
@@ -161,7 +163,7 @@
                 Ok(()) => self.succeeded(now, pauses),
                 Err(e) => self.failed(&e).await,
             }
-            self.become_ready();
+            self.become_ready(self.node.clock.now());
         }
     }
 
@@ -175,6 +177,11 @@
             if due <= now || resync {
                 return;
             }
+            self.become_ready(now);
+            let due = match node.phase() {
+                Phase::Starting => due.min(now + READY_CHECK),
+                _ => due,
+            };
             tokio::select! {
                 () = tokio::time::sleep_until(node.clock.instant(due).into()) => {}
                 () = node.resync.notified() => return,
@@ -231,7 +238,7 @@
             log::warn!("store: {failure}");
             self.node.events.record(EventCode::PlatformDown, Subject::default(), None);
         }
-        self.become_ready();
+        self.become_ready(self.node.clock.now());
         sleep(self.backoff.after_failure(&mut self.rng)).await;
     }
 
@@ -315,15 +322,16 @@
         }
     }
 
-    /// Makes the host ready once it knows the routes: from the store, or, while that can't be
-    /// read, from a peer.
-    fn become_ready(&self) {
+    /// Makes the host ready once it knows the routes as they are at present, or, while the store
+    /// can't be read, as a peer knows them.
+    fn become_ready(&self, now: Time) {
         if self.node.phase() != Phase::Starting || self.node.catalog.lock().routing().is_none() {
             return;
         }
         let patient = self.failing_since.is_some_and(|t| t.elapsed() >= PEER_PATIENCE);
         let from_peer = patient && self.node.members.lock().synced() > 0;
-        if self.read.is_some() || from_peer {
+        let current = self.node.knowledge.as_of().is_some_and(|at| now.since(at) < AGE_MAX);
+        if current || from_peer {
             self.node.enter(Phase::Ready);
             self.node.events.record(EventCode::Ready, Subject::default(), None);
         }
