--- a/src/peer/tests.rs
+++ b/src/peer/tests.rs
@@ -308,6 +308,7 @@
         leaving: head.3,
         leaves: Vec::new(),
         stale: !head.3,
+        registry_age: head.3.then(|| Duration::from_millis(u64::from(head.1 % 60_000))),
         summary: Summary { fingerprint: head.4, versions: head.0 },
         processes: lists.0,
         beats: lists.1,
