--- a/benches/decide.rs
+++ b/benches/decide.rs
@@ -44,7 +44,7 @@
 fn request(table: &mut ServiceTable, now: &mut Time, rng: &mut SmallRng) {
     *now = *now + Duration::from_micros(100);
     let deadline = *now + Duration::from_secs(1);
-    let req = Request { priority: Priority::Normal, deadline, wait_until: deadline };
+    let req = Request::new(Priority::Normal, deadline, deadline);
     if let Admission::Run(target) = table.admit(&req, *now, rng) {
         let latency = Duration::from_millis(5);
         let report = Report { ended: Ended::Answered, latency, load: Some(4), draining: false };
--- a/src/config.rs
+++ b/src/config.rs
@@ -178,7 +178,7 @@
             signature_header: String::new(),
             echo_header: String::new(),
             instance_header: String::new(),
-            retry_slack: 100.0,
+            retry_slack: 10.0,
             retry_window_ms: 10_000,
             probe_before_send: false,
             keyed_claims: false,
--- a/src/decide/admit.rs
+++ b/src/decide/admit.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::config::Priority;
+use crate::decide::kinds::{Aim, Expected};
 use crate::decide::upstream::UpstreamId;
 use crate::error::Code;
 use crate::time::Time;
@@ -21,6 +22,19 @@
     pub deadline: Time,
     /// Until when it may wait for a slot.
     pub wait_until: Time,
+    /// What its caller wants of the time of the answer, where that is known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub aim: Option<Aim>,
+    /// What was expected of it when it came.
+    #[serde(skip)]
+    pub(crate) expected: Option<Expected>,
+}
+
+impl Request {
+    /// Makes a request of which no more is known than its deadline and the wait it may have.
+    pub fn new(priority: Priority, deadline: Time, wait_until: Time) -> Request {
+        Request { priority, deadline, wait_until, aim: None, expected: None }
+    }
 }
 
 /// Identifies a request that waits.
--- a/src/decide/load.rs
+++ b/src/decide/load.rs
@@ -17,6 +17,23 @@
     pub(crate) at: Time,
     /// This host's attempts in flight at the upstream before it.
     pub(crate) before: u32,
+    /// What was expected of it, at an upstream that tells its occupancy.
+    pub(crate) timing: Option<Timing>,
+}
+
+/// What was expected of an attempt when it was sent.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Timing {
+    /// The kind of its request.
+    pub(crate) kind: u64,
+    /// The time that it takes on an upstream of usual speed.
+    pub(crate) work: Duration,
+    /// How many times slower than usual the upstream was expected to be.
+    pub(crate) slowdown: f32,
+    /// The requests expected there before it.
+    pub(crate) load: f32,
+    /// Whether the upstream's report was fresh.
+    pub(crate) fresh: bool,
 }
 
 /// What another host said about an upstream.
@@ -64,7 +81,7 @@
 impl Row {
     /// Takes note of an attempt that starts.
     pub(crate) fn started(&mut self, now: Time) {
-        self.sent.push(Sent { at: now, before: self.in_flight });
+        self.sent.push(Sent { at: now, before: self.in_flight, timing: None });
         self.in_flight += 1;
     }
 
--- a/src/decide/matching.rs
+++ b/src/decide/matching.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
+use twox_hash::XxHash64;
 use wildmatch::WildMatch;
 
 use crate::config::{self, Profile, Routing, Service, Treatment};
@@ -22,6 +23,8 @@
     /// The host name in lower case.
     host: String,
     path_prefix: String,
+    /// Identifies the requests that it takes, in every version of the routes.
+    kind: u64,
     treatment: Treatment,
     split: Split,
 }
@@ -81,6 +84,8 @@
     pub service: &'a Arc<Service>,
     /// The treatment.
     pub treatment: &'a Treatment,
+    /// Identifies the kind of request: all those that one route or one service takes.
+    pub kind: u64,
 }
 
 impl Routes {
@@ -104,6 +109,7 @@
         let route = |r: &config::Route| HostRoute {
             host: without_port(&r.host).to_ascii_lowercase(),
             path_prefix: r.path_prefix.clone(),
+            kind: XxHash64::oneshot(0, r.name.as_bytes()),
             treatment: r.treatment.clone(),
             split: Split::new(&r.split, &services, start % START_MAX),
         };
@@ -136,14 +142,18 @@
     pub fn find(&self, host: &str, method: &str, path: &str) -> Option<Match<'_>> {
         let host = without_port(host);
         if let Some(route) = self.find_host_route(host, path) {
-            return Some(Match { service: route.split.next()?, treatment: &route.treatment });
+            return Some(Match {
+                service: route.split.next()?,
+                treatment: &route.treatment,
+                kind: route.kind,
+            });
         }
         let route = self.routes.iter().find(|r| serves(&r.service, host, path))?;
         let rule = route.rules.iter().find(|(methods, pattern, _)| {
             (methods.is_empty() || methods.iter().any(|m| m == method)) && pattern.matches(path)
         });
         let treatment = rule.map_or(&route.otherwise, |(_, _, treatment)| treatment);
-        Some(Match { service: &route.service, treatment })
+        Some(Match { service: &route.service, treatment, kind: 0 })
     }
 }
 
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -24,8 +24,10 @@
 
 pub(crate) mod baseline;
 pub(crate) mod capacity;
+pub(crate) mod concurrency;
 pub(crate) mod drain;
 pub(crate) mod health;
+pub mod kinds;
 pub(crate) mod load;
 pub(crate) mod occupancy;
 pub(crate) mod queue;
--- a/src/decide/queue.rs
+++ b/src/decide/queue.rs
@@ -41,6 +41,11 @@
         self.lanes.iter().map(VecDeque::len).sum()
     }
 
+    /// Returns the requests that wait, by priority and then by arrival.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &Waiter> {
+        self.lanes.iter().flatten()
+    }
+
     /// Tells whether none waits.
     pub(crate) fn is_empty(&self) -> bool {
         self.lanes.iter().all(VecDeque::is_empty)
--- a/src/decide/service.rs
+++ b/src/decide/service.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod sharing;
+mod timed;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -12,11 +13,13 @@
 use crate::decide::admit::{Target, Ticket};
 use crate::decide::baseline::Baseline;
 use crate::decide::capacity::Capacity;
+use crate::decide::concurrency::Concurrency;
 use crate::decide::health;
+use crate::decide::kinds::Kinds;
+use crate::decide::load::Timing;
 use crate::decide::measure::{self, Budget};
 use crate::decide::queue::Queue;
 use crate::decide::retry::{RetryBudget, RetryLimits};
-use crate::decide::route;
 use crate::decide::route::Policy;
 use crate::decide::upstream::{self, Changed, Ended, Occupancy, Report, Row, State, UpstreamId};
 use crate::event::EventCode;
@@ -58,6 +61,9 @@
     in_flight: u32,
     requested: Option<Time>,
     baseline: Baseline,
+    kinds: Kinds,
+    concurrency: Concurrency,
+    work_rate: timed::WorkRate,
     capacity: Capacity,
     queue: Queue,
     evicted: Vec<Ticket>,
@@ -68,6 +74,10 @@
     changes: Vec<Changed>,
 }
 
+/// Age of a report that came with the answer that is looked at.
+const JUST_NOW: Duration = Duration::from_millis(1);
+/// Relative difference up to which two reports of an upstream's speed are the same.
+const STEADY: f32 = 0.2;
 /// Age up to which an upstream's report is as good as a new one.
 const FRESH_REPORT: Duration = Duration::from_millis(40);
 /// Upstreams that are asked before a request is sent.
@@ -79,6 +89,8 @@
 const DISTANCE_COST: f32 = 0.25;
 /// Time between two searches for an upstream to probe.
 const PROBE_INTERVAL: Duration = Duration::from_millis(50);
+/// Time between two searches for a free slot while requests wait.
+const WAITING_PROBE_INTERVAL: Duration = Duration::from_millis(15);
 /// Time without requests after which a service is quiet.
 const QUIET_AFTER: Duration = Duration::from_secs(5);
 /// Changes that are held until they are asked for.
@@ -99,6 +111,9 @@
             in_flight: 0,
             requested: None,
             baseline: Baseline::default(),
+            kinds: Kinds::default(),
+            concurrency: Concurrency::default(),
+            work_rate: timed::WorkRate::default(),
             capacity: Capacity::default(),
             queue: Queue::default(),
             evicted: Vec::new(),
@@ -202,6 +217,10 @@
             row.refresh(&mut self.changes);
         }
         row.learn(report, &self.baseline, now);
+        if let Some(timing) = sent.timing.filter(|_| report.ended == Ended::Answered) {
+            self.timed(at, timing, report.latency, now);
+        }
+        let row = &mut self.rows[at];
         if report.ended == Ended::Answered {
             self.baseline.answered(report.latency, now);
         }
@@ -241,6 +260,10 @@
         if now < self.probes_sought || self.cfg.measure.path.is_empty() || !self.probes.ready(now) {
             return Vec::new();
         }
+        if self.is_timed() && !self.queue.is_empty() {
+            self.probes_sought = now + WAITING_PROBE_INTERVAL;
+            return self.candidates(now, &mut rand::rng());
+        }
         self.probes_sought = now + PROBE_INTERVAL;
         let chosen = measure::choose(&self.rows, self.requested, now, owned);
         let Some((id, target)) = chosen.map(|r| (r.id, target(r))) else { return Vec::new() };
@@ -264,12 +287,12 @@
     /// nothing recent is known, within the measuring budget.
     pub fn candidates(&mut self, now: Time, rng: &mut impl Rng) -> Vec<Target> {
         let fresh = |r: &Row| r.occupancy_age(now).is_some_and(|age| age < FRESH_REPORT);
-        let cold_start = Duration::from_millis(self.cfg.cold_start_ms);
-        route::collect(&self.rows, &[], cold_start, now, rng, &mut self.open);
-        let mut best: Vec<(f32, usize)> = Vec::with_capacity(self.open.len());
-        for &at in &self.open {
-            let cost = self.cost_of(&self.rows[at as usize], now);
-            best.push((cost + rng.random::<f32>() * CANDIDATE_SPREAD, at as usize));
+        let mut best: Vec<(f32, usize)> = Vec::with_capacity(self.rows.len());
+        for (at, row) in self.rows.iter().enumerate() {
+            if row.state == State::Live && !row.health.ejected(now) && !row.health.refusing(now) {
+                let cost = self.cost_of(row, now);
+                best.push((cost + rng.random::<f32>() * CANDIDATE_SPREAD, at));
+            }
         }
         best.sort_by(|a, b| a.0.total_cmp(&b.0));
         best.truncate(CANDIDATES);
@@ -329,6 +352,24 @@
         }
     }
 
+    /// Learns from the time of an answer, if the upstream's speed was the same at its beginning and
+    /// its end.
+    fn timed(&mut self, at: usize, timing: Timing, took: Duration, now: Time) {
+        let Some(told) = self.rows[at].occupied.filter(|o| now.since(o.at) < JUST_NOW) else {
+            return;
+        };
+        let steady = (told.occupancy.slowdown / timing.slowdown - 1.0).abs() < STEADY;
+        if !timing.fresh || !steady {
+            return;
+        }
+        let usual = took.div_f32(told.occupancy.slowdown);
+        let level = (timing.load.round() as u32 + 1).max(told.occupancy.running);
+        self.concurrency.answered(level, usual.as_secs_f32() / timing.work.as_secs_f32());
+        if level * 2 <= told.occupancy.slots.max(2) {
+            self.kinds.took(timing.kind, usual);
+        }
+    }
+
     fn join(&mut self, upstream: &config::Upstream, started: bool, now: Time) {
         let mut row = Row::new(self.next_id.into(), upstream, now);
         row.health.growing = started.then_some(now);
--- a/src/decide/service/admission.rs
+++ b/src/decide/service/admission.rs
@@ -5,7 +5,7 @@
 use rand::{Rng, RngCore};
 
 use super::{Again, ServiceTable, target};
-use crate::config::{LoadFormat, Priority};
+use crate::config::Priority;
 use crate::decide::admit::{Admission, Refusal, Request, Target, Ticket};
 use crate::decide::capacity::Fleet;
 use crate::decide::queue::Waiter;
@@ -33,6 +33,9 @@
         if !self.rows.iter().any(|r| r.state == State::Live) {
             return Admission::Refuse(self.no_upstream());
         }
+        if self.is_timed() {
+            return self.admit_timed(req, now, rng);
+        }
         if self.too_close(req, Duration::ZERO, now) {
             return Admission::Refuse(self.refusal(Code::DeadlineTooClose));
         }
@@ -66,6 +69,27 @@
         self.run(id, now)
     }
 
+    /// Decides on another attempt for a request, as [`Self::again`] does, with what is known of it.
+    pub fn again_for(
+        &mut self,
+        req: &Request,
+        why: Again,
+        tried: &[UpstreamId],
+        now: Time,
+        rng: &mut impl Rng,
+    ) -> Option<Target> {
+        if !self.is_timed() {
+            return self.again(why, tried, now, rng);
+        }
+        let limits = self.retry_limits();
+        if !self.retries.ready(limits, now) {
+            return None;
+        }
+        let target = self.again_timed(why == Again::Hedge, req, tried, now, rng)?;
+        self.retries.spend(limits, now);
+        Some(target)
+    }
+
     /// Forgets a request that waits; its caller has gone.
     pub fn abandon(&mut self, ticket: Ticket) {
         if !self.queue.remove(ticket) {
@@ -78,6 +102,9 @@
         if self.queue.is_empty() && self.evicted.is_empty() {
             return Vec::new();
         }
+        if self.is_timed() && self.rows.iter().any(|r| r.state == State::Live) {
+            return self.release_timed(now, rng);
+        }
         let mut out = Vec::new();
         self.refuse(now, &mut out);
         while let Some(decided) = self.next(now, rng) {
@@ -87,7 +114,10 @@
     }
 
     /// Returns the time after which a hedge is due, or nothing if none is of use.
-    pub fn hedge_after(&self, _id: UpstreamId, _now: Time) -> Option<Duration> {
+    pub fn hedge_after(&self, id: UpstreamId, now: Time) -> Option<Duration> {
+        if self.is_timed() {
+            return self.late_timed(id, now);
+        }
         let late = Duration::from_micros(self.baseline.late()? as u64);
         let live = self.rows.iter().filter(|r| r.state == State::Live);
         (live.count() > 1).then(|| late.max(HEDGE_FLOOR))
@@ -101,9 +131,6 @@
 
     /// Tells whether one more request like `req` may be in flight.
     fn room(&mut self, req: &Request, now: Time) -> bool {
-        if self.cfg.load_format == LoadFormat::Occupancy {
-            return self.has_room(req.priority, now);
-        }
         let (rows, cfg, baseline) = (&mut self.rows, &self.cfg, &self.baseline);
         let fleet = Fleet { size_max: self.facts.fleet_size_max, others: self.others };
         self.capacity.refresh(rows, cfg, baseline, fleet, now);
@@ -114,16 +141,6 @@
         self.in_flight < limit
     }
 
-    /// Tells whether some upstream that tells its occupancy has room for a request.
-    fn has_room(&self, priority: Priority, now: Time) -> bool {
-        let fill = fill(priority);
-        let open = |r: &&Row| r.state == State::Live && !r.health.refusing(now);
-        self.rows.iter().filter(open).any(|r| {
-            let slots = r.slots(self.cfg.slots);
-            r.expected_load(slots, now) < slots as f32 * fill
-        })
-    }
-
     fn enqueue(&mut self, req: &Request, now: Time) -> Admission {
         let wait = self.wait(self.queue.ahead(req.priority), req.priority);
         if self.too_close(req, wait, now) {
@@ -196,9 +213,6 @@
     ) -> Option<UpstreamId> {
         let cold_start = Duration::from_millis(self.cfg.cold_start_ms);
         route::collect(&self.rows, tried, cold_start, now, rng, &mut self.open);
-        if self.cfg.load_format == LoadFormat::Occupancy {
-            return self.least_cost(now, rng);
-        }
         let view = View {
             rows: &self.rows,
             open: &self.open,
@@ -209,18 +223,6 @@
         route::choose(self.facts.policy, &view, rng)
     }
 
-    /// Returns the open upstream that is expected to answer first.
-    fn least_cost(&self, now: Time, rng: &mut dyn RngCore) -> Option<UpstreamId> {
-        let cost = |&at: &u32| {
-            let row = &self.rows[at as usize];
-            (self.cost_of(row, now), row.id)
-        };
-        let start = rng.random_range(0..self.open.len().max(1));
-        let (before, after) = self.open.split_at(start.min(self.open.len()));
-        let costs = after.iter().chain(before).map(cost);
-        costs.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, id)| id)
-    }
-
     fn run(&mut self, id: UpstreamId, now: Time) -> Option<Target> {
         self.choices += 1;
         self.in_flight += 1;
@@ -252,15 +254,6 @@
     }
 }
 
-/// Returns how many requests an upstream may have against its slots, for one more of a priority.
-const fn fill(priority: Priority) -> f32 {
-    match priority {
-        Priority::Urgent => 3.0,
-        Priority::Normal => 2.0,
-        Priority::Deferrable => 1.5,
-    }
-}
-
 /// Returns why a request that waits can't run any more, if it can't.
 fn expired(req: &Request, quickest: Duration, now: Time) -> Option<Code> {
     match () {
--- /dev/null
+++ b/src/decide/service/timed.rs
@@ -0,0 +1,319 @@
+//! Requests of a service whose upstreams tell their occupancy: who runs where, who waits, and who is
+//! refused.
+//!
+//! A request runs only where a slot is expected to be free, and waits here otherwise: what waits at
+//! an upstream can't be overtaken by something more urgent, nor go where a slot comes free first.
+
+use std::cmp::Reverse;
+use std::time::Duration;
+
+use rand::{Rng, RngCore};
+
+use super::{FRESH_REPORT, ServiceTable, target};
+use crate::config::{LoadFormat, Priority};
+use crate::decide::admit::{Admission, Refusal, Request, Target, Ticket};
+use crate::decide::kinds::{Aim, Expected};
+use crate::decide::load::Timing;
+use crate::decide::queue::Waiter;
+use crate::decide::upstream::{self, Row, State, UpstreamId};
+use crate::error::Code;
+use crate::time::Time;
+
+/// Requests expected at an upstream beside a new one, as a part of one, up to which a slot counts as
+/// free: reports that age have fractions.
+const FREE_MARGIN: f32 = 0.5;
+/// Requests that wait that are tried in vain in one go.
+const TRIES_MAX: usize = 6;
+/// Multiple of the expected time after which a request is late.
+const LATE_FACTOR: f32 = 1.8;
+/// Slowdown from which an upstream counts as slow.
+const SLOW: f32 = 2.5;
+/// Spread of the time after which refused callers come back, so that they don't return together.
+const RETRY_AFTER_SPREAD: std::ops::Range<f32> = 0.6..1.6;
+/// The shortest and the longest time after which a refused caller is told to come back.
+const RETRY_AFTER: std::ops::RangeInclusive<Duration> =
+    Duration::from_millis(40)..=Duration::from_secs(2);
+/// Age over which work that was started loses most of its weight in the rate (a factor of e).
+const RATE_LIFE: Duration = Duration::from_secs(1);
+
+/// The rate at which this host starts work: seconds of work a second, as a decaying sum.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct WorkRate {
+    sum: f32,
+    at: Time,
+}
+
+impl WorkRate {
+    fn started(&mut self, work: Duration, now: Time) {
+        self.sum = self.at(now) + work.as_secs_f32() / RATE_LIFE.as_secs_f32();
+        self.at = now;
+    }
+
+    fn at(&self, now: Time) -> f32 {
+        self.sum * (-now.since(self.at).as_secs_f32() / RATE_LIFE.as_secs_f32()).exp()
+    }
+}
+
+/// Where a request may go.
+#[derive(Clone, Copy, Debug)]
+struct Place {
+    id: UpstreamId,
+    time: Duration,
+    slowdown: f32,
+    load: f32,
+}
+
+impl ServiceTable {
+    /// Tells whether the service's upstreams tell their occupancy.
+    pub(super) fn is_timed(&self) -> bool {
+        self.cfg.load_format == LoadFormat::Occupancy
+    }
+
+    /// Decides on a new request.
+    pub(super) fn admit_timed(
+        &mut self,
+        req: &Request,
+        now: Time,
+        rng: &mut impl Rng,
+    ) -> Admission {
+        let expected = self.expected(req, now);
+        if now + expected.work >= req.deadline {
+            return Admission::Refuse(self.refusal_timed(Code::DeadlineTooClose, now, rng));
+        }
+        if !self.is_behind(req, expected, now)
+            && let Some(target) = self.try_start(req, expected, &[], now, rng)
+        {
+            return Admission::Run(target);
+        }
+        if self.is_hopeless(req, expected, now) || self.queue.len() >= self.facts.waiting_max {
+            return Admission::Refuse(self.refusal_timed(Code::Overloaded, now, rng));
+        }
+        let req = Request { expected: Some(expected), ..*req };
+        Admission::Wait(self.queue.push(req))
+    }
+
+    /// Decides on requests that wait.
+    pub(super) fn release_timed(
+        &mut self,
+        now: Time,
+        rng: &mut impl Rng,
+    ) -> Vec<(Ticket, Admission)> {
+        let mut out = Vec::new();
+        self.refuse_timed(now, rng, &mut out);
+        let mut waiters: Vec<Waiter> = self.queue.iter().copied().collect();
+        waiters.sort_by_key(|w| self.rank(&w.req, now));
+        let mut vain = 0;
+        for waiter in waiters {
+            let expected = self.expected(&waiter.req, now);
+            match self.try_start(&waiter.req, expected, &[], now, rng) {
+                Some(target) => {
+                    self.queue.remove(waiter.ticket);
+                    out.push((waiter.ticket, Admission::Run(target)));
+                }
+                None => vain += 1,
+            }
+            if vain == TRIES_MAX {
+                break;
+            }
+        }
+        out
+    }
+
+    /// Starts another attempt at an upstream that is not in `tried`. A hedge goes to an upstream that
+    /// isn't slow.
+    pub(super) fn again_timed(
+        &mut self,
+        hedge: bool,
+        req: &Request,
+        tried: &[UpstreamId],
+        now: Time,
+        rng: &mut impl Rng,
+    ) -> Option<Target> {
+        let expected = self.expected(req, now);
+        let place = self.place(expected, tried, now, rng)?;
+        if now + place.time >= req.deadline || hedge && place.slowdown >= SLOW {
+            return None;
+        }
+        self.start_at(&place, req, expected, now)
+    }
+
+    /// Returns the time after which an attempt that has just been started is late.
+    pub(super) fn late_timed(&self, id: UpstreamId, now: Time) -> Option<Duration> {
+        let row = upstream::find(&self.rows, id)?;
+        let timing = row.sent.last()?.timing?;
+        let slowdown = timing.slowdown.min(row.expected_slowdown(now)).max(1.0);
+        Some(timing.work.mul_f32(slowdown * LATE_FACTOR))
+    }
+
+    /// Returns what is expected of a request.
+    fn expected(&mut self, req: &Request, now: Time) -> Expected {
+        let whole = now.until(req.deadline);
+        let aim = req.aim.unwrap_or(Aim { kind: 0, objective: whole, at: now, left: whole });
+        req.expected.unwrap_or_else(|| self.kinds.expect(&aim))
+    }
+
+    /// Starts a request if there is a place for it at present: one that answers in time, or any
+    /// if no place could any more.
+    fn try_start(
+        &mut self,
+        req: &Request,
+        expected: Expected,
+        tried: &[UpstreamId],
+        now: Time,
+        rng: &mut impl Rng,
+    ) -> Option<Target> {
+        let place = self.place(expected, tried, now, rng)?;
+        let answered = now + place.time;
+        let is_late = now + expected.work > expected.objective;
+        let fits = answered <= expected.objective || is_late && answered < req.deadline;
+        if !fits {
+            return None;
+        }
+        self.start_at(&place, req, expected, now)
+    }
+
+    fn start_at(
+        &mut self,
+        place: &Place,
+        req: &Request,
+        expected: Expected,
+        now: Time,
+    ) -> Option<Target> {
+        self.work_rate.started(expected.work, now);
+        self.choices += 1;
+        self.in_flight += 1;
+        let row = upstream::find_mut(&mut self.rows, place.id)?;
+        let fresh = row.occupancy_age(now).is_some_and(|age| age < FRESH_REPORT);
+        row.chosen = self.choices;
+        row.started(now);
+        if let Some(sent) = row.sent.last_mut() {
+            sent.timing = Some(Timing {
+                kind: req.aim.map_or(0, |a| a.kind),
+                work: expected.work,
+                slowdown: place.slowdown,
+                load: place.load,
+                fresh,
+            });
+        }
+        Some(target(row))
+    }
+
+    /// Returns the upstream with a free slot that is expected to answer first.
+    fn place(
+        &self,
+        expected: Expected,
+        tried: &[UpstreamId],
+        now: Time,
+        rng: &mut dyn RngCore,
+    ) -> Option<Place> {
+        let cold_start = Duration::from_millis(self.cfg.cold_start_ms);
+        let mut best: Option<(f32, Place)> = None;
+        let start = rng.random_range(0..self.rows.len().max(1));
+        let (before, after) = self.rows.split_at(start.min(self.rows.len()));
+        for row in after.iter().chain(before) {
+            if !self.is_open(row, tried, cold_start, now, rng) {
+                continue;
+            }
+            let slots = row.slots(self.cfg.slots);
+            let load = row.expected_load(slots, now);
+            if load + FREE_MARGIN > self.concurrency.limit(slots) as f32 {
+                continue;
+            }
+            let cost = self.cost_of(row, now);
+            if best.is_none_or(|(least, _)| cost < least) {
+                let slowdown = row.expected_slowdown(now);
+                let time = expected.work.mul_f32(row.expected_time(slots, now));
+                best = Some((cost, Place { id: row.id, time, slowdown, load }));
+            }
+        }
+        best.map(|(_, place)| place)
+    }
+
+    /// Tells whether an upstream takes requests at present. One that starts takes a growing share.
+    fn is_open(
+        &self,
+        row: &Row,
+        tried: &[UpstreamId],
+        cold_start: Duration,
+        now: Time,
+        rng: &mut dyn RngCore,
+    ) -> bool {
+        let health = &row.health;
+        let usable = row.state == State::Live && !health.ejected(now) && !health.refusing(now);
+        usable && !tried.contains(&row.id) && {
+            let share = health.share(cold_start, now);
+            share >= 1.0 || rng.random::<f32>() < share
+        }
+    }
+
+    /// Returns the place of a request among those that wait: those that can still be answered in
+    /// time first, by priority, and then those whose time runs out first.
+    fn rank(&mut self, req: &Request, now: Time) -> (bool, Priority, Time) {
+        let expected = self.expected(req, now);
+        (now + expected.work > expected.objective, req.priority, expected.objective)
+    }
+
+    /// Tells whether a request that waits goes before a new one.
+    fn is_behind(&mut self, req: &Request, expected: Expected, now: Time) -> bool {
+        let own = (now + expected.work > expected.objective, req.priority, expected.objective);
+        let waiting: Vec<Request> = self.queue.iter().map(|w| w.req).collect();
+        waiting.iter().any(|w| self.rank(w, now) < own)
+    }
+
+    /// Tells whether a request has no prospect of an answer in time, while others that have one
+    /// need every slot.
+    fn is_hopeless(&mut self, req: &Request, expected: Expected, now: Time) -> bool {
+        let waiting: Vec<Request> = self.queue.iter().map(|w| w.req).collect();
+        let ahead = waiting.iter().filter(|w| w.priority <= req.priority);
+        let mut work = Duration::ZERO;
+        for w in ahead {
+            let e = self.expected(w, now);
+            if now + e.work <= e.objective {
+                work += e.work;
+            }
+        }
+        if work.is_zero() {
+            return false;
+        }
+        let rate = self.work_rate.at(now).max(f32::EPSILON);
+        let wait = Duration::try_from_secs_f32(work.as_secs_f32() / rate).unwrap_or(Duration::MAX);
+        now + wait.saturating_add(expected.work) > expected.objective
+    }
+
+    /// Refuses what waits and can't be answered before its deadline, and what can't be answered in
+    /// time any more while there is something that can.
+    fn refuse_timed(&mut self, now: Time, rng: &mut impl Rng, out: &mut Vec<(Ticket, Admission)>) {
+        let waiting: Vec<Waiter> = self.queue.iter().copied().collect();
+        let mut late = Vec::new();
+        let mut is_needed = false;
+        for waiter in waiting {
+            let expected = self.expected(&waiter.req, now);
+            if now + expected.work >= waiter.req.deadline {
+                late.push((waiter.ticket, Code::DeadlineTooClose));
+            } else if now + expected.work > expected.objective {
+                late.push((waiter.ticket, Code::Overloaded));
+            } else {
+                is_needed = true;
+            }
+        }
+        late.sort_by_key(|(ticket, _)| Reverse(*ticket));
+        for (ticket, code) in late {
+            if code == Code::DeadlineTooClose || is_needed {
+                self.queue.remove(ticket);
+                let refusal = self.refusal_timed(code, now, rng);
+                out.push((ticket, Admission::Refuse(refusal)));
+            }
+        }
+    }
+
+    /// Returns a refusal with the time at which there may be room.
+    fn refusal_timed(&mut self, code: Code, now: Time, rng: &mut impl Rng) -> Refusal {
+        let waiting: Vec<Request> = self.queue.iter().map(|w| w.req).collect();
+        let work: f32 = waiting.iter().map(|w| self.expected(w, now).work.as_secs_f32()).sum();
+        let rate = self.work_rate.at(now).max(f32::EPSILON);
+        let drained = Duration::try_from_secs_f32(work / rate).unwrap_or(*RETRY_AFTER.end());
+        let after = drained.clamp(*RETRY_AFTER.start(), *RETRY_AFTER.end());
+        let spread = rng.random_range(RETRY_AFTER_SPREAD);
+        Refusal { code, retry_after: after.mul_f32(spread) }
+    }
+}
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -65,11 +65,17 @@
     }
 
     /// Decides on another attempt.
-    pub(crate) fn again(&self, service: &str, why: Again, tried: &[UpstreamId]) -> Option<Target> {
+    pub(crate) fn again(
+        &self,
+        service: &str,
+        req: &Request,
+        why: Again,
+        tried: &[UpstreamId],
+    ) -> Option<Target> {
         let now = self.clock.now();
         let mut tables = self.tables.lock();
         let table = tables.service(service)?;
-        let target = table.again(why, tried, now, &mut rand::rng());
+        let target = table.again_for(req, why, tried, now, &mut rand::rng());
         let upstream = target.as_ref().map(|t| t.name.clone());
         self.recorder.note_at(now, || Entry::again(table, why, tried, upstream));
         target
--- a/src/entry/intake.rs
+++ b/src/entry/intake.rs
@@ -13,6 +13,8 @@
 use xitca_web::http::WebRequest;
 
 use crate::config::Service;
+use crate::decide::kinds::Aim;
+use crate::decide::matching::Match;
 use crate::entry::socket::Caller;
 use crate::error::Code;
 use crate::forward::Job;
@@ -27,6 +29,11 @@
 /// Time allowed to a body that was announced by `Expect`. xitca-http 0.9.6 does not see one that
 /// came together with its head.
 const EXPECTED_BODY_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time for an answer's way to the caller, so that one that is given up on hears of it before it
+/// gives up itself.
+const ANSWER_WAY: Duration = Duration::from_millis(8);
+/// Part of a short time left that is kept for the answer's way at most.
+const ANSWER_WAY_DIVISOR: u32 = 16;
 /// Bytes that a header field takes beside its name and value.
 const FIELD_OVERHEAD: usize = 4;
 
@@ -68,7 +75,9 @@
     let method = parts.method.as_str();
     let found = routes.find(&target.host, method, target.path.path()).ok_or(Code::NoService)?;
     let (service, treatment) = (found.service.clone(), found.treatment.clone());
-    let deadline = deadline(&node.names, &parts.headers, now, treatment.deadline_ms)?;
+    let left = time_left(&node.names, &parts.headers)?;
+    let deadline = deadline(left, now, treatment.deadline_ms);
+    let aim = aim(&found, left, now);
     let mut held = node.memory.share();
     let body = match parts.headers.contains_key(UPGRADE) {
         true => Bytes::new(),
@@ -91,6 +100,7 @@
         service,
         treatment,
         deadline,
+        aim,
         method: parts.method,
         uri: Uri::from(target.path),
         headers: passed_on(&node.names, parts.headers, id),
@@ -168,14 +178,28 @@
     plain == "." || plain == ".."
 }
 
-/// Returns the sooner of the profile's deadline and the caller's own.
-fn deadline(names: &Names, headers: &HeaderMap, now: Time, profile_ms: u64) -> Result<Time, Code> {
-    let Some(value) = headers.get(&names.deadline) else {
-        return Ok(now + Duration::from_millis(profile_ms));
-    };
+/// Returns the time that the caller says it has left, if it says so.
+fn time_left(names: &Names, headers: &HeaderMap) -> Result<Option<Duration>, Code> {
+    let Some(value) = headers.get(&names.deadline) else { return Ok(None) };
     let digits = value.to_str().ok().filter(|v| v.bytes().all(|b| b.is_ascii_digit()));
-    let own = digits.and_then(|v| v.parse::<u64>().ok()).ok_or(Code::BadDeadline)?;
-    Ok(now + Duration::from_millis(own.min(profile_ms)))
+    let left = digits.and_then(|v| v.parse::<u64>().ok()).ok_or(Code::BadDeadline)?;
+    Ok(Some(Duration::from_millis(left)))
+}
+
+/// Returns the sooner of the profile's deadline and the caller's own, which leaves the time for the
+/// answer to get there.
+fn deadline(left: Option<Duration>, now: Time, profile_ms: u64) -> Time {
+    let profile = Duration::from_millis(profile_ms);
+    let own = left.map(|left| left.saturating_sub(ANSWER_WAY.min(left / ANSWER_WAY_DIVISOR)));
+    now + own.map_or(profile, |own| own.min(profile))
+}
+
+/// Returns what the caller wants of the time of the answer, where its route says so.
+fn aim(found: &Match<'_>, left: Option<Duration>, now: Time) -> Option<Aim> {
+    let objective = Duration::from_millis(found.treatment.objective_ms);
+    let whole = Duration::from_millis(found.treatment.deadline_ms);
+    let aim = Aim { kind: found.kind, objective, at: now, left: left.unwrap_or(whole) };
+    (!objective.is_zero()).then_some(aim)
 }
 
 fn declared(headers: &HeaderMap) -> Option<u64> {
--- a/src/forward/drive.rs
+++ b/src/forward/drive.rs
@@ -10,7 +10,7 @@
 use futures_util::stream::FuturesUnordered;
 use tokio::time::sleep_until;
 
-use crate::decide::admit::{self, Admission, Refusal, Target};
+use crate::decide::admit::{Admission, Refusal, Target};
 use crate::decide::attempt::{Attempts, Event, Number, Plan, Step, Verdict};
 use crate::decide::service::Again;
 use crate::decide::upstream::UpstreamId;
@@ -28,6 +28,9 @@
 /// The part of the time left after which an idempotent request whose answer is late is sent again.
 const LATE_SHARE: u32 = 2;
 
+/// Looks at a late attempt within its request's objective.
+const HEDGE_LOOKS: u64 = 8;
+
 /// Runs a request to its final answer. `gone` completes when the caller has gone away.
 pub(crate) async fn run(node: &Arc<Node>, job: &Job, gone: impl Future<Output = ()>) -> Answer {
     let mut gone = pin!(gone);
@@ -45,12 +48,7 @@
     job: &Job,
     gone: Pin<&mut impl Future<Output = ()>>,
 ) -> Result<Target, Box<Answer>> {
-    let wait = Duration::from_millis(job.treatment.wait_ms);
-    let req = admit::Request {
-        priority: job.treatment.priority,
-        deadline: job.deadline,
-        wait_until: (node.clock.now() + wait).min(job.deadline),
-    };
+    let req = job.to_decide(node.clock.now());
     match node.admit(&job.service.name, &req) {
         Ok(Admitted::Run(target)) => Ok(target),
         Ok(Admitted::Refuse(refusal)) => Err(refused(&refusal)),
@@ -155,32 +153,55 @@
                 () = sleep_to(self.node, late_at) => self.late(),
                 () = &mut gone => self.caller_gone(),
             };
-            if let Some(verdict) = self.on(event) {
+            if let Some(verdict) = self.on(event).await {
                 return self.answer(verdict);
             }
         }
     }
 
     /// Carries out what follows from an event. Returns the verdict when there is one.
-    fn on(&mut self, event: Event) -> Option<Verdict> {
+    async fn on(&mut self, event: Event) -> Option<Verdict> {
         let (why, code) = match self.attempts.on(event) {
             Step::Wait => return None,
             Step::Finish(verdict) => return Some(verdict),
             Step::Retry => (Again::Retry, EventCode::Retried),
             Step::Hedge => (Again::Hedge, EventCode::Hedged),
         };
-        if self.node.clock.now() >= self.job.deadline {
+        if self.job.service.probe_before_send {
+            probe::refresh(self.node, self.job).await;
+        }
+        let now = self.node.clock.now();
+        if now >= self.job.deadline {
             let event = self.deadline();
-            return self.on(event);
+            return self.finish(event);
         }
-        let Some(target) = self.node.again(&self.job.service.name, why, &self.tried) else {
-            return self.on(Event::NoTarget);
+        let req = self.job.to_decide(now);
+        let service = &self.job.service.name;
+        let Some(target) = self.node.again(service, &req, why, &self.tried) else {
+            if why == Again::Hedge {
+                self.late = self.later(now);
+            }
+            return self.finish(Event::NoTarget);
         };
         record(self.node, self.job, code);
         self.launch(target);
         None
     }
 
+    /// Carries out an event after which no attempt follows.
+    fn finish(&mut self, event: Event) -> Option<Verdict> {
+        match self.attempts.on(event) {
+            Step::Finish(verdict) => Some(verdict),
+            _ => None,
+        }
+    }
+
+    /// Returns when to look again whether a hedge is of use.
+    fn later(&self, now: Time) -> Option<Late> {
+        let after = Duration::from_millis(self.job.treatment.objective_ms / HEDGE_LOOKS);
+        (!after.is_zero()).then(|| Late { at: now + after, suspect: false })
+    }
+
     fn launch(&mut self, target: Target) {
         let (number, track) = (self.attempts.start(), Rc::new(Track::default()));
         self.late = self.late_after(target.id);
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -10,11 +10,14 @@
 pub(crate) mod wire;
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
 
 use crate::config::{Service, Treatment};
+use crate::decide::admit;
+use crate::decide::kinds::Aim;
 use crate::forward::memory::Share;
 use crate::time::Time;
 
@@ -25,6 +28,8 @@
     pub(crate) service: Arc<Service>,
     pub(crate) treatment: Treatment,
     pub(crate) deadline: Time,
+    /// What the caller wants of the time of the answer, where its route says so.
+    pub(crate) aim: Option<Aim>,
     pub(crate) method: Method,
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
@@ -32,3 +37,13 @@
     /// The memory that the body holds.
     pub(crate) _held: Share,
 }
+
+impl Job {
+    /// Returns what decisions need to know of the request.
+    pub(crate) fn to_decide(&self, now: Time) -> admit::Request {
+        let wait = Duration::from_millis(self.treatment.wait_ms);
+        let wait_until = (now + wait).min(self.deadline);
+        let req = admit::Request::new(self.treatment.priority, self.deadline, wait_until);
+        admit::Request { aim: self.aim, ..req }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -31,11 +31,8 @@
 //! };
 //! let now = Time::from_millis(0);
 //! let mut table = ServiceTable::new(Arc::new(service), facts, now);
-//! let req = Request {
-//!     priority: Priority::Urgent,
-//!     deadline: Time::from_millis(500),
-//!     wait_until: Time::from_millis(100),
-//! };
+//! let (deadline, wait_until) = (Time::from_millis(500), Time::from_millis(100));
+//! let req = Request::new(Priority::Urgent, deadline, wait_until);
 //! let admission = table.admit(&req, now, &mut rand::rng());
 //! assert!(matches!(admission, Admission::Run(t) if &*t.name == "dispatch-1"));
 //! ```
@@ -55,8 +52,8 @@
 pub mod trace;
 
 pub use decide::{
-    admit, attempt, digest, hosts, lapse, leaving, matching, measure, member, pause, profile,
-    route, service, stored, tick, topology, upstream,
+    admit, attempt, digest, hosts, kinds, lapse, leaving, matching, measure, member, pause,
+    profile, route, service, stored, tick, topology, upstream,
 };
 pub use time::{Clock, Time};
 
--- a/tests/decide_behaviour.rs
+++ b/tests/decide_behaviour.rs
@@ -43,7 +43,7 @@
     }
 
     fn admit(&mut self, priority: Priority, deadline: Duration, wait: Duration) -> Admission {
-        let req = Request { priority, deadline: self.now + deadline, wait_until: self.now + wait };
+        let req = Request::new(priority, self.now + deadline, self.now + wait);
         self.table.admit(&req, self.now, &mut self.rng)
     }
 
--- a/tests/decide_budget.rs
+++ b/tests/decide_budget.rs
@@ -34,7 +34,7 @@
 
 fn request(now: Time) -> Request {
     let deadline = now + Duration::from_secs(1);
-    Request { priority: Priority::Normal, deadline, wait_until: now }
+    Request::new(Priority::Normal, deadline, now)
 }
 
 fn run(table: &mut ServiceTable, now: Time, rng: &mut SmallRng, ended: Ended, load: Option<u32>) {
--- a/tests/decide_model.rs
+++ b/tests/decide_model.rs
@@ -190,11 +190,8 @@
         match op {
             Op::Advance { micros } => self.now = self.now + Duration::from_micros(micros),
             Op::Admit { priority, deadline_ms, wait_ms } => {
-                self.admit(Request {
-                    priority,
-                    deadline: self.now + ms(deadline_ms),
-                    wait_until: self.now + ms(wait_ms.min(deadline_ms)),
-                });
+                let wait_until = self.now + ms(wait_ms.min(deadline_ms));
+                self.admit(Request::new(priority, self.now + ms(deadline_ms), wait_until));
                 if self.table.has_evicted() {
                     self.release();
                 }
@@ -280,11 +277,8 @@
     ) {
         let mut model = Model::new(policy, seed);
         for (ended, ms) in ends.into_iter().filter(|(e, _)| *e != Ended::Refused) {
-            model.admit(Request {
-                priority: Priority::Deferrable,
-                deadline: model.now + Duration::from_secs(10),
-                wait_until: model.now,
-            });
+            let deadline = model.now + Duration::from_secs(10);
+            model.admit(Request::new(Priority::Deferrable, deadline, model.now));
             prop_assert_eq!(model.running.len(), 1);
             model.now = model.now + Duration::from_millis(ms);
             model.finish(0, ended, None, false);
--- a/tests/decide_tick.rs
+++ b/tests/decide_tick.rs
@@ -39,11 +39,7 @@
         now = now + TICK;
         assert!(tables.tick(now, &mut rng, |_, _| true).released.is_empty());
     }
-    let req = Request {
-        priority: Priority::Normal,
-        deadline: now + TICK * 100,
-        wait_until: now + TICK / 2,
-    };
+    let req = Request::new(Priority::Normal, now + TICK * 100, now + TICK / 2);
     let table = tables.service("s").expect("put above");
     let waits = std::iter::repeat_with(|| table.admit(&req, now, &mut rng));
     let ticket = waits.take(10).find_map(|admission| match admission {
