Send only where a fresh report shows a free slot

Cause: with every host short of reports, two requests in three went to upstreams of which the last report was over half a second old, as the mean stood for a free slot. They queued there, ran in slots that slow each other down, and a half of all slot time went to requests that were cut at their deadline. Hedges added a fifth to the load.

Change: a place needs a report of the last 50 ms while any upstream gives one; no hedge while requests wait; the slots that slow each other down are guessed at first and then learnt.

--- a/src/decide/service.rs
+++ b/src/decide/service.rs
@@ -79,7 +79,7 @@
 /// Relative difference up to which two reports of an upstream's speed are the same.
 const STEADY: f32 = 0.2;
 /// Age up to which an upstream's report is as good as a new one.
-const FRESH_REPORT: Duration = Duration::from_millis(40);
+const FRESH_REPORT: Duration = Duration::from_millis(50);
 /// Upstreams that are asked before a request is sent.
 const CANDIDATES: usize = 3;
 /// Spread by which hosts that know the same ask different upstreams, in usual work times.
@@ -374,7 +374,8 @@
         }
         let usual = took.div_f32(told.occupancy.slowdown);
         let level = (timing.load.round() as u32 + 1).max(told.occupancy.running);
-        self.concurrency.answered(level, usual.as_secs_f32() / timing.work.as_secs_f32());
+        let slots = told.occupancy.slots;
+        self.concurrency.answered(level, slots, usual.as_secs_f32() / timing.work.as_secs_f32());
         if level * 2 <= told.occupancy.slots.max(2) {
             self.kinds.took(timing.kind, usual);
         }
--- a/src/decide/service/timed.rs
+++ b/src/decide/service/timed.rs
@@ -22,6 +22,12 @@
 /// Requests expected at an upstream beside a new one, as a part of one, up to which a slot counts as
 /// free: reports that age have fractions.
 const FREE_MARGIN: f32 = 0.5;
+/// Time that a request waits for a report of any upstream: what a slow answer to a probe takes.
+const BLIND_AFTER: Duration = Duration::from_millis(25);
+/// Time that it waits while no upstream answers probes.
+const UNANSWERED_AFTER: Duration = Duration::from_millis(150);
+/// Age from which an unanswered probe says nothing of the present any more.
+const PROBE_AGE_MAX: Duration = Duration::from_millis(500);
 /// Requests that wait that are tried in vain in one go.
 const TRIES_MAX: usize = 6;
 /// Multiple of the expected time after which a request is late.
@@ -63,6 +69,36 @@
     load: f32,
 }
 
+/// What is known of an upstream's occupancy, from least to most.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Knowledge {
+    /// It was asked a short time ago and has not answered.
+    Unanswered,
+    /// Its last report is old.
+    Unasked,
+    /// Its last report is as good as a new one.
+    Fresh,
+}
+
+fn knowledge(row: &Row, now: Time) -> Knowledge {
+    match row.occupancy_age(now) {
+        Some(age) if age < FRESH_REPORT => Knowledge::Fresh,
+        age => {
+            let probed = now.since(row.probed);
+            let is_asked = row.probed > Time::ZERO && age.is_none_or(|age| probed < age);
+            match is_asked && probed < PROBE_AGE_MAX {
+                true => Knowledge::Unanswered,
+                false => Knowledge::Unasked,
+            }
+        }
+    }
+}
+
+/// Returns how long a request has waited.
+fn waited(req: &Request, now: Time) -> Duration {
+    req.aim.map_or(Duration::ZERO, |aim| now.since(aim.at))
+}
+
 impl ServiceTable {
     /// Tells whether the service's upstreams tell their occupancy.
     pub(super) fn is_timed(&self) -> bool {
@@ -130,7 +166,10 @@
         rng: &mut impl Rng,
     ) -> Option<Target> {
         let expected = self.expected(req, now);
-        let place = self.place(expected, tried, now, rng)?;
+        if hedge && !self.queue.is_empty() {
+            return None;
+        }
+        let place = self.place(expected, waited(req, now), tried, now, rng)?;
         if now + place.time >= req.deadline || hedge && place.slowdown >= SLOW {
             return None;
         }
@@ -162,7 +201,7 @@
         now: Time,
         rng: &mut impl Rng,
     ) -> Option<Target> {
-        let place = self.place(expected, tried, now, rng)?;
+        let place = self.place(expected, waited(req, now), tried, now, rng)?;
         let answered = now + place.time;
         let is_late = now + expected.work > expected.objective;
         let fits = answered <= expected.objective || is_late && answered < req.deadline;
@@ -202,16 +241,18 @@
     fn place(
         &self,
         expected: Expected,
+        waited: Duration,
         tried: &[UpstreamId],
         now: Time,
         rng: &mut dyn RngCore,
     ) -> Option<Place> {
         let cold_start = Duration::from_millis(self.cfg.cold_start_ms);
         let mut best: Option<(f32, Place)> = None;
+        let needed = self.knowledge_needed(waited, now);
         let start = rng.random_range(0..self.rows.len().max(1));
         let (before, after) = self.rows.split_at(start.min(self.rows.len()));
         for row in after.iter().chain(before) {
-            if !self.is_open(row, tried, cold_start, now, rng) {
+            if knowledge(row, now) < needed || !self.is_open(row, tried, cold_start, now, rng) {
                 continue;
             }
             let slots = row.slots(self.cfg.slots);
@@ -229,6 +270,21 @@
         best.map(|(_, place)| place)
     }
 
+    /// Returns what has to be known of an upstream for a request that has waited so long. A report is
+    /// needed as long as some upstream gives one: to send blindly what others wait to send fills
+    /// upstreams that are full already.
+    fn knowledge_needed(&self, waited: Duration, now: Time) -> Knowledge {
+        let open = |r: &&Row| r.state == State::Live && !r.health.ejected(now);
+        let best = self.rows.iter().filter(open).map(|r| knowledge(r, now)).max();
+        match best {
+            Some(Knowledge::Fresh) => Knowledge::Fresh,
+            _ if waited < BLIND_AFTER => Knowledge::Fresh,
+            Some(Knowledge::Unasked) => Knowledge::Unasked,
+            _ if waited < UNANSWERED_AFTER => Knowledge::Unasked,
+            _ => Knowledge::Unanswered,
+        }
+    }
+
     /// Tells whether an upstream takes requests at present. One that starts takes a growing share.
     fn is_open(
         &self,
--- a/src/entry/intake.rs
+++ b/src/entry/intake.rs
@@ -31,7 +31,7 @@
 const EXPECTED_BODY_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time for an answer's way to the caller, so that one that is given up on hears of it before it
 /// gives up itself.
-const ANSWER_WAY: Duration = Duration::from_millis(8);
+const ANSWER_WAY: Duration = Duration::from_millis(20);
 /// Part of a short time left that is kept for the answer's way at most.
 const ANSWER_WAY_DIVISOR: u32 = 16;
 /// Bytes that a header field takes beside its name and value.
