--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -1,13 +1,14 @@
 //! One daemon from start to exit.
 
 use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::time::Duration;
 
 use anyhow::{Context, Result};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::MissedTickBehavior;
 
@@ -20,6 +21,8 @@
 
 /// Time between two runs of the systems over the tables.
 const TICK: Duration = Duration::from_millis(10);
+/// Time between two looks for a change of the settings file.
+const SETTINGS_CHECK: Duration = Duration::from_secs(5);
 /// Time between two looks for connections that have been idle for too long.
 const EXPIRE: Duration = Duration::from_secs(1);
 
@@ -29,6 +32,19 @@
 ///
 /// If a listener can't be bound or served.
 pub fn run(settings: Settings) -> Result<()> {
+    start(settings, None)
+}
+
+/// Does the same with the settings of a file, which is read anew on SIGHUP and after a change.
+///
+/// # Errors
+///
+/// As [`run`], and if the file can't be read or has faults.
+pub fn run_file(path: &Path) -> Result<()> {
+    start(Settings::load(path)?, Some(path.to_owned()))
+}
+
+fn start(settings: Settings, path: Option<PathBuf>) -> Result<()> {
     let caller = bind(settings.caller, "caller")?;
     let admin = bind(settings.admin, "admin")?;
     let peer = settings.peer.map(|a| bind(a, "peer")).transpose()?;
@@ -41,7 +57,7 @@
     })?;
     spawn("control", {
         let node = node.clone();
-        move || control(node, peer)
+        move || control(node, peer, path)
     })?;
     listener::run(&node, caller)?;
     node.events.record(EventCode::Stopped, Subject::default(), None);
@@ -58,7 +74,7 @@
     TcpListener::bind(address).with_context(|| format!("{name} address {address}"))
 }
 
-fn control(node: Arc<Node>, peer: Option<TcpListener>) -> Result<()> {
+fn control(node: Arc<Node>, peer: Option<TcpListener>, path: Option<PathBuf>) -> Result<()> {
     let rt = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let local = LocalSet::new();
     local.block_on(&rt, async move {
@@ -73,10 +89,35 @@
             node.enter(Phase::Ready);
             node.events.record(EventCode::Ready, Subject::default(), None);
         }
+        let hangup = signal(SignalKind::hangup())?;
+        if let Some(path) = path {
+            spawn_local(reload(node.clone(), path, hangup));
+        }
         stop_on_signal(node).await
     })
 }
 
+/// Reads the settings anew on SIGHUP, and when the file has changed without one.
+async fn reload(node: Arc<Node>, path: PathBuf, mut hangup: Signal) {
+    let modified = || std::fs::metadata(&path).and_then(|m| m.modified()).ok();
+    let mut read = modified();
+    loop {
+        let signalled = tokio::time::timeout(SETTINGS_CHECK, hangup.recv()).await.is_ok();
+        let found = modified();
+        if !signalled && found == read {
+            continue;
+        }
+        read = found;
+        match Settings::load(&path) {
+            Ok(settings) => node.reload(settings),
+            Err(e) => {
+                log::warn!("settings: {e}");
+                node.events.record(EventCode::ReloadRefused, Subject::default(), None);
+            }
+        }
+    }
+}
+
 async fn stop_on_signal(node: Arc<Node>) -> Result<()> {
     let mut term = signal(SignalKind::terminate())?;
     let mut int = signal(SignalKind::interrupt())?;
--- a/src/event.rs
+++ b/src/event.rs
@@ -41,6 +41,10 @@
     Stopped = 1004, "host stopped";
     /// The process was paused and resynchronises.
     Paused = 1005, "pause detected, resynchronising";
+    /// Newer settings were read.
+    Reloaded = 1006, "settings reloaded";
+    /// Newer settings have faults, and the old ones stay.
+    ReloadRefused = 1007, "settings have faults, old ones stay";
     /// A request was accepted.
     Accepted = 2001, "request accepted";
     /// A request waits for a slot.
--- a/src/node.rs
+++ b/src/node.rs
@@ -76,6 +76,9 @@
     pub(crate) knowledge: Knowledge,
     /// The names of the header fields that callers and upstreams use.
     pub(crate) names: header::Names,
+    /// The newest settings that were read. What of them takes effect without a start is taken from
+    /// here.
+    reloaded: RwLock<Arc<Settings>>,
     resynced: Notify,
     routes: RwLock<Arc<Routes>>,
     phase: watch::Sender<Phase>,
@@ -122,6 +125,7 @@
                 Some(_) => platform::headers::names(),
                 None => header::Names::default(),
             },
+            reloaded: RwLock::new(Arc::new(settings.clone())),
             resynced: Notify::new(),
             routes: RwLock::default(),
             phase: watch::Sender::new(Phase::Starting),
@@ -162,6 +166,30 @@
         self.routes.read().clone()
     }
 
+    /// Returns the newest settings.
+    pub(crate) fn reloaded(&self) -> Arc<Settings> {
+        self.reloaded.read().clone()
+    }
+
+    /// Takes newer settings: budgets and seeds take effect at once, all else at the next start.
+    pub(crate) fn reload(&self, settings: Settings) {
+        let old = self.reloaded();
+        if *old == settings {
+            return;
+        }
+        let same_start = Settings {
+            registry: old.registry.clone(),
+            seeds: old.seeds.clone(),
+            ..settings.clone()
+        };
+        if same_start != *old {
+            log::warn!("settings: some of the changes take effect at the next start");
+        }
+        *self.reloaded.write() = Arc::new(settings);
+        self.apply_budgets();
+        self.events.record(EventCode::Reloaded, Subject::default(), None);
+    }
+
     /// Returns where the host is between start and exit.
     pub(crate) fn phase(&self) -> Phase {
         *self.phase.borrow()
--- a/src/peer/links.rs
+++ b/src/peer/links.rs
@@ -117,7 +117,7 @@
     };
     let rng = &mut rand::rng();
     if members.alive(now).next().is_none()
-        && let Some(&address) = local.node.settings.seeds.iter().choose(rng)
+        && let Some(&address) = local.node.reloaded().seeds.iter().choose(rng)
         && Some(address) != local.node.settings.peer
     {
         return Some(Target { host: address.to_string().into(), address });
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -6,7 +6,6 @@
 
 use crate::config::{Measure, Priority, Route, Routing, Service, Share, Treatment};
 use crate::platform::headers;
-use crate::settings::Registry;
 
 /// The key of the document.
 pub(crate) const KEY: &str = "op/config";
@@ -77,19 +76,15 @@
     max_connections: u32,
 }
 
-/// Part of the probes that the platform allows an upstream. The rest is for hosts that have just
-/// started and count fewer others than there are.
-const PROBES_SHARE: f64 = 0.8;
-
 /// Reads the document and returns its version beside its content.
 ///
 /// # Errors
 ///
 /// Why it can't be read.
-pub(crate) fn decode(value: &[u8], cfg: &Registry) -> Result<(u64, Routing), serde_json::Error> {
+pub(crate) fn decode(value: &[u8]) -> Result<(u64, Routing), serde_json::Error> {
     let document: Document = serde_json::from_slice(value)?;
     let body_max = document.limits.max_body_bytes;
-    let services = document.clusters.into_iter().map(|c| c.into_service(cfg, body_max));
+    let services = document.clusters.into_iter().map(|c| c.into_service(body_max));
     let routes = document.listeners.into_iter().flat_map(Listener::into_routes);
     let routing = Routing {
         routes: routes.collect(),
@@ -133,22 +128,14 @@
 }
 
 impl Cluster {
-    fn into_service(self, cfg: &Registry, body_max_bytes: u64) -> Service {
+    fn into_service(self, body_max_bytes: u64) -> Service {
         let mut service = Service {
             profile: self.name.clone(),
             name: self.name,
             connections: self.max_connections.max(1),
             body_max_bytes,
-            retry_share: cfg.retry_share,
-            retry_slack: cfg.retry_slack,
-            retry_window_ms: millis(cfg.retry_window_s).max(1),
             probe_before_send: true,
-            measure: Measure {
-                probes_per_second: 0.0,
-                probes_per_upstream: cfg.probes_per_second * PROBES_SHARE,
-                path: self.health_path,
-                ..Measure::default()
-            },
+            measure: Measure { path: self.health_path, ..Measure::default() },
             ..Service::default()
         };
         headers::set(&mut service);
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -5,7 +5,6 @@
 use super::{config, entry};
 use crate::config::Priority;
 use crate::decide::upstream::State;
-use crate::settings::Registry;
 
 const CONFIG: &str = r#"{"version":7,"limits":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,
 "headerTimeoutS":3,"idleTimeoutS":15},"listeners":[{"host":"ficu95.example","rules":[
@@ -20,13 +19,9 @@
 const ENTRY: &str = r#"{"service":"huvo11a","address":"10.128.0.9:8080","zone":"palermo",
 "version":"v1","slots":6,"state":"ready","coldRemainingS":0,"sequence":4,"born":1796342400000}"#;
 
-fn registry() -> Registry {
-    serde_json::from_str(r#"{"address": "127.0.0.1:1", "retry_share": 0.2}"#).expect("settings")
-}
-
 #[test]
 fn a_config_is_decoded_whole() {
-    let (version, routing) = config::decode(CONFIG.as_bytes(), &registry()).expect("config");
+    let (version, routing) = config::decode(CONFIG.as_bytes()).expect("config");
     assert_eq!(version, 7);
     assert_eq!(routing.head_max_bytes, 16_384);
     let [booking, report] = &routing.routes[..] else { panic!("two routes") };
@@ -45,7 +40,7 @@
 #[test]
 fn a_request_of_an_unknown_kind_is_not_repeated() {
     let text = CONFIG.replace(r#""kind":"idempotent""#, r#""kind":"of-another-release""#);
-    let (_, routing) = config::decode(text.as_bytes(), &registry()).expect("config");
+    let (_, routing) = config::decode(text.as_bytes()).expect("config");
     assert!(routing.routes.iter().all(|r| !r.treatment.idempotent));
 }
 
@@ -79,7 +74,7 @@
 proptest! {
     #[test]
     fn no_document_makes_decoding_panic(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
-        let _ = config::decode(&bytes, &registry());
+        let _ = config::decode(&bytes);
         let _ = entry::decode("servers/i-1", &bytes);
     }
 
@@ -87,7 +82,7 @@
     fn no_cut_or_changed_byte_makes_decoding_panic(at in 0..CONFIG.len(), byte: u8) {
         let mut bytes = CONFIG.as_bytes().to_vec();
         bytes[at] = byte;
-        let _ = config::decode(&bytes, &registry());
-        let _ = config::decode(&bytes[..at], &registry());
+        let _ = config::decode(&bytes);
+        let _ = config::decode(&bytes[..at]);
     }
 }
--- a/src/registry.rs
+++ b/src/registry.rs
@@ -129,7 +129,6 @@
 struct Follower<'a> {
     node: &'a Arc<Node>,
     client: &'a Client,
-    cfg: &'a settings::Registry,
     hosts_prefix: String,
     lapses: Lapses,
     rng: SmallRng,
@@ -140,11 +139,10 @@
 }
 
 impl<'a> Follower<'a> {
-    fn new(node: &'a Arc<Node>, cfg: &'a settings::Registry, client: &'a Client) -> Follower<'a> {
+    fn new(node: &'a Arc<Node>, cfg: &settings::Registry, client: &'a Client) -> Follower<'a> {
         Follower {
             node,
             client,
-            cfg,
             hosts_prefix: format!("{}{HOSTS}", cfg.prefix),
             lapses: Lapses::default(),
             rng: SmallRng::from_os_rng(),
@@ -305,7 +303,7 @@
 
     fn routing(&self, change: &Change) -> Option<Record> {
         let value = change.value.as_ref()?;
-        match config::decode(value, self.cfg) {
+        match config::decode(value) {
             Ok((version, routing)) => {
                 Some(record(config::KEY, version, Body::Routing(Arc::new(routing))))
             }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -161,6 +161,21 @@
     10.0
 }
 
+/// Part of the probes that an upstream is allowed. The rest is for hosts that have just started and
+/// count fewer others than there are.
+const PROBES_SHARE: f64 = 0.8;
+
+impl Registry {
+    /// Puts the fleet's budgets into a service.
+    pub(crate) fn set_budgets(&self, service: &mut Service) {
+        service.retry_share = self.retry_share;
+        service.retry_slack = self.retry_slack;
+        service.retry_window_ms = (self.retry_window_s * 1_000.0).max(1.0) as u64;
+        service.measure.probes_per_second = 0.0;
+        service.measure.probes_per_upstream = self.probes_per_second * PROBES_SHARE;
+    }
+}
+
 fn default_registry_prefix() -> String {
     "cornelferry/".to_owned()
 }
--- a/src/store/apply.rs
+++ b/src/store/apply.rs
@@ -53,7 +53,7 @@
             tables.set_fleet_size(list.fleet_size_max());
         }
         for service in catalog.all_services() {
-            let complete = list.complete(&service);
+            let complete = self.complete(&list, &service);
             let same = |t: &mut _| Self::has_upstreams(t, &complete);
             if !tables.service(&service.name).is_some_and(same) {
                 self.put(&mut tables, Arc::new(complete), now);
@@ -74,7 +74,9 @@
         let held = self.hosts.lock();
         let mut tables = self.tables.lock();
         match &record.body {
-            Body::Service(service) => self.put(&mut tables, Arc::new(held.complete(service)), now),
+            Body::Service(service) => {
+                self.put(&mut tables, Arc::new(self.complete(&held, service)), now);
+            }
             Body::Deleted(Kind::Service) => {
                 let Some(table) = tables.service(&record.name) else { return };
                 let cfg = Service::clone(table.cfg());
@@ -83,7 +85,7 @@
             }
             Body::Routing(routing) => {
                 for service in &routing.services {
-                    let complete = held.complete(service);
+                    let complete = self.complete(&held, service);
                     let same = tables.service(&service.name).is_some_and(|t| **t.cfg() == complete);
                     if !same {
                         self.put(&mut tables, Arc::new(complete), now);
@@ -98,6 +100,27 @@
         }
     }
 
+    /// Puts the budgets of newer settings into every service.
+    pub(crate) fn apply_budgets(&self) {
+        let catalog = self.catalog.lock();
+        let held = self.hosts.lock();
+        let mut tables = self.tables.lock();
+        let now = self.clock.now();
+        for service in catalog.all_services() {
+            self.put(&mut tables, Arc::new(self.complete(&held, &service)), now);
+            self.set_leaving(&mut tables, &held, &service.name, now);
+        }
+    }
+
+    /// Returns a service record with the upstreams of a host list and the budgets of the settings.
+    fn complete(&self, list: &HostList, service: &Service) -> Service {
+        let mut complete = list.complete(service);
+        if let Some(registry) = &self.reloaded().registry {
+            registry.set_budgets(&mut complete);
+        }
+        complete
+    }
+
     fn set_leaving(&self, tables: &mut Tables, held: &HostList, service: &str, now: Time) {
         let Some(table) = tables.service(service) else { return };
         let nothing = HostList::default();
