Log the decisions on each request as structured lines; add cornelferry explain

Lines of a request are written together and bear their number, so that a reader sees what is missing. Requests that failed, were refused, waited, were tried again or came late are logged whole, one in 64 of the others. A bounded queue and a thread of its own keep loggers from waiting; 200 lines a second bound what requests log on a host.

--- /dev/null
+++ b/src/chain.rs
@@ -0,0 +1,165 @@
+//! The decisions on one request, logged together when it has its answer.
+//!
+//! A request that was not simply answered in time is logged whole; of the others one in
+//! [`SAMPLED`]. The lines of a chain bear its length, so that a reader sees what is missing.
+
+use std::cell::{Cell, RefCell};
+use std::sync::Arc;
+use std::time::{Duration, SystemTime};
+
+use serde_json::{Map, Value, json};
+
+use crate::decide::admit::Choice;
+use crate::decide::bucket::Bucket;
+use crate::event::EventCode;
+use crate::logs;
+use crate::time::Time;
+
+/// Of so many requests that were simply answered in time, one is logged.
+const SAMPLED: u64 = 64;
+/// Lines a second that requests may log on one host. More chains are dropped whole and counted.
+pub(crate) const LINES_PER_SECOND: f64 = 200.0;
+/// Steps of one request that are kept.
+const STEPS_MAX: usize = 64;
+
+/// One decision on a request, or what came of it.
+#[derive(Clone, Debug)]
+pub(crate) struct Note {
+    /// When.
+    pub(crate) at: Time,
+    /// What.
+    pub(crate) code: EventCode,
+    /// The upstream that it is about.
+    pub(crate) upstream: Option<Arc<str>>,
+    /// A number with it, as the catalogue of events names it.
+    pub(crate) value: Option<u64>,
+    /// What a choice of upstream was made from.
+    pub(crate) choice: Option<Choice>,
+}
+
+impl Note {
+    /// Makes a step that says no more than its kind.
+    pub(crate) fn new(at: Time, code: EventCode) -> Note {
+        Note { at, code, upstream: None, value: None, choice: None }
+    }
+}
+
+/// The decisions on one request.
+#[derive(Debug, Default)]
+pub(crate) struct Chain {
+    steps: RefCell<Vec<Note>>,
+    /// Whether anything happened that is worth a line whatever the answer is.
+    notable: Cell<bool>,
+}
+
+/// The end of a chain.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct End<'a> {
+    pub(crate) host: &'a str,
+    pub(crate) request: &'a str,
+    pub(crate) service: &'a str,
+    /// Whether the caller was answered by an upstream, and in time.
+    pub(crate) in_time: bool,
+    pub(crate) now: Time,
+}
+
+impl Chain {
+    /// Adds a step.
+    pub(crate) fn add(&self, step: Note) {
+        if !matches!(step.code, EventCode::Accepted | EventCode::Sent | EventCode::Finished) {
+            self.notable.set(true);
+        }
+        let mut steps = self.steps.borrow_mut();
+        if steps.len() < STEPS_MAX {
+            steps.push(step);
+        }
+    }
+
+    /// Returns the lines to log: all steps, or none if the request is an ordinary one that is not
+    /// sampled. `number` counts the host's requests.
+    pub(crate) fn lines(&self, end: &End<'_>, number: u64, wall: SystemTime) -> Vec<String> {
+        let ordinary = end.in_time && !self.notable.get();
+        if ordinary && !number.is_multiple_of(SAMPLED) {
+            return Vec::new();
+        }
+        let steps = self.steps.borrow();
+        let line = |(i, step): (usize, &Note)| {
+            let mut out = object(step, end, wall);
+            out.insert("step".to_owned(), json!(i + 1));
+            out.insert("steps".to_owned(), json!(steps.len()));
+            if ordinary {
+                out.insert("sampled".to_owned(), json!(SAMPLED));
+            }
+            Value::Object(out).to_string()
+        };
+        steps.iter().enumerate().map(line).collect()
+    }
+}
+
+fn object(step: &Note, end: &End<'_>, wall: SystemTime) -> Map<String, Value> {
+    let at = wall.checked_sub(end.now.since(step.at)).unwrap_or(wall);
+    let mut out = Map::new();
+    let mut put = |name: &str, value: Value| {
+        out.insert(name.to_owned(), value);
+    };
+    put("time", logs::timestamp(at));
+    put("host", json!(end.host));
+    put("level", json!("info"));
+    put("event", json!(step.code.number()));
+    put("message", json!(step.code.text()));
+    put("request", json!(end.request));
+    put("service", json!(end.service));
+    if let Some(upstream) = &step.upstream {
+        put("upstream", json!(upstream));
+    }
+    if let Some(value) = step.value {
+        put(step.code.value_name(), json!(value));
+    }
+    if let Some(choice) = step.choice {
+        put("load", json!(rounded(choice.load)));
+        put("slowdown", json!(rounded(choice.slowdown)));
+        put("report_age_ms", json!(choice.report_age.map(|age| millis(age))));
+        put("expected_ms", json!(millis(choice.expected)));
+    }
+    out
+}
+
+fn rounded(figure: f32) -> f64 {
+    (f64::from(figure) * 100.0).round() / 100.0
+}
+
+fn millis(d: Duration) -> u64 {
+    u64::try_from(d.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// Bounds what requests log.
+#[derive(Debug)]
+pub(crate) struct Allowance {
+    bucket: Bucket,
+    number: u64,
+}
+
+impl Allowance {
+    /// Makes an allowance of which nothing is used.
+    pub(crate) fn new(now: Time) -> Allowance {
+        Allowance { bucket: Bucket::new(LINES_PER_SECOND, now), number: 0 }
+    }
+
+    /// Counts a request and returns its number.
+    pub(crate) fn count(&mut self) -> u64 {
+        self.number += 1;
+        self.number
+    }
+
+    /// Tells whether so many lines may be logged.
+    pub(crate) fn take(&mut self, lines: usize, now: Time) -> bool {
+        self.bucket.take_many(lines as f64, now)
+    }
+}
+
+/// Logs lines that are JSON objects.
+pub(crate) fn log(lines: &[String]) {
+    for line in lines {
+        log::info!(target: logs::OBJECT, "{line}");
+    }
+}
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -36,6 +36,8 @@
     Status(StatusArgs),
     /// Merges the events of every host into one time line
     Timeline(TimelineArgs),
+    /// Shows the decisions on one request, out of the logs of one or more hosts
+    Explain(ExplainArgs),
     /// Prints the trace of a host's decisions as they are made
     Trace(TraceArgs),
     /// Checks a recorded trace against its stated outcomes
@@ -46,6 +48,15 @@
     Service(RecordArgs),
 }
 
+/// The arguments of `explain`.
+#[derive(Debug, Args)]
+pub struct ExplainArgs {
+    /// The request's id
+    pub request: String,
+    /// Log files; standard input if there are none
+    pub files: Vec<PathBuf>,
+}
+
 /// The arguments of `profile` and `service`.
 #[derive(Debug, Args)]
 pub struct RecordArgs {
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -17,7 +17,7 @@
 use crate::forward::probe;
 use crate::node::{Node, Phase};
 use crate::settings::Settings;
-use crate::{peer, registry, store};
+use crate::{logs, peer, registry, store};
 
 /// Time between two runs of the systems over the tables.
 const TICK: Duration = Duration::from_millis(10);
@@ -41,7 +41,9 @@
 ///
 /// As [`run`], and if the file can't be read or has faults.
 pub fn run_file(path: &Path) -> Result<()> {
-    start(Settings::load(path)?, Some(path.to_owned()))
+    let settings = Settings::load(path)?;
+    logs::init(&settings.host).context("logs")?;
+    start(settings, Some(path.to_owned()))
 }
 
 fn start(settings: Settings, path: Option<PathBuf>) -> Result<()> {
--- a/src/decide/admit.rs
+++ b/src/decide/admit.rs
@@ -44,7 +44,7 @@
 pub struct Ticket(u64);
 
 /// The upstream that an attempt goes to. Its in-flight count is already raised.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Target {
     /// The upstream's identity.
     pub id: UpstreamId,
@@ -52,6 +52,21 @@
     pub name: Arc<str>,
     /// Its address.
     pub address: SocketAddr,
+    /// What the choice was made from, where upstreams tell their occupancy.
+    pub choice: Option<Choice>,
+}
+
+/// What a choice of upstream was made from.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Choice {
+    /// The requests expected there.
+    pub load: f32,
+    /// How many times slower than usual it was expected to be.
+    pub slowdown: f32,
+    /// The age of its report; nothing if there was none.
+    pub report_age: Option<Duration>,
+    /// The time that the answer was expected to take.
+    pub expected: Duration,
 }
 
 /// A refusal, final and at once.
@@ -64,7 +79,7 @@
 }
 
 /// The decision on a request.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Admission {
     /// It runs now.
     Run(Target),
--- a/src/decide/bucket.rs
+++ b/src/decide/bucket.rs
@@ -23,12 +23,17 @@
 
     /// Takes one token if there is one.
     pub(crate) fn take(&mut self, now: Time) -> bool {
+        self.take_many(1.0, now)
+    }
+
+    /// Takes so many tokens if there are as many.
+    pub(crate) fn take_many(&mut self, tokens: f64, now: Time) -> bool {
         self.fill(now);
-        if self.tokens < 1.0 {
-            return false;
+        let enough = self.tokens >= tokens;
+        if enough {
+            self.tokens -= tokens;
         }
-        self.tokens -= 1.0;
-        true
+        enough
     }
 
     /// Takes one token in advance and returns the time until it is due.
--- a/src/decide/service.rs
+++ b/src/decide/service.rs
@@ -412,5 +412,5 @@
 }
 
 fn target(row: &Row) -> Target {
-    Target { id: row.id, name: row.name.clone(), address: row.address }
+    Target { id: row.id, name: row.name.clone(), address: row.address, choice: None }
 }
--- a/src/decide/service/timed.rs
+++ b/src/decide/service/timed.rs
@@ -11,7 +11,7 @@
 
 use super::{FRESH_REPORT, ServiceTable, target};
 use crate::config::{LoadFormat, Priority};
-use crate::decide::admit::{Admission, Refusal, Request, Target, Ticket};
+use crate::decide::admit::{Admission, Choice, Refusal, Request, Target, Ticket};
 use crate::decide::kinds::{Aim, Expected};
 use crate::decide::load::Timing;
 use crate::decide::queue::Waiter;
@@ -222,7 +222,8 @@
         self.choices += 1;
         self.in_flight += 1;
         let row = upstream::find_mut(&mut self.rows, place.id)?;
-        let fresh = row.occupancy_age(now).is_some_and(|age| age < FRESH_REPORT);
+        let report_age = row.occupancy_age(now);
+        let fresh = report_age.is_some_and(|age| age < FRESH_REPORT);
         row.chosen = self.choices;
         row.started(now);
         if let Some(sent) = row.sent.last_mut() {
@@ -234,7 +235,9 @@
                 fresh,
             });
         }
-        Some(target(row))
+        let choice =
+            Choice { load: place.load, slowdown: place.slowdown, report_age, expected: place.time };
+        Some(Target { choice: Some(choice), ..target(row) })
     }
 
     /// Returns the upstream with a free slot that is expected to answer first.
--- a/src/entry/admin/status.rs
+++ b/src/entry/admin/status.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::decide::member::{Member, Standing};
-use crate::decide::profile::Catalog;
+use crate::decide::profile::{Catalog, Kind};
 use crate::decide::service::ServiceTable;
 use crate::decide::upstream::Row;
 use crate::node::{self, Node};
@@ -33,6 +33,12 @@
 
 /// Brings the gauges of a host's metrics up to date.
 pub(crate) fn gauges(node: &Node) {
+    let now = node.clock.now();
+    let age = node.knowledge.as_of().map(|at| now.since(at));
+    let routing =
+        node.catalog.lock().records().iter().find(|r| r.kind() == Kind::Routing).map(|r| r.version);
+    let members = node.members.lock().alive(now).count();
+    node.metrics.set_fleet(age, members, routing.unwrap_or(0));
     for service in node.tables.lock().services() {
         let name = &service.cfg().name;
         let in_flight = service.rows().iter().map(|r| u64::from(r.in_flight)).sum();
--- a/src/entry/caller.rs
+++ b/src/entry/caller.rs
@@ -3,21 +3,23 @@
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use http::header::{CONNECTION, CONTENT_LENGTH, RETRY_AFTER, UPGRADE};
 use http::{HeaderValue, Response, StatusCode};
 use xitca_web::http::WebRequest;
 
+use crate::chain::{self, Chain, End, Note};
 use crate::claim;
 use crate::entry::intake;
 use crate::entry::socket::{CALLER, Caller};
-use crate::error::Outcome;
+use crate::error::{Code, Outcome};
 use crate::event::{EventCode, Subject};
 use crate::forward::answer::{Answer, AnswerBody};
 use crate::forward::{Job, drive};
 use crate::header::{self, Names};
 use crate::node::{Node, Phase};
+use crate::time::Time;
 
 /// The service in the metrics of requests that were not taken in.
 const NOT_TAKEN_IN: &str = "";
@@ -36,6 +38,7 @@
         Ok(job) => (accepted(node, &caller, &job).await, false),
         Err(code) => {
             node.metrics.answered(NOT_TAKEN_IN, code);
+            log_not_taken_in(node, &id, code);
             (Answer::own(code), has_body || intake::is_unreadable(code))
         }
     };
@@ -55,15 +58,55 @@
     };
     let start = node.clock.now();
     let left = u64::try_from(start.until(job.deadline).as_millis()).ok();
+    job.chain.add(Note { value: left, ..Note::new(start, EventCode::Accepted) });
     node.events.record(EventCode::Accepted, subject.clone(), left);
     let answer = claim::guard(node, job, drive::run(node, job, caller.gone())).await;
-    node.events.record(EventCode::Finished, subject, Some(answer.code.number().into()));
+    let now = node.clock.now();
+    let code = Some(answer.code.number().into());
+    job.chain.add(Note { value: code, ..Note::new(now, EventCode::Finished) });
+    node.events.record(EventCode::Finished, subject, code);
     node.metrics.answered(&job.service.name, answer.code);
-    let took = node.clock.now().since(start);
-    node.metrics.took(&job.service.name, answer.code.outcome(), took);
+    node.metrics.took(&job.service.name, answer.code.outcome(), now.since(start));
+    log_chain(node, job, &answer, start, now);
     answer
 }
 
+/// Logs the decisions on a request, within what requests may log.
+fn log_chain(node: &Node, job: &Job, answer: &Answer, start: Time, now: Time) {
+    let objective = Duration::from_millis(job.treatment.objective_ms);
+    let late = !objective.is_zero() && now.since(start) > objective;
+    let end = End {
+        host: &node.settings.host,
+        request: &job.id,
+        service: &job.service.name,
+        in_time: answer.code == Code::Answered && !late,
+        now,
+    };
+    let mut allowance = node.log_allowance.lock();
+    let lines = job.chain.lines(&end, allowance.count(), SystemTime::now());
+    if lines.is_empty() {
+        return;
+    }
+    match allowance.take(lines.len(), now) {
+        true => chain::log(&lines),
+        false => node.metrics.chain_dropped(),
+    }
+}
+
+/// Logs that a request was not taken in, within what requests may log.
+fn log_not_taken_in(node: &Node, id: &str, code: Code) {
+    let now = node.clock.now();
+    let mut allowance = node.log_allowance.lock();
+    if !allowance.take(1, now) {
+        return node.metrics.chain_dropped();
+    }
+    let step = Note { value: Some(code.number().into()), ..Note::new(now, EventCode::NotTakenIn) };
+    let chain = Chain::default();
+    chain.add(step);
+    let end = End { host: &node.settings.host, request: id, service: "", in_time: false, now };
+    chain::log(&chain.lines(&end, 0, SystemTime::now()));
+}
+
 fn response(names: &Names, id: &str, answer: Answer) -> Response<AnswerBody> {
     let Answer { code, status, mut headers, body, retry_after } = answer;
     header::strip(&mut headers);
--- a/src/entry/intake.rs
+++ b/src/entry/intake.rs
@@ -1,6 +1,7 @@
 //! Takes a caller's request in whole, and refuses what is malformed or over a limit.
 
 use std::future::poll_fn;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -103,6 +104,7 @@
         aim,
         method: parts.method,
         uri: Uri::from(target.path),
+        chain: Rc::default(),
         headers: passed_on(&node.names, parts.headers, id),
         body,
         _held: held,
--- a/src/event.rs
+++ b/src/event.rs
@@ -2,12 +2,15 @@
 
 use std::collections::VecDeque;
 use std::sync::{Arc, OnceLock};
+use std::time::SystemTime;
 
 use derive_more::Display;
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
 
 use crate::hlc::{Hlc, Stamp};
+use crate::logs;
 
 macro_rules! events {
     ($($(#[$doc:meta])* $name:ident = $number:literal, $text:literal;)*) => {
@@ -61,6 +64,10 @@
     Finished = 2007, "caller answered";
     /// The caller went away.
     CallerLeft = 2008, "caller went away";
+    /// A request is refused.
+    Refused = 2009, "request refused";
+    /// A request is not taken in.
+    NotTakenIn = 2010, "request not taken in";
     /// An upstream takes no new work.
     UpstreamLeaving = 3001, "upstream leaving";
     /// An upstream is ejected for a time.
@@ -118,7 +125,8 @@
         match self {
             EventCode::Accepted => "deadline_ms",
             EventCode::Sent => "attempt",
-            EventCode::AttemptFailed | EventCode::Finished => "code",
+            EventCode::Refused => "retry_after_ms",
+            EventCode::AttemptFailed | EventCode::Finished | EventCode::NotTakenIn => "code",
             EventCode::InForce | EventCode::RecordUnreadable | EventCode::OlderIgnored => "version",
             _ => "value",
         }
@@ -259,6 +267,25 @@
     pub events: Vec<Event>,
 }
 
+/// Returns an event as its log line.
+fn object(code: EventCode, subject: &Subject, value: Option<u64>) -> Value {
+    let mut out = json!({
+        "time": logs::timestamp(SystemTime::now()),
+        "host": logs::host(),
+        "level": code.level().as_str().to_lowercase(),
+        "event": code.number(),
+        "message": code.text(),
+    });
+    if let Ok(Value::Object(fields)) = serde_json::to_value(subject) {
+        let out = out.as_object_mut().expect("made above");
+        out.extend(fields);
+    }
+    if let Some(value) = value {
+        out[code.value_name()] = value.into();
+    }
+    out
+}
+
 /// What else takes note of each event.
 type Observer = Box<dyn Fn(&Event) + Send + Sync>;
 
@@ -293,9 +320,9 @@
 
     /// Records an event, and logs it when `log` is enabled for its level.
     pub fn record(&self, code: EventCode, subject: Subject, value: Option<u64>) {
-        if log::log_enabled!(code.level()) {
-            let value = value_field(code, value);
-            log::log!(code.level(), "{} {}{subject}{value}", code.number(), code.text());
+        if log::log_enabled!(target: logs::OBJECT, code.level()) {
+            let line = object(code, &subject, value);
+            log::log!(target: logs::OBJECT, code.level(), "{line}");
         }
         let mut inner = self.inner.lock();
         let stamp = self.hlc.tick();
--- a/src/forward/drive.rs
+++ b/src/forward/drive.rs
@@ -10,6 +10,7 @@
 use futures_util::stream::FuturesUnordered;
 use tokio::time::sleep_until;
 
+use crate::chain::Note;
 use crate::decide::admit::{Admission, Refusal, Target};
 use crate::decide::attempt::{Attempts, Event, Number, Plan, Step, Verdict};
 use crate::decide::service::Again;
@@ -51,7 +52,7 @@
     let req = job.to_decide(node.clock.now());
     match node.admit(&job.service.name, &req) {
         Ok(Admitted::Run(target)) => Ok(target),
-        Ok(Admitted::Refuse(refusal)) => Err(refused(&refusal)),
+        Ok(Admitted::Refuse(refusal)) => Err(refused(node, job, &refusal)),
         Ok(Admitted::Wait(waiter)) => waited(node, job, waiter, gone).await,
         Err(code) => Err(Box::new(Answer::own(code))),
     }
@@ -68,7 +69,7 @@
         biased;
         admission = waiter.decision() => match admission {
             Some(Admission::Run(target)) => Ok(target),
-            Some(Admission::Refuse(refusal)) => Err(refused(&refusal)),
+            Some(Admission::Refuse(refusal)) => Err(refused(node, job, &refusal)),
             _ => Err(Box::new(Answer::own(Code::Overloaded))),
         },
         () = sleep_until(node.clock.instant(job.deadline).into()) => {
@@ -81,12 +82,16 @@
     }
 }
 
-fn refused(refusal: &Refusal) -> Box<Answer> {
+fn refused(node: &Node, job: &Job, refusal: &Refusal) -> Box<Answer> {
+    let note = Note::new(node.clock.now(), EventCode::Refused);
+    let after = u64::try_from(refusal.retry_after.as_millis()).ok();
+    job.chain.add(Note { value: after, ..note });
     let retry_after = Some(refusal.retry_after);
     Box::new(Answer { retry_after, ..Answer::own(refusal.code) })
 }
 
 fn record(node: &Node, job: &Job, code: EventCode) {
+    job.chain.add(Note::new(node.clock.now(), code));
     node.events.record(code, subject(job), None);
 }
 
--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -11,6 +11,7 @@
 use http_body_util::Full;
 use hyper::body::{Body, Incoming};
 
+use crate::chain::{Chain, Note};
 use crate::config::{LoadFormat, Refusal, Service};
 use crate::decide::admit::Target;
 use crate::decide::attempt::{Ending, Number};
@@ -61,6 +62,7 @@
     node: Arc<Node>,
     service: Arc<Service>,
     request: Arc<str>,
+    chain: Rc<Chain>,
     target: Target,
     started: Time,
     reading: Reading,
@@ -78,6 +80,7 @@
             node: node.clone(),
             service: job.service.clone(),
             request: job.id.clone(),
+            chain: job.chain.clone(),
             target,
             started: node.clock.now(),
             reading: Reading::default(),
@@ -131,6 +134,12 @@
     }
 
     fn record(&self, code: EventCode, value: Option<u64>) {
+        self.chain.add(Note {
+            upstream: Some(self.target.name.clone()),
+            value,
+            choice: self.target.choice.filter(|_| code == EventCode::Sent),
+            ..Note::new(self.node.clock.now(), code)
+        });
         let subject = Subject {
             request: Some(self.request.clone()),
             service: Some(self.service.name.clone()),
@@ -323,20 +332,18 @@
     echoes && signed
 }
 
-/// Tells whether callers take a status as proof that the request was not run. An upstream's own
-/// answer without a declared refusal proves nothing of the kind.
+/// Tells whether callers take a status as proof that the request was not run, as they do where
+/// answers are signed. An upstream's answer without a declared refusal proves nothing of the kind.
 fn says_not_run(service: &Service, status: StatusCode) -> bool {
-    service.refusals.iter().any(|r| r.status == status.as_u16())
-        || status == StatusCode::REQUEST_TIMEOUT
+    let refusal = service.refusals.iter().any(|r| r.status == status.as_u16());
+    !service.signature_header.is_empty() && (refusal || status == StatusCode::REQUEST_TIMEOUT)
 }
 
 fn classify(service: &Service, head: &Parts) -> (Ending, Ended) {
     if service.refusals.iter().any(|r| is_refusal(r, head)) {
         return (Ending::Refused, Ended::Refused);
     }
-    if head.status.is_server_error()
-        || !service.signature_header.is_empty() && says_not_run(service, head.status)
-    {
+    if head.status.is_server_error() || says_not_run(service, head.status) {
         return (Ending::ServerError, Ended::Failed);
     }
     (Ending::Answered, Ended::Answered)
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -9,12 +9,14 @@
 pub(crate) mod probe;
 pub(crate) mod wire;
 
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
 
+use crate::chain::Chain;
 use crate::config::{Service, Treatment};
 use crate::decide::admit;
 use crate::decide::kinds::Aim;
@@ -34,6 +36,8 @@
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// The decisions on it.
+    pub(crate) chain: Rc<Chain>,
     /// The memory that the body holds.
     pub(crate) _held: Share,
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -46,6 +46,7 @@
 pub mod event;
 pub mod header;
 pub mod hlc;
+pub mod logs;
 pub mod settings;
 pub mod status;
 pub mod tool;
@@ -57,6 +58,7 @@
 };
 pub use time::{Clock, Time};
 
+mod chain;
 mod claim;
 mod decide;
 mod dispatch;
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -6,12 +6,13 @@
 use parking_lot::RwLock;
 use prometheus::core::Collector;
 use prometheus::{
-    HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGaugeVec, Opts, Registry,
+    HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
     TextEncoder,
 };
 
 use crate::decide::upstream::Ended;
 use crate::error::{Code, Outcome};
+use crate::logs;
 use crate::store::http::Count;
 
 /// The most services that have labels of their own; the rest share [`OTHER`].
@@ -33,6 +34,11 @@
     probes: IntCounterVec,
     control_bytes: IntCounterVec,
     platform_calls: IntCounterVec,
+    chains_dropped: IntCounter,
+    lines_dropped: IntGauge,
+    registry_age_ms: IntGauge,
+    members: IntGauge,
+    config_version: IntGauge,
     waiting: IntGaugeVec,
     in_flight: IntGaugeVec,
 }
@@ -48,6 +54,11 @@
             let made = IntGaugeVec::new(Opts::new(name, help), &["service"]);
             register(&registry, made.expect("constant options"))
         };
+        let single = |name, help| {
+            register(&registry, IntCounter::new(name, help).expect("constant options"))
+        };
+        let value =
+            |name, help| register(&registry, IntGauge::new(name, help).expect("constant options"));
         Metrics {
             requests: counter(
                 "cornelferry_requests_total",
@@ -75,6 +86,20 @@
                 "Calls to the platform's services, by kind",
                 &["kind"],
             ),
+            chains_dropped: single(
+                "cornelferry_log_chains_dropped_total",
+                "Requests whose decisions were not logged, as the bound on lines was reached",
+            ),
+            lines_dropped: value(
+                "cornelferry_log_lines_dropped",
+                "Log lines dropped since the start, as their reader was too slow",
+            ),
+            registry_age_ms: value(
+                "cornelferry_registry_age_milliseconds",
+                "Age of what is known of the platform's store; -1 if nothing is",
+            ),
+            members: value("cornelferry_members", "Other entry hosts that are alive"),
+            config_version: value("cornelferry_config_version", "Version of the routes in force"),
             waiting: gauge("cornelferry_waiting", "Requests that wait for a slot"),
             in_flight: gauge("cornelferry_in_flight", "Attempts in flight"),
             services: RwLock::default(),
@@ -84,6 +109,20 @@
 }
 
 impl Metrics {
+    /// Counts a request whose decisions were not logged.
+    pub(crate) fn chain_dropped(&self) {
+        self.chains_dropped.inc();
+    }
+
+    /// Sets the gauges of what the host knows of the fleet.
+    pub(crate) fn set_fleet(&self, registry_age: Option<Duration>, members: usize, version: u64) {
+        let age = registry_age.map_or(-1, |age| i64::try_from(age.as_millis()).unwrap_or(i64::MAX));
+        self.registry_age_ms.set(age);
+        self.members.set(i64::try_from(members).unwrap_or(i64::MAX));
+        self.config_version.set(i64::try_from(version).unwrap_or(i64::MAX));
+        self.lines_dropped.set(i64::try_from(logs::dropped()).unwrap_or(i64::MAX));
+    }
+
     /// Counts an answered request.
     pub(crate) fn answered(&self, service: &str, code: Code) {
         let label = self.service(service);
--- a/src/node.rs
+++ b/src/node.rs
@@ -6,6 +6,7 @@
 use tokio::sync::Notify;
 use tokio::sync::watch;
 
+use crate::chain::Allowance;
 use crate::claim::Claims;
 use crate::decide::digest::Version;
 use crate::decide::hosts::HostList;
@@ -76,6 +77,8 @@
     pub(crate) knowledge: Knowledge,
     /// The names of the header fields that callers and upstreams use.
     pub(crate) names: header::Names,
+    /// What requests may log.
+    pub(crate) log_allowance: Mutex<Allowance>,
     /// The newest settings that were read. What of them takes effect without a start is taken from
     /// here.
     reloaded: RwLock<Arc<Settings>>,
@@ -125,6 +128,7 @@
                 Some(_) => platform::headers::names(),
                 None => header::Names::default(),
             },
+            log_allowance: Mutex::new(Allowance::new(clock.now())),
             reloaded: RwLock::new(Arc::new(settings.clone())),
             resynced: Notify::new(),
             routes: RwLock::default(),
--- a/src/tool/mod.rs
+++ b/src/tool/mod.rs
@@ -1,6 +1,7 @@
 //! The work of the command-line tool.
 
 mod document;
+mod explain;
 mod fetch;
 mod fleet;
 mod publish;
@@ -38,6 +39,7 @@
         }
         Command::Status(args) => block_on(status::run(&args)),
         Command::Timeline(args) => block_on(timeline::run(&args)),
+        Command::Explain(args) => explain::run(&args),
         Command::Trace(args) => block_on(trace::run(&args)),
         Command::Replay(args) => replay::run(&args),
         Command::Profile(args) => block_on(record::run(Kind::Profile, &args)),
--- a/src/tool/tests.rs
+++ b/src/tool/tests.rs
@@ -8,6 +8,7 @@
 use rand::rngs::SmallRng;
 
 use super::document;
+use super::explain;
 use super::publish::{self, Draft, HISTORY_VERSIONS, InForce};
 use crate::decide::profile::{Kind, Record};
 use crate::decide::stored::{self, Stored};
@@ -143,3 +144,38 @@
     };
     assert_eq!(held.version, HISTORY_VERSIONS + 5);
 }
+
+const LOG: &str = r#"
+ -1.20 entry-1 {"time":"2026-12-04T01:00:00.000Z","host":"entry-1","event":3002,"message":"upstream ejected","service":"s","upstream":"u1"}
+  0.10 entry-1 {"time":"2026-12-04T01:00:01.000Z","host":"entry-1","event":2001,"message":"request accepted","request":"r-1","step":1,"steps":3,"deadline_ms":800}
+  0.10 entry-2 {"time":"2026-12-04T01:00:01.000Z","host":"entry-2","event":2001,"message":"request accepted","request":"r-2","step":1,"steps":2,"deadline_ms":800}
+  0.90 entry-1 {"time":"2026-12-04T01:00:01.800Z","host":"entry-1","event":2007,"message":"caller answered","request":"r-1","step":3,"steps":3,"code":3001}
+  0.11 entry-1 {"time":"2026-12-04T01:00:01.002Z","host":"entry-1","event":2003,"message":"attempt sent","request":"r-1","step":2,"steps":3,"upstream":"u1","load":2.0}
+  a line of another program
+"#;
+
+#[test]
+fn a_request_is_explained_in_order_with_what_else_happened_to_its_upstream() {
+    let lines = explain::read(LOG.as_bytes()).expect("log");
+    let found = explain::explain("r-1", &lines);
+    let texts: Vec<String> = found.lines.iter().map(explain::Line::text).collect();
+    assert_eq!(
+        texts,
+        [
+            "2026-12-04T01:00:00.000Z entry-1 3002 upstream ejected service=s upstream=u1",
+            "2026-12-04T01:00:01.000Z entry-1 2001 request accepted deadline_ms=800",
+            "2026-12-04T01:00:01.002Z entry-1 2003 attempt sent load=2.0 upstream=u1",
+            "2026-12-04T01:00:01.800Z entry-1 2007 caller answered code=3001",
+        ]
+    );
+    assert!(found.missing.is_empty());
+}
+
+#[test]
+fn a_line_that_was_dropped_is_named() {
+    let without: String =
+        LOG.lines().filter(|l| !l.contains("2003")).map(|l| l.to_owned() + "\n").collect();
+    let found = explain::explain("r-1", &explain::read(without.as_bytes()).expect("log"));
+    assert_eq!(found.missing, ["step 2 of 3"]);
+    assert!(explain::explain("r-9", &[]).lines.is_empty());
+}
