Spread each read of the store at once; hold fewer idle connections and events

Knowledge spread by the digests' timer over three to four hops and was older than 1.5 s at most hosts, so that they read for themselves. Change: progress of 250 ms is told at once.

--- a/src/forward/pool.rs
+++ b/src/forward/pool.rs
@@ -11,8 +11,9 @@
 use crate::forward::connection::Connection;
 use crate::time::Time;
 
-/// Time after which an idle connection is closed.
-const IDLE_MAX: Duration = Duration::from_secs(30);
+/// Time after which an idle connection is closed: upstreams close theirs after some seconds, and each
+/// holds a buffer.
+const IDLE_MAX: Duration = Duration::from_secs(4);
 
 /// Time after an unasked answer for which an upstream's connections carry one request each: such
 /// faults last for seconds.
--- a/src/peer/session.rs
+++ b/src/peer/session.rs
@@ -182,7 +182,9 @@
         self.theirs.set(Some(digest.summary));
         self.is_stale.set(digest.stale);
         if let Some(age) = digest.registry_age.filter(|_| digest.summary == self.local.summary()) {
-            node.knowledge.complete_to(now.before(age));
+            if node.knowledge.complete_to(now.before(age)) {
+                node.news.signal();
+            }
         }
         self.remember(&digest.recent);
         let wanted = newer(&node.catalog.lock(), digest.recent.clone());
--- a/src/registry.rs
+++ b/src/registry.rs
@@ -28,6 +28,9 @@
 const READ_DUTY: &str = "registry";
 /// Time between two reads of the host that reads.
 const READ_INTERVAL: Duration = Duration::from_millis(500);
+/// Progress of what is known that hosts tell each other at once: less than the interval between two
+/// reads, so that each read spreads over the whole fleet.
+const SPREAD_STEP: Duration = Duration::from_millis(250);
 /// The age of its knowledge at which any other host reads: the platform's bounds are 2 s, of which a
 /// slow store's answer takes a quarter second.
 const AGE_MAX: Duration = Duration::from_millis(1_500);
@@ -62,9 +65,11 @@
         (micros > 0).then(|| Time::from_micros(micros))
     }
 
-    /// Notes that every change up to a time is known.
-    pub(crate) fn complete_to(&self, at: Time) {
-        self.as_of.fetch_max(at.as_micros(), Ordering::Relaxed);
+    /// Notes that every change up to a time is known. Returns whether that is so much newer than what
+    /// was known that other hosts should hear of it at once.
+    pub(crate) fn complete_to(&self, at: Time) -> bool {
+        let before = self.as_of.fetch_max(at.as_micros(), Ordering::Relaxed);
+        at.since(Time::from_micros(before)) >= SPREAD_STEP
     }
 }
 
@@ -225,7 +230,9 @@
         let gone = self.lapses.expired(now);
         let deleted = gone.iter().map(|m| deleted(&m.name, m.revision)).collect();
         self.offer(deleted);
-        self.node.knowledge.complete_to(now);
+        if self.node.knowledge.complete_to(now) {
+            self.node.news.signal();
+        }
         self.node.resynced(pauses);
     }
 
