--- a/src/chain.rs
+++ b/src/chain.rs
@@ -19,8 +19,8 @@
 const SAMPLED: u64 = 64;
 /// Lines a second that requests may log on one host. More chains are dropped whole and counted.
 pub(crate) const LINES_PER_SECOND: f64 = 200.0;
-/// Steps of one request that are kept.
-const STEPS_MAX: usize = 64;
+/// Notes of one request that are kept.
+const NOTES_MAX: usize = 64;
 
 /// One decision on a request, or what came of it.
 #[derive(Clone, Debug)]
@@ -35,19 +35,21 @@
     pub(crate) value: Option<u64>,
     /// What a choice of upstream was made from.
     pub(crate) choice: Option<Choice>,
+    /// How many times slower than usual the upstream said it was when it answered.
+    pub(crate) slowdown: Option<f32>,
 }
 
 impl Note {
-    /// Makes a step that says no more than its kind.
+    /// Makes a note that says no more than its kind.
     pub(crate) fn new(at: Time, code: EventCode) -> Note {
-        Note { at, code, upstream: None, value: None, choice: None }
+        Note { at, code, upstream: None, value: None, choice: None, slowdown: None }
     }
 }
 
 /// The decisions on one request.
 #[derive(Debug, Default)]
 pub(crate) struct Chain {
-    steps: RefCell<Vec<Note>>,
+    notes: RefCell<Vec<Note>>,
     /// Whether anything happened that is worth a line whatever the answer is.
     notable: Cell<bool>,
 }
@@ -64,40 +66,47 @@
 }
 
 impl Chain {
-    /// Adds a step.
-    pub(crate) fn add(&self, step: Note) {
-        if !matches!(step.code, EventCode::Accepted | EventCode::Sent | EventCode::Finished) {
+    /// Adds a note.
+    pub(crate) fn add(&self, note: Note) {
+        let ordinary = matches!(
+            note.code,
+            EventCode::Accepted
+                | EventCode::Sent
+                | EventCode::AttemptAnswered
+                | EventCode::Finished
+        );
+        if !ordinary {
             self.notable.set(true);
         }
-        let mut steps = self.steps.borrow_mut();
-        if steps.len() < STEPS_MAX {
-            steps.push(step);
+        let mut notes = self.notes.borrow_mut();
+        if notes.len() < NOTES_MAX {
+            notes.push(note);
         }
     }
 
-    /// Returns the lines to log: all steps, or none if the request is an ordinary one that is not
+    /// Returns the lines to log: all notes, or none if the request is an ordinary one that is not
     /// sampled. `number` counts the host's requests.
     pub(crate) fn lines(&self, end: &End<'_>, number: u64, wall: SystemTime) -> Vec<String> {
         let ordinary = end.in_time && !self.notable.get();
         if ordinary && !number.is_multiple_of(SAMPLED) {
             return Vec::new();
         }
-        let steps = self.steps.borrow();
-        let line = |(i, step): (usize, &Note)| {
-            let mut out = object(step, end, wall);
+        let notes = self.notes.borrow();
+        let line = |(i, note): (usize, &Note)| {
+            let mut out = object(note, end, wall);
             out.insert("step".to_owned(), json!(i + 1));
-            out.insert("steps".to_owned(), json!(steps.len()));
+            out.insert("steps".to_owned(), json!(notes.len()));
             if ordinary {
                 out.insert("sampled".to_owned(), json!(SAMPLED));
             }
             Value::Object(out).to_string()
         };
-        steps.iter().enumerate().map(line).collect()
+        notes.iter().enumerate().map(line).collect()
     }
 }
 
-fn object(step: &Note, end: &End<'_>, wall: SystemTime) -> Map<String, Value> {
-    let at = wall.checked_sub(end.now.since(step.at)).unwrap_or(wall);
+fn object(note: &Note, end: &End<'_>, wall: SystemTime) -> Map<String, Value> {
+    let at = wall.checked_sub(end.now.since(note.at)).unwrap_or(wall);
     let mut out = Map::new();
     let mut put = |name: &str, value: Value| {
         out.insert(name.to_owned(), value);
@@ -105,17 +114,20 @@
     put("time", logs::timestamp(at));
     put("host", json!(end.host));
     put("level", json!("info"));
-    put("event", json!(step.code.number()));
-    put("message", json!(step.code.text()));
+    put("event", json!(note.code.number()));
+    put("message", json!(note.code.text()));
     put("request", json!(end.request));
     put("service", json!(end.service));
-    if let Some(upstream) = &step.upstream {
+    if let Some(upstream) = &note.upstream {
         put("upstream", json!(upstream));
     }
-    if let Some(value) = step.value {
-        put(step.code.value_name(), json!(value));
+    if let Some(value) = note.value {
+        put(note.code.value_name(), json!(value));
     }
-    if let Some(choice) = step.choice {
+    if let Some(slowdown) = note.slowdown {
+        put("slowdown", json!(rounded(slowdown)));
+    }
+    if let Some(choice) = note.choice {
         put("load", json!(rounded(choice.load)));
         put("slowdown", json!(rounded(choice.slowdown)));
         put("report_age_ms", json!(choice.report_age.map(|age| millis(age))));
--- a/src/event.rs
+++ b/src/event.rs
@@ -68,6 +68,8 @@
     Refused = 2009, "request refused";
     /// A request is not taken in.
     NotTakenIn = 2010, "request not taken in";
+    /// An attempt has its whole answer.
+    AttemptAnswered = 2011, "attempt answered";
     /// An upstream takes no new work.
     UpstreamLeaving = 3001, "upstream leaving";
     /// An upstream is ejected for a time.
@@ -126,6 +128,7 @@
             EventCode::Accepted => "deadline_ms",
             EventCode::Sent => "attempt",
             EventCode::Refused => "retry_after_ms",
+            EventCode::AttemptAnswered => "took_ms",
             EventCode::AttemptFailed | EventCode::Finished | EventCode::NotTakenIn => "code",
             EventCode::InForce | EventCode::RecordUnreadable | EventCode::OlderIgnored => "version",
             _ => "value",
--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -102,6 +102,14 @@
 
     /// Reports that the answer is whole, and gives the connection back.
     pub(crate) fn succeed(&mut self) {
+        let now = self.node.clock.now();
+        let took = now.since(self.started).as_millis();
+        self.chain.add(Note {
+            upstream: Some(self.target.name.clone()),
+            value: u64::try_from(took).ok(),
+            slowdown: self.reading.occupancy.map(|o| o.slowdown),
+            ..Note::new(now, EventCode::AttemptAnswered)
+        });
         self.report(self.ended);
         if let Some(conn) = self.conn.take() {
             self.node.pool.put(self.target.address, conn, self.node.clock.now());
--- a/src/tool/explain.rs
+++ b/src/tool/explain.rs
@@ -15,6 +15,8 @@
 const LINE_MAX_BYTES: u64 = 1 << 20;
 /// Time before a request from which other events of its host and upstreams are shown.
 const BEFORE: Duration = Duration::from_secs(2);
+/// What the name of a host's record begins with.
+const HOST: &str = "host/";
 /// Fields that a printed line does not repeat.
 const SHOWN: [&str; 8] = ["time", "host", "event", "message", "level", "request", "step", "steps"];
 
@@ -93,7 +95,10 @@
     let concerns = |line: &Line| {
         let beside = !line.fields.contains_key("request") && (from..=last).contains(&line.at);
         let same = |name: &str| of_request.iter().any(|l| l.text_of(name) == line.text_of(name));
-        beside && same("host") && (!line.fields.contains_key("upstream") || same("upstream"))
+        let upstream =
+            line.text_of("upstream").or_else(|| line.text_of("record")?.strip_prefix(HOST));
+        let tried = |name| of_request.iter().any(|l| l.is("upstream", name));
+        beside && same("host") && upstream.is_none_or(tried)
     };
     let mut out: Vec<Line> =
         lines.iter().filter(|l| l.is("request", request) || concerns(l)).cloned().collect();
