--- a/src/error.rs
+++ b/src/error.rs
@@ -71,7 +71,7 @@
     /// The upstream refused the request with a signal that its service declares.
     Refused = 2009, 503, NotRun, "the upstream refused the request";
     /// No connection to an upstream could be had before any byte was sent.
-    ConnectFailed = 2010, 502, NotRun, "no connection to an upstream could be had";
+    ConnectFailed = 2010, 503, NotRun, "no connection to an upstream could be had";
     /// The host is stopping.
     Stopping = 2011, 503, NotRun, "the host is stopping";
     /// The host has not yet learnt the newest profiles.
--- a/src/forward/answer.rs
+++ b/src/forward/answer.rs
@@ -20,6 +20,17 @@
 
 /// When to come back after an answer of cornelferry's own.
 pub(crate) const RETRY_AFTER: Duration = Duration::from_secs(1);
+/// The same where another host, or another upstream, may serve the request at once.
+const RETRY_AFTER_ELSEWHERE: Duration = Duration::from_millis(50);
+
+const fn retry_after(code: Code) -> Duration {
+    match code {
+        Code::Refused | Code::ConnectFailed | Code::Stopping | Code::NotReady => {
+            RETRY_AFTER_ELSEWHERE
+        }
+        _ => RETRY_AFTER,
+    }
+}
 
 /// What the caller is told.
 #[derive(Debug)]
@@ -42,7 +53,7 @@
             status,
             headers,
             body: AnswerBody::Whole { bytes: Bytes::from(format!("{code}\n")), _held: None },
-            retry_after: status.is_server_error().then_some(RETRY_AFTER),
+            retry_after: status.is_server_error().then(|| retry_after(code)),
         }
     }
 }
