--- a/src/chain.rs
+++ b/src/chain.rs
@@ -130,7 +130,7 @@
     if let Some(choice) = note.choice {
         put("load", json!(rounded(choice.load)));
         put("slowdown", json!(rounded(choice.slowdown)));
-        put("report_age_ms", json!(choice.report_age.map(|age| millis(age))));
+        put("report_age_ms", json!(choice.report_age.map(millis)));
         put("expected_ms", json!(millis(choice.expected)));
     }
     out
--- a/src/peer/session.rs
+++ b/src/peer/session.rs
@@ -181,10 +181,10 @@
         taken.leaves.iter().for_each(|s| self.local.told_leaving(s, now));
         self.theirs.set(Some(digest.summary));
         self.is_stale.set(digest.stale);
-        if let Some(age) = digest.registry_age.filter(|_| digest.summary == self.local.summary()) {
-            if node.knowledge.complete_to(now.before(age)) {
-                node.news.signal();
-            }
+        let as_of = digest.registry_age.map(|age| now.before(age));
+        let same = digest.summary == self.local.summary();
+        if as_of.filter(|_| same).is_some_and(|at| node.knowledge.complete_to(at)) {
+            node.news.signal();
         }
         self.remember(&digest.recent);
         let wanted = newer(&node.catalog.lock(), digest.recent.clone());
