Use upstreams that are ejected or starting where no others are left; test a daemon against a stand-in store

Found by the new test of a read whose answer was discarded: the retry found no place, as the only other upstream had just started and got a share of the requests by chance; and a fresh report of the upstream that had been tried made one of the others needed.

--- a/examples/standin/mod.rs
+++ b/examples/standin/mod.rs
@@ -4,5 +4,6 @@
 #![allow(unreachable_pub, reason = "programs and tests include the stand-ins by path")]
 
 pub mod platform;
+pub mod registry;
 pub mod store;
 pub mod upstream;
--- a/src/decide/service/timed.rs
+++ b/src/decide/service/timed.rs
@@ -94,6 +94,30 @@
     }
 }
 
+/// Returns what has to be known of an upstream for a request that has waited so long. A report is
+/// needed as long as some upstream gives one: to send blindly what others wait to send fills
+/// upstreams that are full already.
+fn knowledge_needed(open: &[&Row], waited: Duration, now: Time) -> Knowledge {
+    let best = open.iter().map(|r| knowledge(r, now)).max();
+    match best {
+        Some(Knowledge::Fresh) => Knowledge::Fresh,
+        _ if waited < BLIND_AFTER => Knowledge::Fresh,
+        Some(Knowledge::Unasked) => Knowledge::Unasked,
+        _ if waited < UNANSWERED_AFTER => Knowledge::Unasked,
+        _ => Knowledge::Unanswered,
+    }
+}
+
+/// Tells whether an upstream is not ejected and, while it starts, whether this is one of the share of
+/// requests that it gets.
+fn is_open(row: &Row, cold_start: Duration, now: Time, rng: &mut dyn RngCore) -> bool {
+    if row.health.ejected(now) {
+        return false;
+    }
+    let share = row.health.share(cold_start, now);
+    share >= 1.0 || rng.random::<f32>() < share
+}
+
 /// Returns how long a request has waited.
 fn waited(req: &Request, now: Time) -> Duration {
     req.aim.map_or(Duration::ZERO, |aim| now.since(aim.at))
@@ -249,13 +273,13 @@
         now: Time,
         rng: &mut dyn RngCore,
     ) -> Option<Place> {
-        let cold_start = Duration::from_millis(self.cfg.cold_start_ms);
+        let open = self.open_rows(tried, now, rng);
+        let needed = knowledge_needed(&open, waited, now);
         let mut best: Option<(f32, Place)> = None;
-        let needed = self.knowledge_needed(waited, now);
-        let start = rng.random_range(0..self.rows.len().max(1));
-        let (before, after) = self.rows.split_at(start.min(self.rows.len()));
-        for row in after.iter().chain(before) {
-            if knowledge(row, now) < needed || !self.is_open(row, tried, cold_start, now, rng) {
+        let start = rng.random_range(0..open.len().max(1));
+        let (before, after) = open.split_at(start.min(open.len()));
+        for &row in after.iter().chain(before) {
+            if knowledge(row, now) < needed {
                 continue;
             }
             let slots = row.slots(self.cfg.slots);
@@ -273,36 +297,16 @@
         best.map(|(_, place)| place)
     }
 
-    /// Returns what has to be known of an upstream for a request that has waited so long. A report is
-    /// needed as long as some upstream gives one: to send blindly what others wait to send fills
-    /// upstreams that are full already.
-    fn knowledge_needed(&self, waited: Duration, now: Time) -> Knowledge {
-        let open = |r: &&Row| r.state == State::Live && !r.health.ejected(now);
-        let best = self.rows.iter().filter(open).map(|r| knowledge(r, now)).max();
-        match best {
-            Some(Knowledge::Fresh) => Knowledge::Fresh,
-            _ if waited < BLIND_AFTER => Knowledge::Fresh,
-            Some(Knowledge::Unasked) => Knowledge::Unasked,
-            _ if waited < UNANSWERED_AFTER => Knowledge::Unasked,
-            _ => Knowledge::Unanswered,
-        }
-    }
-
-    /// Tells whether an upstream takes requests at present. One that starts takes a growing share.
-    fn is_open(
-        &self,
-        row: &Row,
-        tried: &[UpstreamId],
-        cold_start: Duration,
-        now: Time,
-        rng: &mut dyn RngCore,
-    ) -> bool {
-        let health = &row.health;
-        let usable = row.state == State::Live && !health.ejected(now) && !health.refusing(now);
-        usable && !tried.contains(&row.id) && {
-            let share = health.share(cold_start, now);
-            share >= 1.0 || rng.random::<f32>() < share
-        }
+    /// Returns the upstreams that take requests at present. If there is none but those that are
+    /// ejected or have just started, these do.
+    fn open_rows(&self, tried: &[UpstreamId], now: Time, rng: &mut dyn RngCore) -> Vec<&Row> {
+        let cold_start = Duration::from_millis(self.cfg.cold_start_ms);
+        let usable =
+            |r: &&Row| r.state == State::Live && !r.health.refusing(now) && !tried.contains(&r.id);
+        let usable: Vec<&Row> = self.rows.iter().filter(usable).collect();
+        let open: Vec<&Row> =
+            usable.iter().copied().filter(|r| is_open(r, cold_start, now, rng)).collect();
+        if open.is_empty() { usable } else { open }
     }
 
     /// Returns the place of a request among those that wait: those that can still be answered in
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -315,3 +315,25 @@
     bench.all_told(FREE);
     assert!(bench.table.candidates(bench.now, &mut bench.rng).is_empty(), "all is known");
 }
+
+/// Without it a retry found no place while the only other upstream had just started.
+#[test]
+fn where_only_ejected_or_starting_upstreams_are_left_these_are_used() {
+    let mut bench = Bench::new(2, 0);
+    bench.all_told(FREE);
+    let req = bench.request(1, Priority::Normal);
+    for _ in 0..3 {
+        bench.all_told(FREE);
+        let id = bench.runs(&req).id;
+        let report = Report { ended: Ended::Lost, latency: ms(1), load: None, draining: false };
+        bench.table.finish(id, &report, bench.now);
+    }
+    for _ in 0..8 {
+        let tried = [UpstreamId::from(0)];
+        let (now, rng) = (bench.now, &mut bench.rng);
+        let target = bench.table.again_for(&req, Again::Retry, &tried, now, rng);
+        let target = target.expect("a place at the other upstream");
+        let report = Report { ended: Ended::Lost, latency: ms(1), load: None, draining: false };
+        bench.table.finish(target.id, &report, bench.now);
+    }
+}
--- /dev/null
+++ b/tests/registry.rs
@@ -0,0 +1,332 @@
+//! A daemon on the deployment platform: routes and upstreams from its store, and answers that bear
+//! ids and signatures.
+
+mod harness;
+#[path = "../examples/standin/mod.rs"]
+mod standin;
+
+use std::io::{Read, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::Full;
+use serde_json::{Value, json};
+
+use harness::{Caller, Daemon, until};
+use standin::registry::Registry;
+
+/// What an upstream does with a request that is no probe.
+type Answer = fn(&str) -> String;
+
+/// An upstream that signs its answers and tells its occupancy.
+struct Signed {
+    address: SocketAddr,
+    runs: Arc<AtomicUsize>,
+}
+
+impl Signed {
+    fn start(id: &'static str, answer: Answer) -> Signed {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("bind");
+        let address = listener.local_addr().expect("bound");
+        let runs = Arc::new(AtomicUsize::new(0));
+        let counted = runs.clone();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let runs = counted.clone();
+                std::thread::spawn(move || serve(stream, id, answer, &runs));
+            }
+        });
+        Signed { address, runs }
+    }
+
+    fn runs(&self) -> usize {
+        self.runs.load(Ordering::SeqCst)
+    }
+
+    fn entry(&self, state: &str) -> String {
+        json!({
+            "service": "dispatch", "address": self.address, "zone": "a", "version": "v1",
+            "slots": 6, "state": state, "coldRemainingS": 0, "sequence": 4,
+        })
+        .to_string()
+    }
+}
+
+/// Serves the requests of one connection, which have no bodies.
+fn serve(mut stream: TcpStream, id: &str, answer: Answer, runs: &AtomicUsize) {
+    let mut buf = Vec::new();
+    let mut chunk = [0; 4096];
+    loop {
+        let Ok(read @ 1..) = stream.read(&mut chunk) else { return };
+        buf.extend_from_slice(&chunk[..read]);
+        let Some(end) = buf.windows(4).position(|w| w == b"\r\n\r\n") else { continue };
+        let head = String::from_utf8_lossy(&buf[..end]).to_ascii_lowercase();
+        buf.drain(..end + 4);
+        let res = if head.starts_with("get /health ") {
+            format!(
+                "HTTP/1.1 200 OK\r\nx-instance-id: {id}\r\nx-instance-load: 0,0,6,100\r\n\
+                 content-length: 0\r\n\r\n"
+            )
+        } else if field(&head, "x-expect-instance") != id {
+            "HTTP/1.1 421 Misdirected Request\r\nx-instance-id: other\r\n\
+             content-length: 0\r\n\r\n"
+                .to_owned()
+        } else {
+            runs.fetch_add(1, Ordering::SeqCst);
+            answer(&head)
+        };
+        if res.is_empty() || stream.write_all(res.as_bytes()).is_err() {
+            return;
+        }
+    }
+}
+
+fn field<'a>(head: &'a str, name: &str) -> &'a str {
+    let line = head.lines().find_map(|l| l.strip_prefix(name)?.strip_prefix(':'));
+    line.map_or("", str::trim)
+}
+
+fn sound(head: &str) -> String {
+    let id = field(head, "x-attempt-id");
+    format!(
+        "HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\nx-response-signature: s.{id}\r\n\
+         x-instance-load: 1,0,6,100\r\ncontent-length: 4\r\n\r\nbody"
+    )
+}
+
+fn of_another_request(_: &str) -> String {
+    "HTTP/1.1 200 OK\r\nx-attempt-id: another\r\nx-response-signature: s.another\r\n\
+     content-length: 4\r\n\r\nbody"
+        .to_owned()
+}
+
+fn unsigned(head: &str) -> String {
+    let id = field(head, "x-attempt-id");
+    format!("HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\ncontent-length: 4\r\n\r\nbody")
+}
+
+fn busy_without_proof(head: &str) -> String {
+    let id = field(head, "x-attempt-id");
+    format!(
+        "HTTP/1.1 503 Service Unavailable\r\nx-attempt-id: {id}\r\n\
+         x-response-signature: s.{id}\r\ncontent-length: 0\r\n\r\n"
+    )
+}
+
+fn shed(_: &str) -> String {
+    "HTTP/1.1 503 Service Unavailable\r\nx-not-executed: 1\r\ncontent-length: 0\r\n\r\n".to_owned()
+}
+
+fn config(version: u64, prefix: &str) -> String {
+    let rule = |name: &str, kind: &str, prefix: &str| {
+        json!({
+            "name": name, "kind": kind, "latencyGoalS": 0.3, "priority": 1,
+            "match": {"pathPrefix": prefix},
+            "action": {"service": "dispatch", "timeoutS": 0.8, "maxAttempts": 2},
+        })
+    };
+    json!({
+        "version": version,
+        "limits": {
+            "maxHeaderBytes": 16384, "maxBodyBytes": 65536, "headerTimeoutS": 3,
+            "idleTimeoutS": 15,
+        },
+        "listeners": [{"host": "port.example", "rules": [
+            rule("write", "non_idempotent", prefix),
+            rule("read", "idempotent", &format!("{prefix}read/")),
+        ]}],
+        "clusters": [{
+            "name": "dispatch", "healthPath": "/health", "maxConnections": 220,
+            "protocol": "h1", "tls": false,
+        }],
+    })
+    .to_string()
+}
+
+/// A store and a daemon that follows it.
+struct Fleet {
+    registry: Arc<Registry>,
+    daemon: Daemon,
+}
+
+impl Fleet {
+    async fn start(upstreams: &[(&str, &Signed)]) -> Fleet {
+        let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        let registry = Registry::start(any).await;
+        registry.put("op/config", &config(3, "/book/"));
+        for (id, upstream) in upstreams {
+            registry.put(&format!("servers/{id}"), &upstream.entry("ready"));
+        }
+        let settings = json!({
+            "host": "entry-1", "data_centre": "a",
+            "peer": TcpListener::bind(any).expect("port").local_addr().expect("bound"),
+            "registry": {
+                "address": registry.address, "retry_share": 0.2, "retry_slack": 56.0,
+                "probes_per_second": 60.0,
+            },
+        });
+        Fleet { registry, daemon: Daemon::run(&settings) }
+    }
+
+    async fn call(&self, method: &str, path: &str) -> Response<Bytes> {
+        let mut caller = Caller::connect(self.daemon.caller).await.expect("connect");
+        let req = Request::builder().method(method).uri(path).header("host", "port.example");
+        let req = req.header("x-attempt-id", "r-1").header("x-deadline-ms", "1500");
+        let req = req.body(Full::default()).expect("request");
+        caller.send(req).await.expect("answer")
+    }
+
+    async fn status(&self, method: &str, path: &str) -> u16 {
+        self.call(method, path).await.status().as_u16()
+    }
+}
+
+fn text<'a>(res: &'a Response<Bytes>, name: &str) -> &'a str {
+    res.headers().get(name).map_or("", |v| v.to_str().expect("text"))
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn routes_and_upstreams_come_from_the_store() {
+    let upstream = Signed::start("u-1", sound);
+    let fleet = Fleet::start(&[("u-1", &upstream)]).await;
+    let res = fleet.call("POST", "/book/7").await;
+    assert_eq!((res.status().as_u16(), &res.body()[..]), (200, &b"body"[..]));
+    assert_eq!((text(&res, "x-attempt-id"), text(&res, "x-response-signature")), ("r-1", "s.r-1"));
+    assert_eq!(fleet.status("GET", "/elsewhere/").await, 404);
+    assert_eq!(fleet.registry.keys("cornelferry/hosts/"), ["cornelferry/hosts/entry-1"]);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_newer_config_comes_into_force_and_an_unreadable_one_does_not() {
+    let upstream = Signed::start("u-1", sound);
+    let fleet = Fleet::start(&[("u-1", &upstream)]).await;
+    fleet.registry.put("op/config", r#"{"version": 4, "listeners": "none"}"#);
+    fleet.registry.put("op/config", &config(5, "/later/"));
+    let start = std::time::Instant::now();
+    while fleet.status("POST", "/later/7").await != 200 {
+        assert!(start.elapsed() < harness::HANG, "never in force");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    assert_eq!(fleet.status("POST", "/book/7").await, 404);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_answer_to_another_request_or_without_a_signature_is_not_passed_on() {
+    for answer in [of_another_request as Answer, unsigned] {
+        let upstream = Signed::start("u-1", answer);
+        let fleet = Fleet::start(&[("u-1", &upstream)]).await;
+        assert_eq!(fleet.status("POST", "/book/7").await, 502);
+        assert_eq!(upstream.runs(), 1);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_read_whose_answer_was_discarded_is_sent_to_another_upstream() {
+    let (bad, good) = (Signed::start("u-1", of_another_request), Signed::start("u-2", sound));
+    let fleet = Fleet::start(&[("u-1", &bad), ("u-2", &good)]).await;
+    for _ in 0..4 {
+        assert_eq!(fleet.status("GET", "/book/read/7").await, 200);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn only_a_refusal_with_proof_is_told_as_not_run() {
+    let busy = Signed::start("u-1", busy_without_proof);
+    let fleet = Fleet::start(&[("u-1", &busy)]).await;
+    let res = fleet.call("POST", "/book/7").await;
+    assert_eq!((res.status().as_u16(), text(&res, "x-response-signature")), (502, ""));
+    let full = Signed::start("u-1", shed);
+    let fleet = Fleet::start(&[("u-1", &full)]).await;
+    let res = fleet.call("POST", "/book/7").await;
+    assert_eq!(res.status().as_u16(), 503);
+    let after: f64 = text(&res, "retry-after").parse().expect("seconds");
+    assert!(after > 0.0 && after < 1.0, "{after}");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_address_that_another_upstream_has_taken_runs_nothing() {
+    let other = Signed::start("u-2", sound);
+    let fleet = Fleet::start(&[("u-1", &other)]).await;
+    assert_eq!(fleet.status("POST", "/book/7").await, 503);
+    assert_eq!(other.runs(), 0);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_upstream_that_leaves_gets_no_new_work() {
+    let (leaving, staying) = (Signed::start("u-1", sound), Signed::start("u-2", sound));
+    let fleet = Fleet::start(&[("u-1", &leaving), ("u-2", &staying)]).await;
+    fleet.registry.put("servers/u-1", &leaving.entry("draining"));
+    let reads = fleet.registry.reads();
+    // The one before the last was taken in whole.
+    until("a read of the store", || fleet.registry.reads() > reads + 2);
+    let before = leaving.runs();
+    for _ in 0..8 {
+        assert_eq!(fleet.status("POST", "/book/7").await, 200);
+    }
+    assert_eq!(leaving.runs(), before);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_outage_of_the_store_changes_nothing_and_its_lost_history_is_read_anew() {
+    let upstream = Signed::start("u-1", sound);
+    let fleet = Fleet::start(&[("u-1", &upstream)]).await;
+    fleet.registry.refuse(true);
+    for _ in 0..4 {
+        assert_eq!(fleet.status("POST", "/book/7").await, 200);
+    }
+    fleet.registry.put("op/config", &config(5, "/later/"));
+    fleet.registry.forget();
+    fleet.registry.refuse(false);
+    let start = std::time::Instant::now();
+    while fleet.status("POST", "/later/7").await != 200 {
+        assert!(start.elapsed() < harness::HANG, "never in force");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_entry_that_lapsed_with_the_store_and_comes_back_has_not_gone() {
+    let upstream = Signed::start("u-1", sound);
+    let fleet = Fleet::start(&[("u-1", &upstream)]).await;
+    fleet.registry.refuse(true);
+    until("a refused read", || fleet.registry.refused() > 0);
+    fleet.registry.remove("servers/u-1");
+    fleet.registry.refuse(false);
+    let reads = fleet.registry.reads();
+    until("a read of the store", || fleet.registry.reads() > reads + 1);
+    assert_eq!(fleet.status("POST", "/book/7").await, 200);
+    fleet.registry.put("servers/u-1", &upstream.entry("ready"));
+    tokio::time::sleep(Duration::from_millis(3_000)).await;
+    assert_eq!(fleet.status("POST", "/book/7").await, 200);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_hangup_reloads_and_ends_nothing() {
+    let upstream = Signed::start("u-1", sound);
+    let fleet = Fleet::start(&[("u-1", &upstream)]).await;
+    fleet.daemon.signal("HUP");
+    for _ in 0..4 {
+        assert_eq!(fleet.status("POST", "/book/7").await, 200);
+    }
+    assert_eq!(fleet.daemon.readiness(), Some(200));
+}
+
+#[test]
+fn bounds_of_the_registry_are_checked() {
+    let settings = |registry: Value| {
+        let settings = json!({
+            "host": "h", "data_centre": "a", "caller": "127.0.0.1:1", "admin": "127.0.0.1:2",
+            "registry": registry,
+        });
+        cornelferry::settings::Settings::parse(&settings.to_string())
+    };
+    assert!(settings(json!({"address": "127.0.0.1:3"})).is_ok());
+    let spoilt = json!({"address": "127.0.0.1:3", "retry_share": 2.0, "retry_window_s": 0.0});
+    let faults = settings(spoilt).expect_err("faults");
+    let places: Vec<&str> = faults.iter().map(|f| f.place.as_str()).collect();
+    assert_eq!(places, ["/registry/retry_share", "/registry/retry_window_s"]);
+}
