--- a/src/decide/service.rs
+++ b/src/decide/service.rs
@@ -1,14 +1,13 @@
 //! One service's table: its upstreams, those that wait, and its budgets.
 
 mod admission;
+mod reports;
 mod sharing;
 mod timed;
 
 use std::sync::Arc;
 use std::time::Duration;
 
-use rand::Rng;
-
 use crate::config::{self, Service};
 use crate::decide::admit::{Target, Ticket};
 use crate::decide::baseline::Baseline;
@@ -16,12 +15,11 @@
 use crate::decide::concurrency::Concurrency;
 use crate::decide::health;
 use crate::decide::kinds::Kinds;
-use crate::decide::load::Timing;
 use crate::decide::measure::{self, Budget};
 use crate::decide::queue::Queue;
 use crate::decide::retry::{RetryBudget, RetryLimits};
 use crate::decide::route::Policy;
-use crate::decide::upstream::{self, Changed, Ended, Occupancy, Report, Row, State, UpstreamId};
+use crate::decide::upstream::{self, Changed, Ended, Report, Row, State, UpstreamId};
 use crate::event::EventCode;
 use crate::time::Time;
 
@@ -69,28 +67,14 @@
     evicted: Vec<Ticket>,
     probes: Budget,
     probes_sought: Time,
+    reports_sought: Time,
     retries: RetryBudget,
     open: Vec<u32>,
     changes: Vec<Changed>,
 }
 
-/// Age of a report that came with the answer that is looked at.
-const JUST_NOW: Duration = Duration::from_millis(1);
-/// Relative difference up to which two reports of an upstream's speed are the same.
-const STEADY: f32 = 0.2;
-/// Age up to which an upstream's report is as good as a new one.
-const FRESH_REPORT: Duration = Duration::from_millis(50);
-/// Upstreams that are asked before a request is sent.
-const CANDIDATES: usize = 3;
-/// Spread by which hosts that know the same ask different upstreams, in usual work times.
-const CANDIDATE_SPREAD: f32 = 0.3;
-/// What it costs to send a request to another data centre, in usual work times: the time there and
-/// back, and the bytes.
-const DISTANCE_COST: f32 = 0.5;
 /// Time between two searches for an upstream to probe.
 const PROBE_INTERVAL: Duration = Duration::from_millis(50);
-/// Time between two searches for a free slot while requests wait.
-const WAITING_PROBE_INTERVAL: Duration = Duration::from_millis(15);
 /// Time without requests after which a service is quiet.
 const QUIET_AFTER: Duration = Duration::from_secs(5);
 /// Changes that are held until they are asked for.
@@ -119,6 +103,7 @@
             evicted: Vec::new(),
             probes,
             probes_sought: now,
+            reports_sought: now,
             retries: RetryBudget::new(),
             open: Vec::new(),
             changes: Vec::new(),
@@ -220,7 +205,7 @@
         }
         row.learn(report, &self.baseline, now);
         if let Some(timing) = sent.timing.filter(|_| report.ended == Ended::Answered) {
-            self.timed(at, timing, report.latency, now);
+            self.learn_time(at, timing, report.latency, now);
         }
         let row = &mut self.rows[at];
         if report.ended == Ended::Answered {
@@ -262,10 +247,6 @@
         if now < self.probes_sought || self.cfg.measure.path.is_empty() || !self.probes.ready(now) {
             return Vec::new();
         }
-        if self.is_timed() && !self.queue.is_empty() {
-            self.probes_sought = now + WAITING_PROBE_INTERVAL;
-            return self.candidates(now, &mut rand::rng());
-        }
         self.probes_sought = now + PROBE_INTERVAL;
         let chosen = measure::choose(&self.rows, self.requested, now, owned);
         let Some((id, target)) = chosen.map(|r| (r.id, target(r))) else { return Vec::new() };
@@ -278,47 +259,6 @@
         vec![target]
     }
 
-    /// Takes note of what an upstream said of its load.
-    pub fn occupied(&mut self, id: UpstreamId, occupancy: &Occupancy, now: Time) {
-        if let Some(row) = upstream::find_mut(&mut self.rows, id) {
-            row.occupied(occupancy, now);
-        }
-    }
-
-    /// Returns the upstreams that the next request would go to as far as is known, and of which
-    /// nothing recent is known, within the measuring budget.
-    pub fn candidates(&mut self, now: Time, rng: &mut impl Rng) -> Vec<Target> {
-        let fresh = |r: &Row| r.occupancy_age(now).is_some_and(|age| age < FRESH_REPORT);
-        let mut best: Vec<(f32, usize)> = Vec::with_capacity(self.rows.len());
-        for (at, row) in self.rows.iter().enumerate() {
-            if row.state == State::Live && !row.health.ejected(now) && !row.health.refusing(now) {
-                let cost = self.cost_of(row, now);
-                best.push((cost + rng.random::<f32>() * CANDIDATE_SPREAD, at));
-            }
-        }
-        best.sort_by(|a, b| a.0.total_cmp(&b.0));
-        best.truncate(CANDIDATES);
-        let stale: Vec<usize> =
-            best.into_iter().map(|(_, at)| at).filter(|&at| !fresh(&self.rows[at])).collect();
-        let mut out = Vec::with_capacity(stale.len());
-        for at in stale {
-            if !self.probes.take(now) {
-                break;
-            }
-            self.rows[at].probed = now;
-            out.push(target(&self.rows[at]));
-        }
-        out
-    }
-
-    /// Returns the time that one more request is expected to take at an upstream that tells its
-    /// occupancy, in usual work times, with what the distance costs.
-    pub(crate) fn cost_of(&self, row: &Row, now: Time) -> f32 {
-        let is_near = row.data_centre == self.facts.data_centre;
-        let distance = if is_near { 0.0 } else { DISTANCE_COST };
-        row.expected_time(self.cfg.slots, now) + distance
-    }
-
     /// Returns what this host may spend on retries.
     pub(crate) fn retry_limits(&self) -> RetryLimits {
         RetryLimits {
@@ -362,25 +302,6 @@
         }
     }
 
-    /// Learns from the time of an answer, if the upstream's speed was the same at its beginning and
-    /// its end.
-    fn timed(&mut self, at: usize, timing: Timing, took: Duration, now: Time) {
-        let Some(told) = self.rows[at].occupied.filter(|o| now.since(o.at) < JUST_NOW) else {
-            return;
-        };
-        let steady = (told.occupancy.slowdown / timing.slowdown - 1.0).abs() < STEADY;
-        if !timing.fresh || !steady {
-            return;
-        }
-        let usual = took.div_f32(told.occupancy.slowdown);
-        let level = (timing.load.round() as u32 + 1).max(told.occupancy.running);
-        let slots = told.occupancy.slots;
-        self.concurrency.answered(level, slots, usual.as_secs_f32() / timing.work.as_secs_f32());
-        if level * 2 <= told.occupancy.slots.max(2) {
-            self.kinds.took(timing.kind, usual);
-        }
-    }
-
     fn join(&mut self, upstream: &config::Upstream, started: bool, now: Time) {
         let mut row = Row::new(self.next_id.into(), upstream, now);
         row.health.growing = started.then_some(now);
--- a/src/decide/service/timed.rs
+++ b/src/decide/service/timed.rs
@@ -9,7 +9,8 @@
 
 use rand::{Rng, RngCore};
 
-use super::{FRESH_REPORT, ServiceTable, target};
+use super::reports::FRESH_REPORT;
+use super::{ServiceTable, target};
 use crate::config::{LoadFormat, Priority};
 use crate::decide::admit::{Admission, Choice, Refusal, Request, Target, Ticket};
 use crate::decide::kinds::{Aim, Expected};
--- a/src/decide/tick.rs
+++ b/src/decide/tick.rs
@@ -116,7 +116,8 @@
             }
             let cfg = service.cfg().clone();
             let probes = service.probes(now, |upstream| owned(&cfg.name, upstream));
-            out.probes.extend(probes.into_iter().map(|t| (cfg.clone(), t)));
+            let asked = service.candidates_while_waiting(now, rng);
+            out.probes.extend(probes.into_iter().chain(asked).map(|t| (cfg.clone(), t)));
             *due = if service.is_quiet(now) { now + QUIET_INTERVAL } else { Time::ZERO };
         }
         out
--- a/src/forward/drive.rs
+++ b/src/forward/drive.rs
@@ -177,8 +177,8 @@
             Step::Hedge => (Again::Hedge, EventCode::Hedged),
         };
         let target = match why {
-            Again::Retry => self.sought(why).await,
-            Again::Hedge => self.target(why).await,
+            Again::Retry => self.retry_target().await,
+            Again::Hedge => self.next_target(why).await,
         };
         let now = self.node.clock.now();
         let Some(target) = target else {
@@ -197,7 +197,7 @@
     }
 
     /// Returns where another attempt may go at present.
-    async fn target(&self, why: Again) -> Option<Target> {
+    async fn next_target(&self, why: Again) -> Option<Target> {
         if self.job.service.probe_before_send {
             probe::refresh(self.node, self.job).await;
         }
@@ -210,13 +210,13 @@
 
     /// Looks for a place a few times: where upstreams tell their occupancy, one may come free or tell
     /// of a free slot a moment later.
-    async fn sought(&self, why: Again) -> Option<Target> {
+    async fn retry_target(&self) -> Option<Target> {
         let looks = if self.job.service.probe_before_send { RETRY_LOOKS } else { 1 };
         for look in 0..looks {
             if look > 0 {
                 tokio::time::sleep(RETRY_LOOK_INTERVAL).await;
             }
-            let target = self.target(why).await;
+            let target = self.next_target(Again::Retry).await;
             let is_over = self.node.clock.now() >= self.job.deadline;
             if target.is_some() || is_over || !self.node.may_retry(&self.job.service.name) {
                 return target;
