--- a/src/registry.rs
+++ b/src/registry.rs
@@ -101,19 +101,23 @@
     let (mut rng, mut backoff) = (SmallRng::from_os_rng(), Backoff::default());
     let mut lease = None;
     loop {
-        match renew(client, &key, &value, lease).await {
-            Ok(renewed) => {
-                lease = renewed;
-                if lease.is_some() {
-                    backoff.reset();
-                    sleep(RENEWAL).await;
-                }
+        let pause = match renew(client, &key, &value, lease).await {
+            Ok(Some(renewed)) => {
+                lease = Some(renewed);
+                backoff.reset();
+                RENEWAL
+            }
+            Ok(None) => {
+                log::info!("registration: the lease has ended and is granted anew");
+                lease = None;
+                backoff.after_failure(&mut rng)
             }
             Err(e) => {
                 log::debug!("registration: {e}");
-                sleep(backoff.after_failure(&mut rng)).await;
+                backoff.after_failure(&mut rng)
             }
-        }
+        };
+        sleep(pause).await;
     }
 }
 
