--- a/src/chain.rs
+++ b/src/chain.rs
@@ -3,6 +3,9 @@
 //! A request that was not simply answered in time is logged whole; of the others one in
 //! [`SAMPLED`]. The lines of a chain bear its length, so that a reader sees what is missing.
 
+#[cfg(test)]
+mod tests;
+
 use std::cell::{Cell, RefCell};
 use std::sync::Arc;
 use std::time::{Duration, SystemTime};
