Allow a slow store more time for its answers

Ruled out: a reader that was gone, and digests that spread too late (all hosts took the version within a second once it was read). The time allowed doubles up to 2.4 s and falls back with the first quick answer; pauses end at 0.8 s. The new test of a store that takes a second fails without the change.

--- a/examples/standin/registry.rs
+++ b/examples/standin/registry.rs
@@ -4,6 +4,7 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
@@ -37,6 +38,7 @@
     refuses: bool,
     reads: u64,
     refused: u64,
+    slow: Duration,
 }
 
 impl Registry {
@@ -85,6 +87,11 @@
         state.items.keys().filter(|k| k.starts_with(prefix)).cloned().collect()
     }
 
+    /// Adds a time to every answer.
+    pub fn slow(&self, by: Duration) {
+        self.state.lock().slow = by;
+    }
+
     /// Returns the calls that were refused.
     pub fn refused(&self) -> u64 {
         self.state.lock().refused
@@ -145,6 +152,8 @@
         let found = query.iter().find(|(n, _)| n == name);
         found.map_or("", |(_, value)| value.as_str())
     };
+    let slow = registry.state.lock().slow;
+    tokio::time::sleep(slow).await;
     let mut state = registry.state.lock();
     if state.refuses {
         state.refused += 1;
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -1,25 +1,29 @@
 //! The calls of the platform's store.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
 use http::{Method, StatusCode};
+use parking_lot::Mutex;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Deserializer, de};
 use serde_json::{Value, json};
 
+use crate::store::backoff::Patience;
 use crate::store::call::{CallKind, Failure, LeaseId};
 use crate::store::http::{Count, Http, Request};
 
-/// Time allowed for an answer: the store takes milliseconds, and some 60 times that when it is slow.
+/// Time allowed for an answer at first: the store takes milliseconds, and some 60 times that when it
+/// is slow.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// A client of the store.
 pub(crate) struct Client {
     http: Http,
+    patience: Mutex<Patience>,
 }
 
 /// A key as the store holds it, or its removal.
@@ -92,7 +96,8 @@
 impl Client {
     /// Makes a client. No connection is opened until the first call.
     pub(crate) fn connect(address: SocketAddr, calls_per_second: f64, count: Count) -> Client {
-        Client { http: Http::new(vec![address], calls_per_second, count) }
+        let http = Http::new(vec![address], calls_per_second, count);
+        Client { http, patience: Mutex::new(Patience::new(ANSWER_TIMEOUT)) }
     }
 
     /// Reads everything under a prefix. Keys that change meanwhile may be read as they were before
@@ -223,7 +228,16 @@
         body: Option<&Value>,
     ) -> Result<(StatusCode, Bytes), Failure> {
         let request = Request { method, path, body };
-        self.http.answer(kind, &request, ANSWER_TIMEOUT).await
+        let allowed = self.patience.lock().allowed();
+        let start = Instant::now();
+        let answer = self.http.answer(kind, &request, allowed).await;
+        let took = start.elapsed();
+        match &answer {
+            Ok(_) => self.patience.lock().answered(took),
+            Err(_) if took >= allowed => self.patience.lock().missed(),
+            Err(_) => {}
+        }
+        answer
     }
 }
 
--- a/src/registry.rs
+++ b/src/registry.rs
@@ -37,6 +37,8 @@
 /// Time since its own last read from which a host reads everything: the changes since then would
 /// be more than that.
 const CHANGES_MAX_AGE: Duration = Duration::from_secs(3);
+/// The longest pause between two reads that fail: with a slow answer it stays within 2 s.
+const FAILED_PAUSE_MAX: Duration = Duration::from_millis(800);
 /// Everything under this prefix is read: config, upstreams and entry hosts.
 const EVERYTHING: &str = "";
 /// Where entry hosts register, below the settings' prefix.
@@ -248,7 +250,7 @@
             self.node.events.record(EventCode::PlatformDown, Subject::default(), None);
         }
         self.become_ready(self.node.clock.now());
-        sleep(self.backoff.after_failure(&mut self.rng)).await;
+        sleep(self.backoff.after_failure(&mut self.rng).min(FAILED_PAUSE_MAX)).await;
     }
 
     /// Takes changes in.
--- a/src/store/backoff.rs
+++ b/src/store/backoff.rs
@@ -29,3 +29,37 @@
         self.failures = 0;
     }
 }
+
+/// The time allowed for an answer, which grows while a service is slow.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Patience {
+    usual: Duration,
+    allowed: Duration,
+}
+
+/// Multiple of the usual time up to which the time allowed grows.
+const PATIENCE_MAX: u32 = 4;
+
+impl Patience {
+    /// Allows the usual time at first.
+    pub(crate) fn new(usual: Duration) -> Patience {
+        Patience { usual, allowed: usual }
+    }
+
+    /// Returns the time allowed at present.
+    pub(crate) fn allowed(&self) -> Duration {
+        self.allowed
+    }
+
+    /// Notes that an answer took so long.
+    pub(crate) fn answered(&mut self, took: Duration) {
+        if took < self.usual / 2 {
+            self.allowed = self.usual;
+        }
+    }
+
+    /// Notes that no answer came in the time allowed.
+    pub(crate) fn missed(&mut self) {
+        self.allowed = (self.allowed * 2).min(self.usual * PATIENCE_MAX);
+    }
+}
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -288,6 +288,20 @@
     }
 }
 
+/// Each read was given up after 600 ms, so that no config came into force while the store was slower.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_store_that_takes_a_second_to_answer_is_still_read() {
+    let upstream = Signed::start("u-1", sound);
+    let fleet = Fleet::start(&[("u-1", &upstream)]).await;
+    fleet.registry.slow(Duration::from_secs(1));
+    fleet.registry.put("op/config", &config(5, "/later/"));
+    let start = std::time::Instant::now();
+    while fleet.status("POST", "/later/7").await != 200 {
+        assert!(start.elapsed() < harness::HANG, "never in force");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn an_entry_that_lapsed_with_the_store_and_comes_back_has_not_gone() {
     let upstream = Signed::start("u-1", sound);
