Say once what was written several times in the adapter and the placing of requests

What waits with what is expected of it, whether a request is late, the time until work is started, a fresh report, a host that has vanished, a service put with its upstreams' states, a call that names a lease, and the head of a log line: each stood in two to five places and is one function now. Two parameters that were always the same are gone.

--- a/src/chain.rs
+++ b/src/chain.rs
@@ -14,7 +14,7 @@
 
 use crate::decide::admit::Choice;
 use crate::decide::bucket::Bucket;
-use crate::event::EventCode;
+use crate::event::{self, EventCode};
 use crate::logs;
 use crate::time::Time;
 
@@ -110,23 +110,15 @@
 
 fn object(note: &Note, end: &End<'_>, wall: SystemTime) -> Map<String, Value> {
     let at = wall.checked_sub(end.now.since(note.at)).unwrap_or(wall);
-    let mut out = Map::new();
+    let mut out = event::log_line(note.code, log::Level::Info, end.host, at, note.value);
     let mut put = |name: &str, value: Value| {
         out.insert(name.to_owned(), value);
     };
-    put("time", logs::timestamp(at));
-    put("host", json!(end.host));
-    put("level", json!("info"));
-    put("event", json!(note.code.number()));
-    put("message", json!(note.code.text()));
     put("request", json!(end.request));
     put("service", json!(end.service));
     if let Some(upstream) = &note.upstream {
         put("upstream", json!(upstream));
     }
-    if let Some(value) = note.value {
-        put(note.code.value_name(), json!(value));
-    }
     if let Some(slowdown) = note.slowdown {
         put("slowdown", json!(rounded(slowdown)));
     }
--- a/src/decide/kinds.rs
+++ b/src/decide/kinds.rs
@@ -43,6 +43,13 @@
     pub(crate) objective: Time,
 }
 
+impl Expected {
+    /// Tells whether no answer can come within the objective any more.
+    pub(crate) fn is_late(&self, now: Time) -> bool {
+        now + self.work > self.objective
+    }
+}
+
 /// Part of its objective that a request of which nothing is known is expected to take.
 const WORK_SHARE: f32 = 0.4;
 /// Step of the median, as part of itself.
--- a/src/decide/occupancy.rs
+++ b/src/decide/occupancy.rs
@@ -9,6 +9,8 @@
 use crate::decide::upstream::{Occupancy, Occupied, Row};
 use crate::time::Time;
 
+/// Age up to which a report is as good as a new one: a tenth of the time for which a speed lasts.
+const FRESH_REPORT: Duration = Duration::from_millis(50);
 /// Age over which a report of the speed loses most of its weight (a factor of e).
 const SLOWDOWN_LIFE: Duration = Duration::from_millis(500);
 /// The same for a report of the requests that other hosts have there: about the time that one takes.
@@ -33,6 +35,11 @@
         self.occupied.map(|o| now.since(o.at))
     }
 
+    /// Tells whether the newest report is as good as a new one.
+    pub(crate) fn has_fresh_report(&self, now: Time) -> bool {
+        self.occupancy_age(now).is_some_and(|age| age < FRESH_REPORT)
+    }
+
     /// Returns the requests expected at the upstream, this host's own included.
     pub(crate) fn expected_load(&self, slots: u32, now: Time) -> f32 {
         let mean = slots as f32 * FILL_MEAN;
--- a/src/decide/service/reports.rs
+++ b/src/decide/service/reports.rs
@@ -14,8 +14,6 @@
 const JUST_NOW: Duration = Duration::from_millis(1);
 /// Relative difference up to which two reports of an upstream's speed are the same.
 const STEADY: f32 = 0.2;
-/// Age up to which an upstream's report is as good as a new one.
-pub(super) const FRESH_REPORT: Duration = Duration::from_millis(50);
 /// Upstreams that are asked before a request is sent.
 const CANDIDATES: usize = 3;
 /// Spread by which hosts that know the same ask different upstreams, in usual work times.
@@ -37,7 +35,6 @@
     /// Returns the upstreams that the next request would go to as far as is known, and of which
     /// nothing recent is known, within the measuring budget.
     pub fn candidates(&mut self, now: Time, rng: &mut impl Rng) -> Vec<Target> {
-        let fresh = |r: &Row| r.occupancy_age(now).is_some_and(|age| age < FRESH_REPORT);
         let mut best: Vec<(f32, usize)> = Vec::with_capacity(self.rows.len());
         for (at, row) in self.rows.iter().enumerate() {
             if row.state == State::Live && !row.health.ejected(now) && !row.health.refusing(now) {
@@ -47,8 +44,9 @@
         }
         best.sort_by(|a, b| a.0.total_cmp(&b.0));
         best.truncate(CANDIDATES);
-        let stale: Vec<usize> =
-            best.into_iter().map(|(_, at)| at).filter(|&at| !fresh(&self.rows[at])).collect();
+        let rows = &self.rows;
+        let stale = best.into_iter().map(|(_, at)| at);
+        let stale: Vec<usize> = stale.filter(|&at| !rows[at].has_fresh_report(now)).collect();
         let mut out = Vec::with_capacity(stale.len());
         for at in stale {
             if !self.probes.take(now) {
--- a/src/decide/service/timed.rs
+++ b/src/decide/service/timed.rs
@@ -9,7 +9,6 @@
 
 use rand::{Rng, RngCore};
 
-use super::reports::FRESH_REPORT;
 use super::{ServiceTable, target};
 use crate::config::{LoadFormat, Priority};
 use crate::decide::admit::{Admission, Choice, Refusal, Request, Target, Ticket};
@@ -59,6 +58,12 @@
     fn at(&self, now: Time) -> f32 {
         self.sum * (-now.since(self.at).as_secs_f32() / RATE_LIFE.as_secs_f32()).exp()
     }
+
+    /// Returns the time until so much work is started; nothing if that is beyond all bounds.
+    fn time_to_start(&self, work: Duration, now: Time) -> Option<Duration> {
+        let rate = self.at(now).max(f32::EPSILON);
+        Duration::try_from_secs_f32(work.as_secs_f32() / rate).ok()
+    }
 }
 
 /// Where a request may go.
@@ -82,16 +87,14 @@
 }
 
 fn knowledge(row: &Row, now: Time) -> Knowledge {
-    match row.occupancy_age(now) {
-        Some(age) if age < FRESH_REPORT => Knowledge::Fresh,
-        age => {
-            let probed = now.since(row.probed);
-            let is_asked = row.probed > Time::ZERO && age.is_none_or(|age| probed < age);
-            match is_asked && probed < PROBE_AGE_MAX {
-                true => Knowledge::Unanswered,
-                false => Knowledge::Unasked,
-            }
-        }
+    if row.has_fresh_report(now) {
+        return Knowledge::Fresh;
+    }
+    let probed = now.since(row.probed);
+    let is_asked = row.probed > Time::ZERO && row.occupancy_age(now).is_none_or(|age| probed < age);
+    match is_asked && probed < PROBE_AGE_MAX {
+        true => Knowledge::Unanswered,
+        false => Knowledge::Unasked,
     }
 }
 
@@ -142,7 +145,7 @@
             return Admission::Refuse(self.refusal_timed(Code::DeadlineTooClose, now, rng));
         }
         if !self.is_behind(req, expected, now)
-            && let Some(target) = self.try_start(req, expected, &[], now, rng)
+            && let Some(target) = self.try_start(req, expected, now, rng)
         {
             return Admission::Run(target);
         }
@@ -161,12 +164,11 @@
     ) -> Vec<(Ticket, Admission)> {
         let mut out = Vec::new();
         self.refuse_timed(now, rng, &mut out);
-        let mut waiters: Vec<Waiter> = self.queue.iter().copied().collect();
-        waiters.sort_by_key(|w| self.rank(&w.req, now));
+        let mut waiters = self.waiters(now);
+        waiters.sort_by_key(|(w, expected)| rank(&w.req, *expected, now));
         let mut vain = 0;
-        for waiter in waiters {
-            let expected = self.expected(&waiter.req, now);
-            match self.try_start(&waiter.req, expected, &[], now, rng) {
+        for (waiter, expected) in waiters {
+            match self.try_start(&waiter.req, expected, now, rng) {
                 Some(target) => {
                     self.queue.remove(waiter.ticket);
                     out.push((waiter.ticket, Admission::Run(target)));
@@ -222,14 +224,13 @@
         &mut self,
         req: &Request,
         expected: Expected,
-        tried: &[UpstreamId],
         now: Time,
         rng: &mut impl Rng,
     ) -> Option<Target> {
-        let place = self.place(expected, waited(req, now), tried, now, rng)?;
+        let place = self.place(expected, waited(req, now), &[], now, rng)?;
         let answered = now + place.time;
-        let is_late = now + expected.work > expected.objective;
-        let fits = answered <= expected.objective || is_late && answered < req.deadline;
+        let fits =
+            answered <= expected.objective || expected.is_late(now) && answered < req.deadline;
         if !fits {
             return None;
         }
@@ -248,7 +249,7 @@
         self.in_flight += 1;
         let row = upstream::find_mut(&mut self.rows, place.id)?;
         let report_age = row.occupancy_age(now);
-        let fresh = report_age.is_some_and(|age| age < FRESH_REPORT);
+        let fresh = row.has_fresh_report(now);
         row.chosen = self.choices;
         row.started(now);
         if let Some(sent) = row.sent.last_mut() {
@@ -310,74 +311,64 @@
         if open.is_empty() { usable } else { open }
     }
 
-    /// Returns the place of a request among those that wait: those that can still be answered in
-    /// time first, by priority, and then those whose time runs out first.
-    fn rank(&mut self, req: &Request, now: Time) -> (bool, Priority, Time) {
-        let expected = self.expected(req, now);
-        (now + expected.work > expected.objective, req.priority, expected.objective)
+    /// Returns the requests that wait, with what is expected of each.
+    fn waiters(&mut self, now: Time) -> Vec<(Waiter, Expected)> {
+        let waiters: Vec<Waiter> = self.queue.iter().copied().collect();
+        waiters.into_iter().map(|w| (w, self.expected(&w.req, now))).collect()
     }
 
     /// Tells whether a request that waits goes before a new one.
     fn is_behind(&mut self, req: &Request, expected: Expected, now: Time) -> bool {
-        let own = (now + expected.work > expected.objective, req.priority, expected.objective);
-        let waiting: Vec<Request> = self.queue.iter().map(|w| w.req).collect();
-        waiting.iter().any(|w| self.rank(w, now) < own)
+        let own = rank(req, expected, now);
+        self.waiters(now).iter().any(|(w, expected)| rank(&w.req, *expected, now) < own)
     }
 
     /// Tells whether a request has no prospect of an answer in time, while others that have one
     /// need every slot.
     fn is_hopeless(&mut self, req: &Request, expected: Expected, now: Time) -> bool {
-        let waiting: Vec<Request> = self.queue.iter().map(|w| w.req).collect();
-        let ahead = waiting.iter().filter(|w| w.priority <= req.priority);
-        let mut work = Duration::ZERO;
-        for w in ahead {
-            let e = self.expected(w, now);
-            if now + e.work <= e.objective {
-                work += e.work;
-            }
-        }
+        let waiters = self.waiters(now);
+        let ahead = waiters
+            .iter()
+            .filter(|(w, expected)| w.req.priority <= req.priority && !expected.is_late(now));
+        let work: Duration = ahead.map(|(_, expected)| expected.work).sum();
         if work.is_zero() {
             return false;
         }
-        let rate = self.work_rate.at(now).max(f32::EPSILON);
-        let wait = Duration::try_from_secs_f32(work.as_secs_f32() / rate).unwrap_or(Duration::MAX);
+        let wait = self.work_rate.time_to_start(work, now).unwrap_or(Duration::MAX);
         now + wait.saturating_add(expected.work) > expected.objective
     }
 
     /// Refuses what waits and can't be answered before its deadline, and what can't be answered in
     /// time any more while there is something that can.
     fn refuse_timed(&mut self, now: Time, rng: &mut impl Rng, out: &mut Vec<(Ticket, Admission)>) {
-        let waiting: Vec<Waiter> = self.queue.iter().copied().collect();
-        let mut late = Vec::new();
-        let mut is_needed = false;
-        for waiter in waiting {
-            let expected = self.expected(&waiter.req, now);
-            if now + expected.work >= waiter.req.deadline {
-                late.push((waiter.ticket, Code::DeadlineTooClose));
-            } else if now + expected.work > expected.objective {
-                late.push((waiter.ticket, Code::Overloaded));
-            } else {
-                is_needed = true;
-            }
-        }
-        late.sort_by_key(|(ticket, _)| Reverse(*ticket));
-        for (ticket, code) in late {
-            if code == Code::DeadlineTooClose || is_needed {
-                self.queue.remove(ticket);
-                let refusal = self.refusal_timed(code, now, rng);
-                out.push((ticket, Admission::Refuse(refusal)));
-            }
+        let mut waiters = self.waiters(now);
+        let is_over = |w: &Waiter, expected: &Expected| now + expected.work >= w.req.deadline;
+        let is_needed = waiters.iter().any(|(w, e)| !is_over(w, e) && !e.is_late(now));
+        waiters.sort_by_key(|(w, _)| Reverse(w.ticket));
+        for (waiter, expected) in waiters {
+            let code = match () {
+                () if is_over(&waiter, &expected) => Code::DeadlineTooClose,
+                () if is_needed && expected.is_late(now) => Code::Overloaded,
+                () => continue,
+            };
+            self.queue.remove(waiter.ticket);
+            let refusal = self.refusal_timed(code, now, rng);
+            out.push((waiter.ticket, Admission::Refuse(refusal)));
         }
     }
 
     /// Returns a refusal with the time at which there may be room.
     fn refusal_timed(&mut self, code: Code, now: Time, rng: &mut impl Rng) -> Refusal {
-        let waiting: Vec<Request> = self.queue.iter().map(|w| w.req).collect();
-        let work: f32 = waiting.iter().map(|w| self.expected(w, now).work.as_secs_f32()).sum();
-        let rate = self.work_rate.at(now).max(f32::EPSILON);
-        let drained = Duration::try_from_secs_f32(work / rate).unwrap_or(*RETRY_AFTER.end());
+        let work = self.waiters(now).iter().map(|(_, expected)| expected.work).sum();
+        let drained = self.work_rate.time_to_start(work, now).unwrap_or(*RETRY_AFTER.end());
         let after = drained.clamp(*RETRY_AFTER.start(), *RETRY_AFTER.end());
         let spread = rng.random_range(RETRY_AFTER_SPREAD);
         Refusal { code, retry_after: after.mul_f32(spread) }
     }
 }
+
+/// Returns the place of a request among those that wait: those that can still be answered in time
+/// first, by priority, and then those whose time runs out first.
+fn rank(req: &Request, expected: Expected, now: Time) -> (bool, Priority, Time) {
+    (expected.is_late(now), req.priority, expected.objective)
+}
--- a/src/event.rs
+++ b/src/event.rs
@@ -7,7 +7,7 @@
 use derive_more::Display;
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
-use serde_json::{Value, json};
+use serde_json::{Map, Value};
 
 use crate::hlc::{Hlc, Stamp};
 use crate::logs;
@@ -272,19 +272,32 @@
 
 /// Returns an event as its log line.
 fn object(code: EventCode, subject: &Subject, value: Option<u64>) -> Value {
-    let mut out = json!({
-        "time": logs::timestamp(SystemTime::now()),
-        "host": logs::host(),
-        "level": code.level().as_str().to_lowercase(),
-        "event": code.number(),
-        "message": code.text(),
-    });
+    let mut out = log_line(code, code.level(), logs::host(), SystemTime::now(), value);
     if let Ok(Value::Object(fields)) = serde_json::to_value(subject) {
-        let out = out.as_object_mut().expect("made above");
         out.extend(fields);
     }
+    Value::Object(out)
+}
+
+/// Returns the fields that the log line of an event has whatever it is about.
+pub(crate) fn log_line(
+    code: EventCode,
+    level: log::Level,
+    host: &str,
+    at: SystemTime,
+    value: Option<u64>,
+) -> Map<String, Value> {
+    let mut out = Map::new();
+    let mut put = |name: &str, value: Value| {
+        out.insert(name.to_owned(), value);
+    };
+    put("time", logs::timestamp(at));
+    put("host", host.into());
+    put("level", level.as_str().to_lowercase().into());
+    put("event", code.number().into());
+    put("message", code.text().into());
     if let Some(value) = value {
-        out[code.value_name()] = value.into();
+        put(code.value_name(), value.into());
     }
     out
 }
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -112,7 +112,9 @@
             let after = out.items.last().map_or("", |item| item.key.as_str());
             let query = [("pathPrefix", prefix), ("after", after)];
             let query = if after.is_empty() { &query[..1] } else { &query[..] };
-            let page: Range = self.read(CallKind::Range, "/api/kv-range", query, None).await?;
+            let path = "/api/kv-range";
+            let (status, text) = self.read(CallKind::Range, path, query).await?;
+            let page: Range = parsed(path, status, &text)?;
             if out.revision == 0 {
                 out.revision = page.current_rev;
             }
@@ -132,14 +134,14 @@
     pub(crate) async fn changes(&self, prefix: &str, after: u64) -> Result<Watched, Failure> {
         let after = after.to_string();
         let query = [("pathPrefix", prefix), ("after", &after), ("waitMs", "0")];
-        let gone = Some(StatusCode::GONE);
-        match self.read_unless(CallKind::Watch, "/api/kv-watch", &query, gone).await? {
-            None => Ok(Watched::Forgotten),
-            Some(Events { events, current_rev }) => {
-                let changes = events.into_iter().map(Change::from).collect();
-                Ok(Watched::Changes(changes, current_rev))
-            }
+        let path = "/api/kv-watch";
+        let (status, text) = self.read(CallKind::Watch, path, &query).await?;
+        if status == StatusCode::GONE {
+            return Ok(Watched::Forgotten);
         }
+        let Events { events, current_rev } = parsed(path, status, &text)?;
+        let changes = events.into_iter().map(Change::from).collect();
+        Ok(Watched::Changes(changes, current_rev))
     }
 
     /// Grants a lease.
@@ -163,11 +165,7 @@
     pub(crate) async fn keep(&self, lease: LeaseId) -> Result<bool, Failure> {
         let path = format!("/api/kv-keep/{}", lease.0);
         let (status, text) = self.call(CallKind::Lease, Method::POST, &path, None).await?;
-        match status {
-            StatusCode::NOT_FOUND => Ok(false),
-            s if s.is_success() => Ok(true),
-            s => Err(refused(&path, s, &text)),
-        }
+        has_lease(&path, status, &text)
     }
 
     /// Stores a value until a lease ends. Returns whether the lease had not ended.
@@ -185,39 +183,18 @@
         let body = json!({ "expected": [], "puts": [put], "remove": [] });
         let path = "/api/kv-txn";
         let (status, text) = self.call(CallKind::Txn, Method::POST, path, Some(&body)).await?;
-        match status {
-            StatusCode::NOT_FOUND => Ok(false),
-            s if s.is_success() => Ok(true),
-            s => Err(refused(path, s, &text)),
-        }
-    }
-
-    async fn read<T: DeserializeOwned>(
-        &self,
-        kind: CallKind,
-        path: &str,
-        query: &[(&str, &str)],
-        absent: Option<StatusCode>,
-    ) -> Result<T, Failure> {
-        let read = self.read_unless(kind, path, query, absent).await?;
-        read.ok_or_else(|| Failure::Lost(format!("{path}: no content")))
+        has_lease(path, status, &text)
     }
 
-    /// Reads, and returns nothing for the status `absent`.
-    async fn read_unless<T: DeserializeOwned>(
+    async fn read(
         &self,
         kind: CallKind,
         path: &str,
         query: &[(&str, &str)],
-        absent: Option<StatusCode>,
-    ) -> Result<Option<T>, Failure> {
+    ) -> Result<(StatusCode, Bytes), Failure> {
         let query = serde_urlencoded::to_string(query)
             .map_err(|e| Failure::Unsent(format!("{path}: {e}")))?;
-        let (status, text) = self.call(kind, Method::GET, &format!("{path}?{query}"), None).await?;
-        match absent == Some(status) {
-            true => Ok(None),
-            false => parsed(path, status, &text).map(Some),
-        }
+        self.call(kind, Method::GET, &format!("{path}?{query}"), None).await
     }
 
     async fn call(
@@ -248,6 +225,15 @@
     serde_json::from_slice(text).map_err(|e| Failure::Lost(format!("{path}: {e}")))
 }
 
+/// Tells whether a call found the lease that it names.
+fn has_lease(path: &str, status: StatusCode, text: &[u8]) -> Result<bool, Failure> {
+    match status {
+        StatusCode::NOT_FOUND => Ok(false),
+        s if s.is_success() => Ok(true),
+        s => Err(refused(path, s, text)),
+    }
+}
+
 fn refused(path: &str, status: StatusCode, text: &[u8]) -> Failure {
     Failure::Refused(format!("{path}: status {status}: {}", String::from_utf8_lossy(text).trim()))
 }
--- a/src/registry.rs
+++ b/src/registry.rs
@@ -255,12 +255,7 @@
 
     /// Takes changes in.
     fn take(&mut self, changes: &[Change], now: Time) {
-        let mut records = Vec::new();
-        for change in changes {
-            if let Some(record) = self.record(change, now) {
-                records.push(record);
-            }
-        }
+        let records = changes.iter().filter_map(|change| self.record(change, now)).collect();
         self.offer(records);
     }
 
@@ -278,10 +273,7 @@
             if is_there || version > all.revision {
                 continue;
             }
-            let leaving = host.state == State::Leaving;
-            if self.lapses.vanished(&host.name, all.revision, leaving, now) {
-                gone.push(deleted(&host.name, all.revision));
-            }
+            gone.extend(self.vanished(&host, all.revision, now));
         }
         self.offer(gone);
     }
@@ -296,9 +288,7 @@
         let held = self.node.catalog.lock().get(Kind::Host, name).map(|r| r.body.clone());
         let Some(value) = &change.value else {
             let Some(Body::Host(held)) = held else { return None };
-            let leaving = held.state == State::Leaving;
-            let gone = self.lapses.vanished(&held.name, change.revision, leaving, now);
-            return gone.then(|| deleted(&held.name, change.revision));
+            return self.vanished(&held, change.revision, now);
         };
         let host = match upstream {
             Some(_) => entry::decode(&change.key, value),
@@ -314,6 +304,13 @@
         (held.as_ref() != Some(&body)).then(|| record(name, change.revision, body))
     }
 
+    /// Returns the record of a host's end, if that it has vanished means that it has gone.
+    fn vanished(&mut self, host: &Host, revision: u64, now: Time) -> Option<Record> {
+        let leaving = host.state == State::Leaving;
+        let gone = self.lapses.vanished(&host.name, revision, leaving, now);
+        gone.then(|| deleted(&host.name, revision))
+    }
+
     fn routing(&self, change: &Change) -> Option<Record> {
         let value = change.value.as_ref()?;
         match config::decode(value) {
--- a/src/store/apply.rs
+++ b/src/store/apply.rs
@@ -75,29 +75,26 @@
         let mut tables = self.tables.lock();
         match &record.body {
             Body::Service(service) => {
-                self.put(&mut tables, Arc::new(self.complete(&held, service)), now);
+                let complete = self.complete(&held, service);
+                self.put_complete(&mut tables, &held, complete, now);
             }
             Body::Deleted(Kind::Service) => {
                 let Some(table) = tables.service(&record.name) else { return };
                 let cfg = Service::clone(table.cfg());
                 let emptied = Service { upstreams: Vec::new(), ..cfg };
-                self.put(&mut tables, Arc::new(emptied), now);
+                self.put_complete(&mut tables, &held, emptied, now);
             }
             Body::Routing(routing) => {
                 for service in &routing.services {
                     let complete = self.complete(&held, service);
                     let same = tables.service(&service.name).is_some_and(|t| **t.cfg() == complete);
                     if !same {
-                        self.put(&mut tables, Arc::new(complete), now);
-                        self.set_leaving(&mut tables, &held, &service.name, now);
+                        self.put_complete(&mut tables, &held, complete, now);
                     }
                 }
             }
             Body::Profile(_) | Body::Host(_) | Body::Deleted(_) => {}
         }
-        if record.kind() == Kind::Service {
-            self.set_leaving(&mut tables, &held, &record.name, now);
-        }
     }
 
     /// Puts the budgets of newer settings into every service.
@@ -107,8 +104,8 @@
         let mut tables = self.tables.lock();
         let now = self.clock.now();
         for service in catalog.all_services() {
-            self.put(&mut tables, Arc::new(self.complete(&held, &service)), now);
-            self.set_leaving(&mut tables, &held, &service.name, now);
+            let complete = self.complete(&held, &service);
+            self.put_complete(&mut tables, &held, complete, now);
         }
     }
 
@@ -121,10 +118,13 @@
         complete
     }
 
-    fn set_leaving(&self, tables: &mut Tables, held: &HostList, service: &str, now: Time) {
-        let Some(table) = tables.service(service) else { return };
+    /// Puts a service into the tables, with what the host list says of its upstreams' states.
+    fn put_complete(&self, tables: &mut Tables, held: &HostList, service: Service, now: Time) {
+        let name = service.name.clone();
+        self.put(tables, Arc::new(service), now);
+        let Some(table) = tables.service(&name) else { return };
         let nothing = HostList::default();
-        let leaving = held.changed(&nothing, service);
+        let leaving = held.changed(&nothing, &name);
         leaving.for_each(|h| self.set_state(table, &h.name, h.state, now));
     }
 
