Tell peers of the registry's age only where they lack it; take over an old registration

Each read of the store was told over every link, also to hosts that knew of it; digests carried load figures of upstreams that are asked before each request anyway; one link of each host led to another data centre. A restarted host wrote a new lease and entry though its old one stood; while the store was out, each host tried it every 0.8 s and renewed its lease every 1.6 s, at the full price of a call.

Ruled out: requests (one in twenty crossed data centres) and probes (28 in 100).

Change: knowledge of the registry has its own signal and is told where the other side is behind; no load figures for services that tell their occupancy; six bridges for each distance between data centres; the read interval is 600 ms and hosts that wait for a reader spread their reads; a host takes over the lease of its own entry; reads and renewals that fail are paced by the fleet's size.

--- a/src/decide/service/sharing.rs
+++ b/src/decide/service/sharing.rs
@@ -1,5 +1,6 @@
 //! What hosts tell each other about a service's upstreams.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use super::ServiceTable;
@@ -8,8 +9,12 @@
 use crate::time::Time;
 
 impl ServiceTable {
-    /// Returns what other hosts should know.
+    /// Returns what other hosts should know: nothing where upstreams tell their occupancy, which is
+    /// asked for before each request.
     pub fn export(&self, now: Time) -> Vec<Shared> {
+        if self.is_timed() {
+            return Vec::new();
+        }
         let shared = |r: &Row| Shared {
             service: self.cfg.name.clone(),
             upstream: r.name.clone(),
@@ -20,6 +25,11 @@
         self.rows.iter().map(shared).collect()
     }
 
+    /// Returns the names of the upstreams that this host has itself seen to be leaving.
+    pub fn seen_leaving(&self) -> impl Iterator<Item = &Arc<str>> {
+        self.rows.iter().filter(|r| r.leaving_first_hand()).map(|r| &r.name)
+    }
+
     /// Takes note of what another host knows.
     pub fn import(&mut self, host: &str, shared: &Shared, now: Time) {
         let named = |r: &&mut Row| r.named && r.name == shared.upstream;
--- a/src/decide/topology.rs
+++ b/src/decide/topology.rs
@@ -24,6 +24,10 @@
 /// Groups up to this size link over distances 1 and 2, which reaches every member in two hops.
 const TWO_HOP_SIZE_MAX: usize = 8;
 
+/// Hosts of a data centre that dial over one distance between data centres: enough that some pair is
+/// left when a third of the hosts can't be reached, and few, as bytes between data centres cost most.
+const BRIDGES: usize = 6;
+
 /// The factor between two distances in larger groups.
 const DISTANCE_FACTOR: usize = 3;
 
@@ -77,15 +81,15 @@
     out
 }
 
-/// Returns the host of another data centre that the host at `at` of `group` dials. The members of a
-/// data centre take the distances between data centres in turn.
+/// Returns the host of another data centre that the host at `at` of `group` dials. Members at even
+/// distances take the distances between data centres in turn.
 fn partner(groups: &[&[Place]], group: usize, at: usize) -> Option<Arc<str>> {
     let distances = distances(groups.len());
-    if distances.is_empty() {
-        return None;
-    }
-    let distance = distances[at % distances.len()];
+    let size = groups[group].len();
+    let bridges = size.min(BRIDGES * distances.len());
+    let bridge = (0..bridges).find(|i| i * size / bridges == at)?;
+    let distance = distances[bridge % distances.len()];
     let other = groups[(group + distance) % groups.len()];
-    let opposite = at * other.len() / groups[group].len();
+    let opposite = at * other.len() / size;
     Some(other[opposite].host.clone())
 }
--- a/src/peer/accept.rs
+++ b/src/peer/accept.rs
@@ -62,11 +62,17 @@
     }
 }
 
-/// Asks the other side for an exchange whenever there is news. Returns if it doesn't answer.
+/// Asks the other side for an exchange whenever there is something to tell it. Returns if it doesn't
+/// answer.
 async fn nudge(session: &Session) {
     let mut news = session.local.node.news.subscribe();
-    while news.changed().await.is_ok() {
-        if !session.has_news() {
+    let mut registry = session.local.node.knowledge.subscribe();
+    loop {
+        tokio::select! {
+            _ = news.changed() => {}
+            _ = registry.changed() => {}
+        }
+        if !session.has_news() && !session.is_ahead() {
             continue;
         }
         let Ok(remote) = session.remote() else { return };
--- a/src/peer/dial.rs
+++ b/src/peer/dial.rs
@@ -6,8 +6,10 @@
 use std::time::Duration;
 
 use capnp_rpc::rpc_twoparty_capnp::Side;
+use futures_util::FutureExt;
 use rand::Rng;
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 use tokio_util::task::AbortOnDropHandle;
@@ -17,6 +19,7 @@
 use crate::peer::codec;
 use crate::peer::local::Local;
 use crate::peer::session::Session;
+use crate::time::Time;
 
 /// The time allowed for a new connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -90,9 +93,13 @@
 async fn exchange(session: &Rc<Session>, mut answered: impl FnMut(bool)) -> Ended {
     let local = &session.local;
     let mut news = local.node.news.subscribe();
+    let mut registry = local.node.knowledge.subscribe();
     let mut first = true;
     loop {
         news.mark_unchanged();
+        registry.mark_unchanged();
+        // What the other side asked for an exchange for comes with its answer.
+        let _ = session.nudged.notified().now_or_never();
         let pauses = local.node.pause.lock().pauses();
         let Ok(remote) = session.remote() else { return Ended::Closed };
         let mut req = remote.exchange_request();
@@ -113,11 +120,21 @@
         tokio::select! {
             () = sleep(wait.saturating_sub(EXCHANGE_GAP)) => {}
             _ = news.changed() => {}
+            () = progress(&mut registry, session) => {}
             () = session.nudged.notified() => {}
         }
     }
 }
 
+/// Completes when this host's knowledge of the registry is well ahead of the other side's.
+async fn progress(registry: &mut watch::Receiver<Time>, session: &Session) {
+    while !session.is_ahead() {
+        if registry.changed().await.is_err() {
+            return std::future::pending().await;
+        }
+    }
+}
+
 fn interval(local: &Local) -> Duration {
     let is_large = local.node.members.lock().is_large();
     local.traffic.interval(is_large, local.node.clock.now())
--- a/src/peer/local.rs
+++ b/src/peer/local.rs
@@ -115,10 +115,17 @@
             Some((at, figures)) if now.since(*at) < FIGURES_MAX_AGE => figures.clone(),
             _ => {
                 let tables = self.node.tables.lock();
-                let figures: Vec<Shared> =
-                    tables.services().iter().flat_map(|s| s.export(now)).collect();
+                let services = tables.services();
+                let figures: Vec<Shared> = services.iter().flat_map(|s| s.export(now)).collect();
+                let leaving = services.iter().flat_map(|s| {
+                    let service = &s.cfg().name;
+                    let named = |name: &Arc<str>| (service.clone(), name.clone());
+                    s.seen_leaving().map(named)
+                });
+                let leaving: Vec<UpstreamName> =
+                    leaving.map(|(service, name)| UpstreamName { service, name }).collect();
                 drop(tables);
-                self.see_leaving(&figures, now);
+                self.see_leaving(&leaving, now);
                 cached.insert((now, Rc::new(figures))).1.clone()
             }
         }
@@ -142,11 +149,10 @@
         }
     }
 
-    fn see_leaving(&self, figures: &[Shared], now: Time) {
+    fn see_leaving(&self, leaving: &[UpstreamName], now: Time) {
         let mut is_new = false;
-        for shared in figures.iter().filter(|s| s.leaving) {
-            let (service, name) = (shared.service.clone(), shared.upstream.clone());
-            is_new |= self.sightings.borrow_mut().see(&UpstreamName { service, name }, now);
+        for name in leaving {
+            is_new |= self.sightings.borrow_mut().see(name, now);
         }
         if is_new {
             self.node.news.signal();
--- a/src/peer/pull.rs
+++ b/src/peer/pull.rs
@@ -58,7 +58,7 @@
         let wanted = newer(&session.local.node.catalog.lock(), offered);
         fetch(session, wanted).await?;
         session.pulls.compared.set(Some(session.local.node.clock.now()));
-    } else if !is_equal(session) {
+    } else if !session.has_equal_records() {
         return Ok(());
     }
     if let Some(host) = session.host().filter(|_| !session.is_stale.get()) {
@@ -68,15 +68,11 @@
     Ok(())
 }
 
-fn is_equal(session: &Session) -> bool {
-    session.theirs.get() == Some(session.local.summary())
-}
-
 /// Tells whether the two catalogs differ in a way that single fetches did not mend.
 fn is_comparison_due(session: &Session) -> bool {
     let pulls = &session.pulls;
     let now = session.local.node.clock.now();
-    let Some(theirs) = session.theirs.get().filter(|_| !is_equal(session)) else {
+    let Some(theirs) = session.theirs.get().filter(|_| !session.has_equal_records()) else {
         pulls.differs_since.set(None);
         return false;
     };
--- a/src/peer/session.rs
+++ b/src/peer/session.rs
@@ -4,6 +4,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use capnp::Error;
 use capnp::message::ReaderOptions;
@@ -47,6 +48,9 @@
     pub(crate) theirs: Cell<Option<Summary>>,
     /// Whether the other side has not heard of the newest records since it was paused.
     pub(crate) is_stale: Cell<bool>,
+    /// The time up to which the other side knows every change of the registry, as far as it told or
+    /// was told.
+    their_registry: Cell<Time>,
     pub(crate) pulls: Pulls,
     /// This host's process as the other side was told.
     process: Process,
@@ -61,6 +65,10 @@
     known: RefCell<Vec<Version>>,
 }
 
+/// Progress in the knowledge of the registry that is told at once: less than the time between two
+/// reads, so that each read spreads over the whole fleet, and more than one read takes to do so.
+const REGISTRY_STEP: Duration = Duration::from_millis(250);
+
 /// Records that a session remembers the other side to have told of.
 const KNOWN_MAX: usize = 32;
 
@@ -83,6 +91,7 @@
             nudged: Notify::new(),
             theirs: Cell::default(),
             is_stale: Cell::default(),
+            their_registry: Cell::default(),
             pulls: Pulls::default(),
             process: local.process(),
             superseded: Cell::default(),
@@ -130,6 +139,13 @@
         self.local.node.news.since(u64::MAX).0 > self.told_news.get()
     }
 
+    /// Tells whether the other side's knowledge of the registry is older than this host's by so much
+    /// that it should hear at once.
+    pub(crate) fn is_ahead(&self) -> bool {
+        let own = self.local.node.knowledge.as_of();
+        own.is_some_and(|at| at.since(self.their_registry.get()) >= REGISTRY_STEP)
+    }
+
     /// Makes the next digest for the other side.
     pub(crate) fn digest(&self) -> Digest {
         let node = &self.local.node;
@@ -147,6 +163,7 @@
             ..Digest::default()
         };
         self.told_news.set(news);
+        self.heard_registry(node.knowledge.as_of());
         let mut out = self.out.borrow_mut();
         out.introduce(&self.process, &mut digest);
         if self.superseded.get() {
@@ -181,10 +198,11 @@
         taken.leaves.iter().for_each(|s| self.local.told_leaving(s, now));
         self.theirs.set(Some(digest.summary));
         self.is_stale.set(digest.stale);
-        let as_of = digest.registry_age.map(|age| now.before(age));
-        let same = digest.summary == self.local.summary();
-        if as_of.filter(|_| same).is_some_and(|at| node.knowledge.complete_to(at)) {
-            node.news.signal();
+        if let Some(at) = digest.registry_age.map(|age| now.before(age)) {
+            self.heard_registry(Some(at));
+            if self.has_equal_records() {
+                node.knowledge.complete_to(at);
+            }
         }
         self.remember(&digest.recent);
         let wanted = newer(&node.catalog.lock(), digest.recent.clone());
@@ -192,6 +210,15 @@
         Ok(())
     }
 
+    fn heard_registry(&self, at: Option<Time>) {
+        self.their_registry.set(at.max(Some(self.their_registry.get())).unwrap_or_default());
+    }
+
+    /// Tells whether the other side's records, at its last digest, were the same as this host's.
+    pub(crate) fn has_equal_records(&self) -> bool {
+        self.theirs.get() == Some(self.local.summary())
+    }
+
     fn relay(&self, out: &mut Outgoing, now: Time, digest: &mut Digest) {
         let heard = self.heard.borrow();
         let peer = heard.sender().map(|p| p.host.clone());
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -35,6 +35,8 @@
     pub(crate) revision: u64,
     /// The value; nothing if the key was removed.
     pub(crate) value: Option<Vec<u8>>,
+    /// The lease with which the key ends.
+    pub(crate) lease: Option<LeaseId>,
 }
 
 /// Everything under a prefix.
@@ -79,12 +81,16 @@
     revision: u64,
     #[serde(default)]
     deleted: bool,
+    /// 0 for none.
+    #[serde(default)]
+    lease: u64,
 }
 
 impl From<Item> for Change {
     fn from(item: Item) -> Change {
         let value = (!item.deleted).then_some(item.value);
-        Change { key: item.key, revision: item.revision, value }
+        let lease = (item.lease > 0).then_some(LeaseId(item.lease));
+        Change { key: item.key, revision: item.revision, value, lease }
     }
 }
 
--- a/src/registry.rs
+++ b/src/registry.rs
@@ -5,11 +5,11 @@
 //! age of what any host knows is bounded without anybody having to notice that the reader is gone.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
+use tokio::sync::{oneshot, watch};
 use tokio::time::{Instant, sleep};
 
 use crate::decide::hosts::{Host, Role};
@@ -27,18 +27,30 @@
 /// The duty of reading what has changed.
 const READ_DUTY: &str = "registry";
 /// Time between two reads of the host that reads.
-const READ_INTERVAL: Duration = Duration::from_millis(500);
-/// Progress of what is known that hosts tell each other at once: less than the interval between two
-/// reads, so that each read spreads over the whole fleet.
-const SPREAD_STEP: Duration = Duration::from_millis(250);
+const READ_INTERVAL: Duration = Duration::from_millis(600);
 /// The age of its knowledge at which any other host reads: the platform's bounds are 2 s, of which a
 /// slow store's answer takes a quarter second.
 const AGE_MAX: Duration = Duration::from_millis(1_500);
+/// Part of [`AGE_MAX`] from which a host may read before the others do, so that one of those that
+/// wait for a reader is first and the others hear of its read.
+const AGE_SPREAD: f64 = 0.6;
 /// Time since its own last read from which a host reads everything: the changes since then would
 /// be more than that.
 const CHANGES_MAX_AGE: Duration = Duration::from_secs(3);
-/// The longest pause between two reads that fail: with a slow answer it stays within 2 s.
+/// The longest pause between two reads that fail, for a host alone: with a slow answer it stays
+/// within 2 s.
 const FAILED_PAUSE_MAX: Duration = Duration::from_millis(800);
+/// Reads a second that the hosts of a fleet make together while reads fail. The first one that
+/// succeeds spreads to all.
+const FAILED_READS_PER_SECOND: f64 = 25.0;
+/// The longest pause between two reads that fail in a large fleet: a host that has lost its peers
+/// meanwhile goes without news for so long.
+const FAILED_PAUSE_SHARED_MAX: Duration = Duration::from_millis(4_000);
+/// The longest pause between two renewals that fail: a registration outlasts several of them.
+const FAILED_RENEWAL_PAUSE: Duration = Duration::from_secs(5);
+/// Time for which a host that starts waits for its first read, which may show a registration that an
+/// earlier process of the host has left.
+const FIRST_READ_MAX: Duration = Duration::from_secs(1);
 /// Everything under this prefix is read: config, upstreams and entry hosts.
 const EVERYTHING: &str = "";
 /// Where entry hosts register, below the settings' prefix.
@@ -56,22 +68,29 @@
 /// How old this host's knowledge of the store is.
 #[derive(Debug, Default)]
 pub(crate) struct Knowledge {
-    /// The time up to which every change is known, in microseconds; 0 before the first read.
-    as_of: AtomicU64,
+    /// The time up to which every change is known; zero before the first read.
+    as_of: watch::Sender<Time>,
 }
 
 impl Knowledge {
     /// Returns the time up to which every change is known.
     pub(crate) fn as_of(&self) -> Option<Time> {
-        let micros = self.as_of.load(Ordering::Relaxed);
-        (micros > 0).then(|| Time::from_micros(micros))
+        let as_of = *self.as_of.borrow();
+        (as_of > Time::ZERO).then_some(as_of)
     }
 
-    /// Notes that every change up to a time is known. Returns whether that is so much newer than what
-    /// was known that other hosts should hear of it at once.
-    pub(crate) fn complete_to(&self, at: Time) -> bool {
-        let before = self.as_of.fetch_max(at.as_micros(), Ordering::Relaxed);
-        at.since(Time::from_micros(before)) >= SPREAD_STEP
+    /// Notes that every change up to a time is known.
+    pub(crate) fn complete_to(&self, at: Time) {
+        self.as_of.send_if_modified(|as_of| {
+            let is_newer = at > *as_of;
+            *as_of = at.max(*as_of);
+            is_newer
+        });
+    }
+
+    /// Returns a receiver of the time up to which every change is known.
+    pub(crate) fn subscribe(&self) -> watch::Receiver<Time> {
+        self.as_of.subscribe()
     }
 }
 
@@ -80,12 +99,24 @@
     let Some(cfg) = node.settings.registry.clone() else { return };
     let calls = node.metrics.count_calls();
     let client = Client::connect(cfg.address, cfg.calls_per_second, calls);
-    let mut follower = Follower::new(&node, &cfg, &client);
-    tokio::join!(register(&node, &cfg, &client), follower.run());
+    let (found, left) = oneshot::channel();
+    let mut follower = Follower::new(&node, &cfg, &client, found);
+    tokio::join!(register(&node, &cfg, &client, left), follower.run());
+}
+
+/// Returns the key under which a host registers.
+fn registration_key(cfg: &settings::Registry, host: &str) -> String {
+    format!("{}{HOSTS}{host}", cfg.prefix)
 }
 
-/// Keeps this host's registration, by which others find it.
-async fn register(node: &Arc<Node>, cfg: &settings::Registry, client: &Client) {
+/// Keeps this host's registration, by which others find it. One that an earlier process of the host
+/// has left is taken over.
+async fn register(
+    node: &Arc<Node>,
+    cfg: &settings::Registry,
+    client: &Client,
+    left: oneshot::Receiver<Option<Change>>,
+) {
     let Some(peer) = node.settings.peer else { return };
     let host = Host {
         name: node.settings.host.clone(),
@@ -98,10 +129,13 @@
         peer: Some(peer),
         admin: Some(node.settings.admin),
     };
-    let key = format!("{}{HOSTS}{}", cfg.prefix, host.name);
+    let key = registration_key(cfg, &host.name);
     let value = serde_json::to_vec(&host).expect("plain data");
     let (mut rng, mut backoff) = (SmallRng::from_os_rng(), Backoff::default());
-    let mut lease = None;
+    let mut lease = match tokio::time::timeout(FIRST_READ_MAX, left).await {
+        Ok(Ok(Some(own))) if own.value.as_ref() == Some(&value) => own.lease,
+        _ => None,
+    };
     loop {
         let pause = match renew(client, &key, &value, lease).await {
             Ok(Some(renewed)) => {
@@ -116,7 +150,10 @@
             }
             Err(e) => {
                 log::debug!("registration: {e}");
-                backoff.after_failure(&mut rng)
+                match lease {
+                    Some(_) => FAILED_RENEWAL_PAUSE.mul_f64(rng.random_range(0.5..=1.0)),
+                    None => backoff.after_failure(&mut rng).max(shared_pause(node, &mut rng)),
+                }
             }
         };
         sleep(pause).await;
@@ -142,6 +179,11 @@
     client: &'a Client,
     hosts_prefix: String,
     lapses: Lapses,
+    /// Takes this host's own registration as the first read shows it.
+    own: Option<oneshot::Sender<Option<Change>>>,
+    own_key: String,
+    /// The age of its knowledge at which this host reads if no other has.
+    age_max: Duration,
     rng: SmallRng,
     backoff: Backoff,
     /// The revision up to which changes were read, and when.
@@ -150,12 +192,20 @@
 }
 
 impl<'a> Follower<'a> {
-    fn new(node: &'a Arc<Node>, cfg: &settings::Registry, client: &'a Client) -> Follower<'a> {
+    fn new(
+        node: &'a Arc<Node>,
+        cfg: &settings::Registry,
+        client: &'a Client,
+        own: oneshot::Sender<Option<Change>>,
+    ) -> Follower<'a> {
         Follower {
             node,
             client,
             hosts_prefix: format!("{}{HOSTS}", cfg.prefix),
             lapses: Lapses::default(),
+            own: Some(own),
+            own_key: registration_key(cfg, &node.settings.host),
+            age_max: AGE_MAX,
             rng: SmallRng::from_os_rng(),
             backoff: Backoff::default(),
             read: None,
@@ -166,6 +216,7 @@
     async fn run(&mut self) {
         loop {
             self.wait().await;
+            self.age_max = AGE_MAX.mul_f64(self.rng.random_range(AGE_SPREAD..=1.0));
             let pauses = self.node.pause.lock().pauses();
             let now = self.node.clock.now();
             match self.read(now).await {
@@ -201,8 +252,7 @@
     fn due(&mut self, now: Time) -> Time {
         let Some(as_of) = self.node.knowledge.as_of() else { return now };
         let reads = self.node.members.lock().owns(READ_DUTY, now);
-        let interval = if reads { READ_INTERVAL } else { AGE_MAX };
-        as_of + interval.mul_f64(self.rng.random_range(0.9..=1.0))
+        as_of + if reads { READ_INTERVAL } else { self.age_max }
     }
 
     async fn read(&mut self, now: Time) -> Result<(), Failure> {
@@ -236,9 +286,7 @@
         let gone = self.lapses.expired(now);
         let deleted = gone.iter().map(|m| deleted(&m.name, m.revision)).collect();
         self.offer(deleted);
-        if self.node.knowledge.complete_to(now) {
-            self.node.news.signal();
-        }
+        self.node.knowledge.complete_to(now);
         self.node.resynced(pauses);
     }
 
@@ -250,7 +298,12 @@
             self.node.events.record(EventCode::PlatformDown, Subject::default(), None);
         }
         self.become_ready(self.node.clock.now());
-        sleep(self.backoff.after_failure(&mut self.rng).min(FAILED_PAUSE_MAX)).await;
+        let pause = self.backoff.after_failure(&mut self.rng).min(FAILED_PAUSE_MAX);
+        let pause = pause.max(shared_pause(self.node, &mut self.rng));
+        tokio::select! {
+            () = sleep(pause) => {}
+            () = self.node.resync.notified() => {}
+        }
     }
 
     /// Takes changes in.
@@ -261,6 +314,11 @@
 
     /// Takes in everything that the store holds. Hosts that it doesn't hold have vanished.
     fn take_all(&mut self, all: &Items, now: Time) {
+        if let Some(own) = self.own.take() {
+            let at = all.items.binary_search_by(|i| i.key.cmp(&self.own_key));
+            // Whoever registers may have ceased to wait for it.
+            let _ = own.send(at.ok().map(|at| all.items[at].clone()));
+        }
         self.take(&all.items, now);
         let known: Vec<(Arc<Host>, u64)> = self.node.catalog.lock().hosts_with_versions();
         let mut gone = Vec::new();
@@ -346,6 +404,14 @@
     }
 }
 
+/// Returns the pause after a call that failed by which the hosts that are alive keep to
+/// [`FAILED_READS_PER_SECOND`] together.
+fn shared_pause(node: &Node, rng: &mut SmallRng) -> Duration {
+    let alive = node.members.lock().alive(node.clock.now()).count() + 1;
+    let pause = Duration::from_secs_f64(alive as f64 / FAILED_READS_PER_SECOND);
+    pause.min(FAILED_PAUSE_SHARED_MAX).mul_f64(rng.random_range(0.5..=1.0))
+}
+
 fn record(name: &str, version: u64, body: Body) -> Record {
     Record { name: name.into(), version, change: "".into(), author: "".into(), body }
 }
