Keep entry hosts' registrations out of the records that peers pass on

Cause: each registration was a record, so at the start of 109 hosts each of them fetched the other 108 from several peers (50,000 records, 17 MB), and the first difference of two catalogs on a connection compared them whole (1,657 lists of 16 KB).

Change: hosts keep what is registered apart; the fleet's size, which divides the budgets, is the larger of those registered and those heard, so that a host that the store refuses knows it too.

--- a/src/decide/hosts.rs
+++ b/src/decide/hosts.rs
@@ -56,9 +56,6 @@
     pub hosts: Vec<Host>,
 }
 
-/// A quarter of the entry hosts may have started, and not be listed yet.
-const FLEET_MARGIN_DIVISOR: usize = 4;
-
 impl HostList {
     /// Tells whether this version takes the place of `held`. A list that has lost every host is
     /// taken for a fault of the platform.
@@ -76,12 +73,10 @@
         self.hosts.iter().filter_map(peer).collect()
     }
 
-    /// Returns how many entry hosts there may be at most: those of the list, and as many more as may
-    /// have started since.
-    pub fn fleet_size_max(&self) -> u32 {
-        let listed = self.hosts.iter().filter(|h| h.role == Role::Entry).count().max(1);
-        let margin = listed.div_ceil(FLEET_MARGIN_DIVISOR);
-        u32::try_from(listed + margin).unwrap_or(u32::MAX)
+    /// Returns the number of entry hosts.
+    pub fn entry_hosts(&self) -> u32 {
+        let listed = self.hosts.iter().filter(|h| h.role == Role::Entry).count();
+        u32::try_from(listed).unwrap_or(u32::MAX)
     }
 
     /// Returns a service record with the upstreams of the list beside its own. Where both name
--- a/src/decide/tick.rs
+++ b/src/decide/tick.rs
@@ -16,12 +16,16 @@
 pub struct Tables {
     facts: HostFacts,
     others: u32,
+    /// Entry hosts that a registry lists; nothing for a fleet whose size the settings bound.
+    registered: Option<u32>,
     services: Vec<ServiceTable>,
     /// When each service is next looked at, in the order of the services. Kept apart, so that a tick
     /// touches little of a service without requests.
     due: Vec<Time>,
 }
 
+/// A quarter of the entry hosts may have started, and not be listed or heard yet.
+const FLEET_MARGIN_DIVISOR: u32 = 4;
 /// Time between two looks at a service without requests.
 const QUIET_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -39,7 +43,7 @@
 impl Tables {
     /// Makes an empty set of tables.
     pub fn new(facts: HostFacts) -> Tables {
-        Tables { facts, others: 0, services: Vec::new(), due: Vec::new() }
+        Tables { facts, others: 0, registered: None, services: Vec::new(), due: Vec::new() }
     }
 
     /// Returns all services, sorted by name.
@@ -78,14 +82,32 @@
 
     /// Takes note of how many other entry hosts are alive.
     pub fn set_others(&mut self, others: u32) {
+        let is_new = self.others != others;
         self.others = others;
         self.services.iter_mut().for_each(|s| s.set_others(others));
+        if is_new {
+            self.estimate_fleet();
+        }
+    }
+
+    /// Sets how many entry hosts a registry lists.
+    pub fn set_registered(&mut self, hosts: u32) {
+        self.registered = Some(hosts);
+        self.estimate_fleet();
     }
 
-    /// Takes note of how many entry hosts there may be.
-    pub fn set_fleet_size(&mut self, hosts: u32) {
-        self.facts.fleet_size_max = hosts.max(1);
-        self.services.iter_mut().for_each(|s| s.set_fleet_size(hosts));
+    /// Estimates the most entry hosts that there may be from those that are listed and those that are
+    /// heard, whichever are more: a host that the registry refuses knows the others all the same.
+    fn estimate_fleet(&mut self) {
+        let Some(registered) = self.registered.filter(|n| *n > 0 || self.others > 0) else {
+            return;
+        };
+        let known = registered.max(self.others.saturating_add(1));
+        let most = known.saturating_add(known.div_ceil(FLEET_MARGIN_DIVISOR));
+        if most != self.facts.fleet_size_max {
+            self.facts.fleet_size_max = most;
+            self.services.iter_mut().for_each(|s| s.set_fleet_size(most));
+        }
     }
 
     /// Forgets what a host that died had shared.
--- a/src/node.rs
+++ b/src/node.rs
@@ -9,7 +9,7 @@
 use crate::chain::Allowance;
 use crate::claim::Claims;
 use crate::decide::digest::Version;
-use crate::decide::hosts::HostList;
+use crate::decide::hosts::{Host, HostList};
 use crate::decide::matching::Routes;
 use crate::decide::member::{Change, Members, Standing};
 use crate::decide::pause::{Pause, RESYNC_MAX};
@@ -64,6 +64,8 @@
     pub(crate) news: News,
     /// The newest host list.
     pub(crate) hosts: Mutex<HostList>,
+    /// The entry hosts that are registered in the deployment platform's store.
+    pub(crate) entry_hosts: Mutex<Vec<Arc<Host>>>,
     /// The key-value service; absent for a host that runs on its settings file alone.
     pub(crate) platform: Option<Arc<Client>>,
     /// The claims on idempotency keys; absent without a key-value service.
@@ -117,6 +119,7 @@
             hlc,
             news: News::default(),
             hosts: Mutex::default(),
+            entry_hosts: Mutex::default(),
             platform,
             claims,
             resync: Arc::default(),
--- a/src/peer/pull.rs
+++ b/src/peer/pull.rs
@@ -68,7 +68,9 @@
     Ok(())
 }
 
-/// Tells whether the two catalogs differ in a way that single fetches did not mend.
+/// Tells whether the two catalogs differ in a way that single fetches did not mend: at once for a host
+/// that has no records yet or was paused, else after a while, as what comes into force reaches hosts
+/// at different times.
 fn is_comparison_due(session: &Session) -> bool {
     let pulls = &session.pulls;
     let now = session.local.node.clock.now();
@@ -78,7 +80,12 @@
     };
     let since = pulls.differs_since.get().unwrap_or(now);
     pulls.differs_since.set(Some(since));
-    let Some(compared) = pulls.compared.get() else { return true };
+    let is_behind =
+        session.local.summary().versions == 0 || session.local.node.pause.lock().stale(now);
+    if is_behind && pulls.compared.get().is_none() {
+        return true;
+    }
+    let compared = pulls.compared.get().unwrap_or(since);
     let ahead = theirs.versions > session.local.summary().versions;
     now.since(compared) >= COMPARE_INTERVAL && (ahead || now.since(since) >= BEHIND_MAX)
 }
--- a/src/registry.rs
+++ b/src/registry.rs
@@ -178,6 +178,8 @@
     node: &'a Arc<Node>,
     client: &'a Client,
     hosts_prefix: String,
+    /// The registered entry hosts with the revisions of their entries, sorted by name.
+    entry_hosts: Vec<(Arc<Host>, u64)>,
     lapses: Lapses,
     /// Takes this host's own registration as the first read shows it.
     own: Option<oneshot::Sender<Option<Change>>>,
@@ -202,6 +204,7 @@
             node,
             client,
             hosts_prefix: format!("{}{HOSTS}", cfg.prefix),
+            entry_hosts: Vec::new(),
             lapses: Lapses::default(),
             own: Some(own),
             own_key: registration_key(cfg, &node.settings.host),
@@ -284,8 +287,12 @@
     fn succeeded(&mut self, now: Time, pauses: u64) {
         self.backoff.reset();
         let gone = self.lapses.expired(now);
-        let deleted = gone.iter().map(|m| deleted(&m.name, m.revision)).collect();
-        self.offer(deleted);
+        let (hosts, upstreams): (Vec<_>, Vec<_>) =
+            gone.iter().partition(|m| m.name.starts_with(&self.hosts_prefix));
+        self.offer(upstreams.iter().map(|m| deleted(&m.name, m.revision)).collect());
+        for host in hosts {
+            self.remove_entry_host(&host.name[self.hosts_prefix.len()..]);
+        }
         self.node.knowledge.complete_to(now);
         self.node.resynced(pauses);
     }
@@ -310,6 +317,58 @@
     fn take(&mut self, changes: &[Change], now: Time) {
         let records = changes.iter().filter_map(|change| self.record(change, now)).collect();
         self.offer(records);
+        for change in changes {
+            if change.key.starts_with(&self.hosts_prefix) {
+                self.take_entry_host(change, now);
+            }
+        }
+    }
+
+    /// Takes in the registration of an entry host, or its end. Hosts hear of each other by heartbeats
+    /// as well, so these are no records that peers pass on.
+    fn take_entry_host(&mut self, change: &Change, now: Time) {
+        let name = &change.key[self.hosts_prefix.len()..];
+        let Some(value) = &change.value else {
+            if self.lapses.vanished(&change.key.as_str().into(), change.revision, false, now) {
+                self.remove_entry_host(name);
+            }
+            return;
+        };
+        self.lapses.registered(&change.key);
+        let host = match serde_json::from_slice::<Host>(value) {
+            Ok(host) if *host.name == *name && host.role == Role::Entry => host,
+            _ => {
+                log::info!("store: {} names no entry host", change.key);
+                return self.remove_entry_host(name);
+            }
+        };
+        match self.find_entry_host(name) {
+            Ok(at) if *self.entry_hosts[at].0 == host => self.entry_hosts[at].1 = change.revision,
+            found => {
+                let row = (Arc::new(host), change.revision);
+                match found {
+                    Ok(at) => self.entry_hosts[at] = row,
+                    Err(at) => self.entry_hosts.insert(at, row),
+                }
+                self.put_entry_hosts();
+            }
+        }
+    }
+
+    fn remove_entry_host(&mut self, name: &str) {
+        if let Ok(at) = self.find_entry_host(name) {
+            self.entry_hosts.remove(at);
+            self.put_entry_hosts();
+        }
+    }
+
+    fn find_entry_host(&self, name: &str) -> Result<usize, usize> {
+        self.entry_hosts.binary_search_by(|(h, _)| (*h.name).cmp(name))
+    }
+
+    fn put_entry_hosts(&self) {
+        let hosts = self.entry_hosts.iter().map(|(h, _)| h.clone()).collect();
+        self.node.set_entry_hosts(hosts);
     }
 
     /// Takes in everything that the store holds. Hosts that it doesn't hold have vanished.
@@ -320,20 +379,29 @@
             let _ = own.send(at.ok().map(|at| all.items[at].clone()));
         }
         self.take(&all.items, now);
+        let is_missing = |key: &str, revision: u64| {
+            let found = all.items.binary_search_by(|i| i.key.as_str().cmp(key));
+            found.is_err() && revision <= all.revision
+        };
         let known: Vec<(Arc<Host>, u64)> = self.node.catalog.lock().hosts_with_versions();
         let mut gone = Vec::new();
         for (host, version) in known {
-            let key = match host.role {
-                Role::Upstream => format!("{}{}", entry::PREFIX, host.name),
-                Role::Entry => format!("{}{}", self.hosts_prefix, host.name),
-            };
-            let is_there = all.items.binary_search_by(|i| i.key.as_str().cmp(&key)).is_ok();
-            if is_there || version > all.revision {
-                continue;
+            if is_missing(&format!("{}{}", entry::PREFIX, host.name), version) {
+                gone.extend(self.vanished(&host, all.revision, now));
             }
-            gone.extend(self.vanished(&host, all.revision, now));
         }
         self.offer(gone);
+        let keys = self.entry_hosts.iter().map(|(h, r)| (self.entry_key(&h.name), *r));
+        let missing: Vec<String> =
+            keys.filter(|(key, r)| is_missing(key, *r)).map(|(key, _)| key).collect();
+        for key in missing {
+            let end = Change { key, revision: all.revision, value: None, lease: None };
+            self.take_entry_host(&end, now);
+        }
+    }
+
+    fn entry_key(&self, host: &str) -> String {
+        format!("{}{host}", self.hosts_prefix)
     }
 
     /// Returns the record that a change amounts to, if it is new here.
@@ -341,18 +409,13 @@
         if change.key == config::KEY {
             return self.routing(change);
         }
-        let upstream = change.key.strip_prefix(entry::PREFIX);
-        let name = upstream.or_else(|| change.key.strip_prefix(&self.hosts_prefix))?;
+        let name = change.key.strip_prefix(entry::PREFIX)?;
         let held = self.node.catalog.lock().get(Kind::Host, name).map(|r| r.body.clone());
         let Some(value) = &change.value else {
             let Some(Body::Host(held)) = held else { return None };
             return self.vanished(&held, change.revision, now);
         };
-        let host = match upstream {
-            Some(_) => entry::decode(&change.key, value),
-            None => serde_json::from_slice(value).ok(),
-        };
-        let Some(host) = host else {
+        let Some(host) = entry::decode(&change.key, value) else {
             // Whoever wrote it, it names nothing to use, and what stood there before is no more.
             log::info!("store: {} names no host that can be used", change.key);
             return matches!(held, Some(Body::Host(_))).then(|| deleted(name, change.revision));
--- a/src/store/apply.rs
+++ b/src/store/apply.rs
@@ -31,11 +31,21 @@
 
     /// Puts the hosts that stand under records of their own into force.
     pub(crate) fn apply_host_records(&self) {
-        let hosts: Vec<Host> = self.catalog.lock().hosts().map(|h| Host::clone(h)).collect();
+        let catalog = self.catalog.lock();
+        let entry_hosts = self.entry_hosts.lock();
+        let hosts: Vec<Host> =
+            catalog.hosts().chain(entry_hosts.iter()).map(|h| Host::clone(h)).collect();
+        drop((catalog, entry_hosts));
         let version = self.hosts.lock().version + 1;
         self.apply_hosts(HostList { version, hosts });
     }
 
+    /// Replaces the registered entry hosts.
+    pub(crate) fn set_entry_hosts(&self, hosts: Vec<Arc<Host>>) {
+        *self.entry_hosts.lock() = hosts;
+        self.apply_host_records();
+    }
+
     /// Puts a newer host list into force. Returns whether it was newer.
     pub(crate) fn apply_hosts(&self, list: HostList) -> bool {
         let catalog = self.catalog.lock();
@@ -50,7 +60,7 @@
         self.members.lock().set_known(&peers, now);
         let mut tables = self.tables.lock();
         if self.settings.registry.is_some() {
-            tables.set_fleet_size(list.fleet_size_max());
+            tables.set_registered(list.entry_hosts());
         }
         for service in catalog.all_services() {
             let complete = self.complete(&list, &service);
