Expect the mean slowdown that probes find; ask more upstreams when few have room

Change: the mean slowdown and the share of upstreams with a free slot at usual speed are running means over probes; three to six upstreams are asked; tokens gather for a quarter second. The tick is 50 ms while no request waits.

Also: a host whose knowledge of the store is older than 2 s answers 503 (2018) instead of 404 where no route matches, as it can't know; tests for that, for the registration that a restarted host takes over and for both changes of placing.

--- a/examples/standin/registry.rs
+++ b/examples/standin/registry.rs
@@ -30,7 +30,7 @@
 #[derive(Debug, Default)]
 struct State {
     revision: u64,
-    items: BTreeMap<String, (Vec<u8>, u64)>,
+    items: BTreeMap<String, Item>,
     /// Every change, in order: the key, the revision, and the value or nothing if it was removed.
     history: Vec<(String, u64, Option<Vec<u8>>)>,
     /// The revision up to which the history was discarded.
@@ -38,9 +38,19 @@
     refuses: bool,
     reads: u64,
     refused: u64,
+    granted: u64,
+    renewed: u64,
     slow: Duration,
 }
 
+#[derive(Debug)]
+struct Item {
+    value: Vec<u8>,
+    revision: u64,
+    /// The lease with which it ends, 0 for none. No lease ends by itself here.
+    lease: u64,
+}
+
 impl Registry {
     /// Starts a stand-in without any key.
     pub async fn start(address: SocketAddr) -> Arc<Registry> {
@@ -61,12 +71,12 @@
 
     /// Stores a value.
     pub fn put(&self, key: &str, value: &str) {
-        self.state.lock().change(key, Some(value.as_bytes().to_vec()));
+        self.state.lock().change(key, Some(value.as_bytes().to_vec()), 0);
     }
 
     /// Removes a key.
     pub fn remove(&self, key: &str) {
-        self.state.lock().change(key, None);
+        self.state.lock().change(key, None, 0);
     }
 
     /// Discards the history.
@@ -97,6 +107,16 @@
         self.state.lock().refused
     }
 
+    /// Returns the leases that were granted.
+    pub fn leases_granted(&self) -> u64 {
+        self.state.lock().granted
+    }
+
+    /// Returns the renewals of leases.
+    pub fn leases_renewed(&self) -> u64 {
+        self.state.lock().renewed
+    }
+
     /// Returns the reads that were answered.
     pub fn reads(&self) -> u64 {
         self.state.lock().reads
@@ -104,11 +124,12 @@
 }
 
 impl State {
-    fn change(&mut self, key: &str, value: Option<Vec<u8>>) {
+    fn change(&mut self, key: &str, value: Option<Vec<u8>>, lease: u64) {
         self.revision += 1;
         match &value {
             Some(value) => {
-                self.items.insert(key.to_owned(), (value.clone(), self.revision));
+                let item = Item { value: value.clone(), revision: self.revision, lease };
+                self.items.insert(key.to_owned(), item);
             }
             None => {
                 self.items.remove(key);
@@ -120,9 +141,11 @@
     fn range(&self, prefix: &str, after: &str) -> Value {
         let within = |k: &&String| k.starts_with(prefix) && k.as_str() > after;
         let items = self.items.iter().filter(|(k, _)| within(k));
-        let items: Vec<Value> = items
-            .map(|(k, (v, r))| json!({"key": k, "value": STANDARD.encode(v), "revision": r}))
-            .collect();
+        let item = |(key, item): (&String, &Item)| {
+            let value = STANDARD.encode(&item.value);
+            json!({"key": key, "value": value, "revision": item.revision, "lease": item.lease})
+        };
+        let items: Vec<Value> = items.map(item).collect();
         json!({"items": items, "hasMore": false, "currentRev": self.revision})
     }
 
@@ -173,17 +196,20 @@
             }
         }
         (&Method::POST, "/api/kv-lease") => {
-            response(StatusCode::OK, &json!({"lease": 7, "ttlS_time": 30}))
+            state.granted += 1;
+            response(StatusCode::OK, &json!({"lease": state.granted, "ttlS_time": 30}))
         }
         (&Method::POST, "/api/kv-txn") => {
             let txn: Value = serde_json::from_slice(&body).unwrap_or_default();
             for put in txn["puts"].as_array().into_iter().flatten() {
                 let value = STANDARD.decode(put["value"].as_str().unwrap_or_default());
-                state.change(put["key"].as_str().unwrap_or_default(), value.ok());
+                let lease = put["lease"].as_u64().unwrap_or(0);
+                state.change(put["key"].as_str().unwrap_or_default(), value.ok(), lease);
             }
             response(StatusCode::OK, &json!({"revision": state.revision}))
         }
         (&Method::POST, _) if path.starts_with("/api/kv-keep/") => {
+            state.renewed += 1;
             response(StatusCode::OK, &json!({"ttlS_time": 30}))
         }
         _ => response(StatusCode::BAD_REQUEST, &json!({})),
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -10,7 +10,7 @@
 use rand::rngs::SmallRng;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::{LocalSet, spawn_local};
-use tokio::time::MissedTickBehavior;
+use tokio::time::sleep;
 
 use crate::entry::{admin, listener};
 use crate::event::{EventCode, Subject};
@@ -19,8 +19,10 @@
 use crate::settings::Settings;
 use crate::{logs, peer, registry, store};
 
-/// Time between two runs of the systems over the tables.
+/// Time between two runs of the systems over the tables while requests wait.
 const TICK: Duration = Duration::from_millis(10);
+/// The same while none waits: that between two searches for an upstream to probe.
+const IDLE_TICK: Duration = Duration::from_millis(50);
 /// Time between two looks for a change of the settings file.
 const SETTINGS_CHECK: Duration = Duration::from_secs(5);
 /// Time between two looks for connections that have been idle for too long.
@@ -129,7 +131,7 @@
     }
     node.enter(Phase::Draining);
     node.events.record(EventCode::Stopping, Subject::default(), None);
-    tokio::time::sleep(Duration::from_millis(node.settings.limits.grace_ms)).await;
+    sleep(Duration::from_millis(node.settings.limits.grace_ms)).await;
     node.enter(Phase::Stopping);
     std::future::pending().await
 }
@@ -137,11 +139,16 @@
 /// Runs the systems over the tables, sends probes, and hands out decisions.
 async fn tick(node: Arc<Node>) {
     let mut rng = SmallRng::from_os_rng();
-    let mut interval = tokio::time::interval(TICK);
-    interval.set_missed_tick_behavior(MissedTickBehavior::Skip);
     let mut expired = node.clock.now();
     loop {
-        interval.tick().await;
+        if node.waiting.is_empty() {
+            tokio::select! {
+                () = sleep(IDLE_TICK) => {}
+                () = node.waiting.queued() => sleep(TICK).await,
+            }
+        } else {
+            sleep(TICK).await;
+        }
         let now = node.clock.now();
         if now.since(expired) >= EXPIRE {
             node.pool.expire(now);
--- a/src/decide/measure.rs
+++ b/src/decide/measure.rs
@@ -19,7 +19,7 @@
 /// Tokens that an idle bucket may gather at least.
 const BURST: f64 = 1.0;
 /// Seconds' worth of tokens that an idle bucket may gather.
-const BURST_SECONDS: f64 = 0.1;
+const BURST_SECONDS: f64 = 0.25;
 
 impl Budget {
     /// Makes an empty bucket for one host of a fleet of at most `fleet_size_max`.
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -32,3 +32,4 @@
 pub(crate) mod occupancy;
 pub(crate) mod queue;
 pub(crate) mod retry;
+pub(crate) mod supply;
--- a/src/decide/occupancy.rs
+++ b/src/decide/occupancy.rs
@@ -15,9 +15,6 @@
 const SLOWDOWN_LIFE: Duration = Duration::from_millis(500);
 /// The same for a report of the requests that other hosts have there: about the time that one takes.
 const LOAD_LIFE: Duration = Duration::from_millis(250);
-/// Slowdown expected of an upstream of which nothing recent is known: a quarter of the time seven
-/// times the usual.
-const SLOWDOWN_MEAN: f32 = 2.0;
 /// Part of the slots that is expected to be in use where nothing recent is known.
 const FILL_MEAN: f32 = 0.4;
 /// Cost of the last free slot, against a whole work time: upstreams turn slower as they fill.
@@ -51,20 +48,20 @@
         own + others * weight + mean * (1.0 - weight)
     }
 
-    /// Returns how many times longer than usual work is expected to take, at least 1.
-    pub(crate) fn expected_slowdown(&self, now: Time) -> f32 {
-        let Some(told) = self.occupied else { return SLOWDOWN_MEAN };
-        let weight = weight(now.since(told.at), SLOWDOWN_LIFE);
-        SLOWDOWN_MEAN + (told.occupancy.slowdown - SLOWDOWN_MEAN) * weight
+    /// Returns how many times longer than usual work is expected to take, at least 1, where `mean` is
+    /// that of all upstreams.
+    pub(crate) fn expected_slowdown(&self, mean: f32, now: Time) -> f32 {
+        let Some(told) = self.occupied else { return mean };
+        mean + (told.occupancy.slowdown - mean) * weight(now.since(told.at), SLOWDOWN_LIFE)
     }
 
     /// Returns the time that one more request is expected to take, in usual work times.
-    pub(crate) fn expected_time(&self, slots: u32, now: Time) -> f32 {
+    pub(crate) fn expected_time(&self, slots: u32, mean: f32, now: Time) -> f32 {
         let slots = self.slots(slots) as f32;
         let load = self.expected_load(slots as u32, now);
         let ahead = (load + 1.0 - slots).max(0.0) / slots;
         let fill = (load / slots).min(1.0);
-        (1.0 + ahead + FILL_COST * fill * fill) * self.expected_slowdown(now)
+        (1.0 + ahead + FILL_COST * fill * fill) * self.expected_slowdown(mean, now)
     }
 
     /// Returns the requests that the upstream runs at a time, as it said itself, else `usual`.
--- a/src/decide/service.rs
+++ b/src/decide/service.rs
@@ -19,6 +19,7 @@
 use crate::decide::queue::Queue;
 use crate::decide::retry::{RetryBudget, RetryLimits};
 use crate::decide::route::Policy;
+use crate::decide::supply::Supply;
 use crate::decide::upstream::{self, Changed, Ended, Report, Row, State, UpstreamId};
 use crate::event::EventCode;
 use crate::time::Time;
@@ -61,6 +62,7 @@
     baseline: Baseline,
     kinds: Kinds,
     concurrency: Concurrency,
+    supply: Supply,
     work_rate: timed::WorkRate,
     capacity: Capacity,
     queue: Queue,
@@ -97,6 +99,7 @@
             baseline: Baseline::default(),
             kinds: Kinds::default(),
             concurrency: Concurrency::default(),
+            supply: Supply::default(),
             work_rate: timed::WorkRate::default(),
             capacity: Capacity::default(),
             queue: Queue::default(),
@@ -300,6 +303,7 @@
             let others = row.read(value, row.in_flight, now);
             self.baseline.read(others);
         }
+        self.observe_supply(at, now);
     }
 
     fn join(&mut self, upstream: &config::Upstream, started: bool, now: Time) {
--- a/src/decide/service/reports.rs
+++ b/src/decide/service/reports.rs
@@ -14,8 +14,6 @@
 const JUST_NOW: Duration = Duration::from_millis(1);
 /// Relative difference up to which two reports of an upstream's speed are the same.
 const STEADY: f32 = 0.2;
-/// Upstreams that are asked before a request is sent.
-const CANDIDATES: usize = 3;
 /// Spread by which hosts that know the same ask different upstreams, in usual work times.
 const CANDIDATE_SPREAD: f32 = 0.3;
 /// What it costs to send a request to another data centre, in usual work times: the time there and
@@ -43,7 +41,7 @@
             }
         }
         best.sort_by(|a, b| a.0.total_cmp(&b.0));
-        best.truncate(CANDIDATES);
+        best.truncate(self.supply.candidates());
         let rows = &self.rows;
         let stale = best.into_iter().map(|(_, at)| at);
         let stale: Vec<usize> = stale.filter(|&at| !rows[at].has_fresh_report(now)).collect();
@@ -73,7 +71,15 @@
     pub(crate) fn cost_of(&self, row: &Row, now: Time) -> f32 {
         let is_near = row.data_centre == self.facts.data_centre;
         let distance = if is_near { 0.0 } else { DISTANCE_COST };
-        row.expected_time(self.cfg.slots, now) + distance
+        row.expected_time(self.cfg.slots, self.supply.slowdown(), now) + distance
+    }
+
+    /// Adds the report that a probe has just brought to what is known of all upstreams.
+    pub(super) fn observe_supply(&mut self, at: usize, now: Time) {
+        if let Some(told) = self.rows[at].occupied.filter(|o| now.since(o.at) < JUST_NOW) {
+            let limit = self.concurrency.limit(told.occupancy.slots);
+            self.supply.observe(&told.occupancy, limit);
+        }
     }
 
     /// Learns from the time of an answer, if the upstream's speed was the same at its beginning and
--- a/src/decide/service/timed.rs
+++ b/src/decide/service/timed.rs
@@ -15,6 +15,7 @@
 use crate::decide::kinds::{Aim, Expected};
 use crate::decide::load::Timing;
 use crate::decide::queue::Waiter;
+use crate::decide::supply::SLOW;
 use crate::decide::upstream::{self, Row, State, UpstreamId};
 use crate::error::Code;
 use crate::time::Time;
@@ -32,8 +33,6 @@
 const TRIES_MAX: usize = 6;
 /// Multiple of the expected time after which a request is late.
 const LATE_FACTOR: f32 = 1.8;
-/// Slowdown from which an upstream counts as slow.
-const SLOW: f32 = 2.5;
 /// Spread of the time after which refused callers come back, so that they don't return together.
 const RETRY_AFTER_SPREAD: std::ops::Range<f32> = 0.6..1.6;
 /// The shortest and the longest time after which a refused caller is told to come back.
@@ -196,7 +195,7 @@
         if hedge && !self.queue.is_empty() {
             return None;
         }
-        let place = self.place(expected, waited(req, now), tried, now, rng)?;
+        let place = self.place(req, expected, tried, now, rng)?;
         if now + place.time >= req.deadline || hedge && place.slowdown >= SLOW {
             return None;
         }
@@ -207,7 +206,8 @@
     pub(super) fn late_timed(&self, id: UpstreamId, now: Time) -> Option<Duration> {
         let row = upstream::find(&self.rows, id)?;
         let timing = row.sent.last()?.timing?;
-        let slowdown = timing.slowdown.min(row.expected_slowdown(now)).max(1.0);
+        let slowdown = row.expected_slowdown(self.supply.slowdown(), now);
+        let slowdown = timing.slowdown.min(slowdown).max(1.0);
         Some(timing.work.mul_f32(slowdown * LATE_FACTOR))
     }
 
@@ -227,7 +227,7 @@
         now: Time,
         rng: &mut impl Rng,
     ) -> Option<Target> {
-        let place = self.place(expected, waited(req, now), &[], now, rng)?;
+        let place = self.place(req, expected, &[], now, rng)?;
         let answered = now + place.time;
         let fits =
             answered <= expected.objective || expected.is_late(now) && answered < req.deadline;
@@ -269,14 +269,14 @@
     /// Returns the upstream with a free slot that is expected to answer first.
     fn place(
         &self,
+        req: &Request,
         expected: Expected,
-        waited: Duration,
         tried: &[UpstreamId],
         now: Time,
         rng: &mut dyn RngCore,
     ) -> Option<Place> {
         let open = self.open_rows(tried, now, rng);
-        let needed = knowledge_needed(&open, waited, now);
+        let needed = knowledge_needed(&open, waited(req, now), now);
         let mut best: Option<(f32, Place)> = None;
         let start = rng.random_range(0..open.len().max(1));
         let (before, after) = open.split_at(start.min(open.len()));
@@ -291,14 +291,19 @@
             }
             let cost = self.cost_of(row, now);
             if best.is_none_or(|(least, _)| cost < least) {
-                let slowdown = row.expected_slowdown(now);
-                let time = expected.work.mul_f32(row.expected_time(slots, now));
-                best = Some((cost, Place { id: row.id, time, slowdown, load }));
+                best = Some((cost, self.place_at(row, expected, load, now)));
             }
         }
         best.map(|(_, place)| place)
     }
 
+    fn place_at(&self, row: &Row, expected: Expected, load: f32, now: Time) -> Place {
+        let mean = self.supply.slowdown();
+        let time = expected.work.mul_f32(row.expected_time(self.cfg.slots, mean, now));
+        let slowdown = row.expected_slowdown(mean, now);
+        Place { id: row.id, time, slowdown, load }
+    }
+
     /// Returns the upstreams that take requests at present. If there is none but those that are
     /// ejected or have just started, these do.
     fn open_rows(&self, tried: &[UpstreamId], now: Time, rng: &mut dyn RngCore) -> Vec<&Row> {
--- a/src/entry/intake.rs
+++ b/src/entry/intake.rs
@@ -74,7 +74,8 @@
     check_head(&parts, &node.settings.limits, routes.head_max_bytes())?;
     let target = Target::new(&parts)?;
     let method = parts.method.as_str();
-    let found = routes.find(&target.host, method, target.path.path()).ok_or(Code::NoService)?;
+    let found = routes.find(&target.host, method, target.path.path());
+    let found = found.ok_or_else(|| no_service(node))?;
     let (service, treatment) = (found.service.clone(), found.treatment.clone());
     let left = time_left(&node.names, &parts.headers)?;
     let deadline = deadline(left, now, treatment.deadline_ms);
@@ -111,6 +112,13 @@
     })
 }
 
+/// Returns why no route was found: there is none, or this host may not have heard of it yet.
+fn no_service(node: &Node) -> Code {
+    let follows = node.settings.registry.is_some();
+    let is_current = !follows || node.knowledge.is_current(node.clock.now());
+    if is_current { Code::NoService } else { Code::RoutesOutdated }
+}
+
 /// Tells whether a request announces a body.
 pub(crate) fn has_body(headers: &HeaderMap) -> bool {
     headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
--- a/src/entry/waiting.rs
+++ b/src/entry/waiting.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use parking_lot::Mutex;
-use tokio::sync::oneshot;
+use tokio::sync::{Notify, oneshot};
 
 use crate::decide::admit::{Admission, Ticket};
 use crate::node::Node;
@@ -12,6 +12,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Waiting {
     rows: Mutex<Vec<Row>>,
+    queued: Notify,
 }
 
 #[derive(Debug)]
@@ -38,9 +39,20 @@
         let mut rows = self.rows.lock();
         let at = rows.partition_point(|w| w.key() < (&**service, ticket));
         rows.insert(at, Row { service: service.clone(), ticket, tx });
+        self.queued.notify_one();
         rx
     }
 
+    /// Tells whether no request waits.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.rows.lock().is_empty()
+    }
+
+    /// Completes when a request has begun to wait. May complete early.
+    pub(crate) async fn queued(&self) {
+        self.queued.notified().await;
+    }
+
     /// Hands a decision to the request that waits for it. Returns the decision if the request has
     /// gone.
     pub(crate) fn deliver(
--- a/src/error.rs
+++ b/src/error.rs
@@ -84,6 +84,8 @@
     BadDeadline = 2016, 400, NotRun, "the deadline header is malformed";
     /// The caller stopped before the request's body was whole.
     BodyCut = 2017, 400, NotRun, "the request body ended early";
+    /// No known route matches, and the known routes may be outdated.
+    RoutesOutdated = 2018, 503, NotRun, "no known route matches and the known ones may be outdated";
     /// The deadline passed after the request was sent.
     DeadlineAfterSend = 3001, 504, Unknown, "the deadline passed after the request was sent";
     /// The connection failed after a byte was sent.
--- a/src/forward/answer.rs
+++ b/src/forward/answer.rs
@@ -25,9 +25,11 @@
 
 const fn retry_after(code: Code) -> Duration {
     match code {
-        Code::Refused | Code::ConnectFailed | Code::Stopping | Code::NotReady => {
-            RETRY_AFTER_ELSEWHERE
-        }
+        Code::Refused
+        | Code::ConnectFailed
+        | Code::Stopping
+        | Code::NotReady
+        | Code::RoutesOutdated => RETRY_AFTER_ELSEWHERE,
         _ => RETRY_AFTER,
     }
 }
--- a/src/registry.rs
+++ b/src/registry.rs
@@ -31,6 +31,9 @@
 /// The age of its knowledge at which any other host reads: the platform's bounds are 2 s, of which a
 /// slow store's answer takes a quarter second.
 const AGE_MAX: Duration = Duration::from_millis(1_500);
+/// The age of its knowledge up to which a host can tell that there is no such route: [`AGE_MAX`] and
+/// the time that a slow store takes to answer.
+const ROUTES_AGE_MAX: Duration = Duration::from_millis(2_000);
 /// Part of [`AGE_MAX`] from which a host may read before the others do, so that one of those that
 /// wait for a reader is first and the others hear of its read.
 const AGE_SPREAD: f64 = 0.6;
@@ -79,6 +82,11 @@
         (as_of > Time::ZERO).then_some(as_of)
     }
 
+    /// Tells whether no change of the routes can be older than the time that one takes to spread.
+    pub(crate) fn is_current(&self, now: Time) -> bool {
+        self.as_of().is_some_and(|at| now.since(at) < ROUTES_AGE_MAX)
+    }
+
     /// Notes that every change up to a time is known.
     pub(crate) fn complete_to(&self, at: Time) {
         self.as_of.send_if_modified(|as_of| {
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -67,8 +67,19 @@
         (0..PORT_TRIES).find_map(|_| Daemon::try_start(settings)).expect("a daemon that is ready")
     }
 
+    /// Kills the daemon and starts another with the same settings and addresses, and waits until it is
+    /// ready.
+    pub fn restart(mut self, settings: &Value) -> Daemon {
+        self.child.kill().expect("kill");
+        self.child.wait().expect("wait");
+        Daemon::try_start_at(settings, self.caller, self.admin).expect("a daemon that is ready")
+    }
+
     fn try_start(settings: &Value) -> Option<Daemon> {
-        let (caller, admin) = (free_port(), free_port());
+        Daemon::try_start_at(settings, free_port(), free_port())
+    }
+
+    fn try_start_at(settings: &Value, caller: SocketAddr, admin: SocketAddr) -> Option<Daemon> {
         let ports = json!({"caller": caller, "admin": admin});
         let child = launch(&merged(settings.clone(), ports));
         let mut daemon = Daemon { child, caller, admin };
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -106,6 +106,16 @@
         self.table.release(self.now, &mut self.rng)
     }
 
+    /// Has a probe of each upstream bring a report.
+    fn probed(&mut self, occupancy: Occupancy) {
+        for at in 0..self.table.rows().len() as u32 {
+            self.told(at, occupancy);
+            let (ended, latency) = (Ended::Answered, ms(1));
+            let report = Report { ended, latency, load: None, draining: false };
+            self.table.probed(UpstreamId::from(at), &report, self.now);
+        }
+    }
+
     fn answered(&mut self, id: UpstreamId, latency: Duration) {
         let report = Report { ended: Ended::Answered, latency, load: None, draining: false };
         self.table.finish(id, &report, self.now);
@@ -337,3 +347,35 @@
         bench.table.finish(target.id, &report, bench.now);
     }
 }
+
+/// A load at which nearly every upstream is full or slow: three at a time rarely held a free one, so
+/// requests waited for the next probes while others were free.
+#[test]
+fn more_upstreams_are_asked_when_few_have_a_free_slot_at_usual_speed() {
+    let asked = |occupancy: Occupancy| {
+        let mut bench = Bench::new(20, 0);
+        for _ in 0..10 {
+            bench.now = bench.now + ms(500);
+            bench.probed(occupancy);
+        }
+        bench.now = bench.now + ms(500);
+        bench.table.candidates(bench.now, &mut bench.rng).len()
+    };
+    assert_eq!((asked(FREE), asked(FULL), asked(SLOW)), (3, 6, 6));
+}
+
+/// A load under which upstreams are slow for half of the time: an old report of a fast one was
+/// believed more than it was worth, as the mean slowdown was taken for 2.
+#[test]
+fn an_old_report_is_worth_the_mean_over_what_probes_found() {
+    let mut bench = Bench::new(2, 0);
+    for _ in 0..60 {
+        bench.now = bench.now + ms(500);
+        bench.probed(SLOW);
+    }
+    bench.told(0, FREE);
+    bench.now = bench.now + ms(45);
+    let req = bench.request(1, Priority::Normal);
+    let choice = bench.runs(&req).choice.expect("a choice");
+    assert!(choice.slowdown > 1.4, "{}", choice.slowdown);
+}
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -150,6 +150,7 @@
 /// A store and a daemon that follows it.
 struct Fleet {
     registry: Arc<Registry>,
+    settings: Value,
     daemon: Daemon,
 }
 
@@ -169,7 +170,13 @@
                 "probes_per_second": 60.0,
             },
         });
-        Fleet { registry, daemon: Daemon::run(&settings) }
+        Fleet { registry, daemon: Daemon::run(&settings), settings }
+    }
+
+    /// Kills the daemon and starts it again.
+    fn restart(self) -> Fleet {
+        let daemon = self.daemon.restart(&self.settings);
+        Fleet { daemon, ..self }
     }
 
     async fn call(&self, method: &str, path: &str) -> Response<Bytes> {
@@ -288,6 +295,46 @@
     }
 }
 
+/// A host that was cut off answered 404 for routes that were added meanwhile.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_host_that_knows_old_routes_does_not_say_that_there_is_none() {
+    let upstream = Signed::start("u-1", sound);
+    let fleet = Fleet::start(&[("u-1", &upstream)]).await;
+    assert_eq!(fleet.status("POST", "/later/7").await, 404);
+    fleet.registry.refuse(true);
+    fleet.registry.put("op/config", &config(5, "/later/"));
+    let start = std::time::Instant::now();
+    let refused = loop {
+        let res = fleet.call("POST", "/later/7").await;
+        if res.status() != 404 {
+            break res;
+        }
+        assert!(start.elapsed() < harness::HANG, "still 404");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    };
+    assert_eq!((refused.status().as_u16(), text(&refused, "x-cornelferry-code")), (503, "2018"));
+    assert_ne!(text(&refused, "retry-after"), "");
+    assert_eq!(fleet.status("POST", "/book/7").await, 200, "known routes are served");
+    fleet.registry.refuse(false);
+    let start = std::time::Instant::now();
+    while fleet.status("POST", "/later/7").await != 200 {
+        assert!(start.elapsed() < harness::HANG, "never in force");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// A restart wrote a lease and an entry anew, though those of the process before still stood.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_host_that_starts_again_takes_its_registration_over() {
+    let upstream = Signed::start("u-1", sound);
+    let fleet = Fleet::start(&[("u-1", &upstream)]).await;
+    until("a registration", || !fleet.registry.keys("cornelferry/hosts/").is_empty());
+    let (granted, renewed) = (fleet.registry.leases_granted(), fleet.registry.leases_renewed());
+    let fleet = fleet.restart();
+    until("a renewal", || fleet.registry.leases_renewed() > renewed);
+    assert_eq!(fleet.registry.leases_granted(), granted);
+}
+
 /// Each read was given up after 600 ms, so that no config came into force while the store was slower.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_store_that_takes_a_second_to_answer_is_still_read() {
