Take the registry's age over from answers only; a fault soak with real daemons

Ruled out: the store, which answered at the time; pauses of the process (no event 1005).

Change: the age is taken over with an answer, as of the time of the question. A side that hears of newer knowledge asks for it, also the one that was dialled. A starting host compares whole catalogs with two peers at a time: eight at once filled its link of 10 Mbit/s, and calls took over a second. The shared pause after reads that fail is 2 s at most.

--- a/src/peer/accept.rs
+++ b/src/peer/accept.rs
@@ -51,6 +51,7 @@
         _ = carrier => {}
         () = silence(&session) => {}
         () = nudge(&session) => {}
+        () = ask(&session) => {}
     }
     session.close();
 }
@@ -62,6 +63,18 @@
     }
 }
 
+/// Exchanges digests whenever the other side seems to know more of the registry. Returns if it
+/// doesn't answer.
+async fn ask(session: &Rc<Session>) {
+    loop {
+        session.nudged.notified().await;
+        if let Err(e) = session.exchange().await {
+            log::debug!("exchange with peer: {e}");
+            return;
+        }
+    }
+}
+
 /// Asks the other side for an exchange whenever there is something to tell it. Returns if it doesn't
 /// answer.
 async fn nudge(session: &Session) {
--- a/src/peer/dial.rs
+++ b/src/peer/dial.rs
@@ -15,10 +15,8 @@
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::event::{EventCode, Subject};
-use crate::peer::CALL_TIMEOUT;
-use crate::peer::codec;
 use crate::peer::local::Local;
-use crate::peer::session::Session;
+use crate::peer::session::{NoExchange, Session};
 use crate::time::Time;
 
 /// The time allowed for a new connection.
@@ -100,18 +98,13 @@
         registry.mark_unchanged();
         // What the other side asked for an exchange for comes with its answer.
         let _ = session.nudged.notified().now_or_never();
-        let pauses = local.node.pause.lock().pauses();
-        let Ok(remote) = session.remote() else { return Ended::Closed };
-        let mut req = remote.exchange_request();
-        codec::write(&session.digest(), req.get().init_digest());
-        let reply = match timeout(CALL_TIMEOUT, req.send().promise).await {
-            Err(_) => return Ended::Silent,
-            Ok(Err(_)) => return Ended::Closed,
-            Ok(Ok(reply)) => reply,
-        };
-        let digest = reply.get().and_then(|r| codec::read(r.get_digest()?));
-        if digest.and_then(|d| session.take(&d, pauses)).is_err() {
-            return Ended::Closed;
+        match session.exchange().await {
+            Err(NoExchange::Silent) => return Ended::Silent,
+            Err(NoExchange::Failed(e)) => {
+                log::debug!("exchange with peer: {e}");
+                return Ended::Closed;
+            }
+            Ok(()) => {}
         }
         answered(first);
         first = false;
--- a/src/peer/local.rs
+++ b/src/peer/local.rs
@@ -1,6 +1,6 @@
 //! What all links of one host share.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -33,6 +33,8 @@
     pub(crate) node: Arc<Node>,
     process: RefCell<Process>,
     pub(crate) traffic: Traffic,
+    /// Comparisons of whole catalogs that are under way.
+    pub(crate) comparisons: Cell<usize>,
     /// Versions that this host can't read.
     pub(crate) unreadable: RefCell<Vec<Version>>,
     /// Upstreams that some host has seen to be leaving.
@@ -57,6 +59,7 @@
         Local {
             process: RefCell::new(process),
             traffic: Traffic::default(),
+            comparisons: Cell::default(),
             unreadable: RefCell::default(),
             sightings: RefCell::default(),
             sent: node.metrics.control_bytes("sent"),
--- a/src/peer/pull.rs
+++ b/src/peer/pull.rs
@@ -24,6 +24,10 @@
 /// The time between two comparisons of whole catalogs over one connection.
 const COMPARE_INTERVAL: Duration = Duration::from_millis(1_000);
 
+/// Comparisons of whole catalogs that one host makes at a time, so that what a host without records
+/// fetches doesn't fill its link: one, and one more in case the first peer is silent.
+const COMPARISONS_MAX: usize = 2;
+
 /// The time for which the other side may seem to be behind before catalogs are compared.
 const BEHIND_MAX: Duration = Duration::from_millis(2_000);
 
@@ -52,6 +56,7 @@
 async fn pull(session: &Session, wanted: Vec<Version>, pauses: u64) -> Result<(), Error> {
     fetch(session, wanted).await?;
     if is_comparison_due(session) {
+        let _comparison = Comparison::begin(&session.local);
         let remote = session.remote()?;
         let reply = in_time(remote.versions_request().send().promise).await?;
         let offered = codec::read_versions(reply.get()?.get_versions()?)?;
@@ -68,6 +73,22 @@
     Ok(())
 }
 
+/// A comparison of whole catalogs that is under way.
+struct Comparison<'a>(&'a Local);
+
+impl Comparison<'_> {
+    fn begin(local: &Local) -> Comparison<'_> {
+        local.comparisons.set(local.comparisons.get() + 1);
+        Comparison(local)
+    }
+}
+
+impl Drop for Comparison<'_> {
+    fn drop(&mut self) {
+        self.0.comparisons.set(self.0.comparisons.get() - 1);
+    }
+}
+
 /// Tells whether the two catalogs differ in a way that single fetches did not mend: at once for a host
 /// that has no records yet or was paused, else after a while, as what comes into force reaches hosts
 /// at different times.
@@ -80,6 +101,9 @@
     };
     let since = pulls.differs_since.get().unwrap_or(now);
     pulls.differs_since.set(Some(since));
+    if session.local.comparisons.get() >= COMPARISONS_MAX {
+        return false;
+    }
     let is_behind =
         session.local.summary().versions == 0 || session.local.node.pause.lock().stale(now);
     if is_behind && pulls.compared.get().is_none() {
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -23,7 +23,7 @@
     ) -> Result<(), Error> {
         let node = &self.0.local.node;
         let digest = codec::read(params.get()?.get_digest()?)?;
-        self.0.take(&digest, node.pause.lock().pauses())?;
+        self.0.take(&digest, node.pause.lock().pauses(), None)?;
         if let Some(host) = self.0.host() {
             self.0.local.dialled(&host, node.clock.now());
         }
--- a/src/peer/session.rs
+++ b/src/peer/session.rs
@@ -13,6 +13,7 @@
 use tokio::io::BufWriter;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
+use tokio::time::timeout;
 use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
 use tokio_util::io::{InspectReader, InspectWriter};
 
@@ -23,6 +24,7 @@
 use crate::peer::peer_capnp::peer;
 use crate::peer::pull::{self, Pulls};
 use crate::peer::server::Server;
+use crate::peer::{CALL_TIMEOUT, codec};
 use crate::time::Time;
 
 /// The largest message that is read, in words of 8 bytes.
@@ -42,7 +44,7 @@
 /// One connection.
 pub(crate) struct Session {
     pub(crate) local: Rc<Local>,
-    /// Wakes the side that dialled.
+    /// Asks for an exchange that this side begins.
     pub(crate) nudged: Notify,
     /// The other side's records at its last digest.
     pub(crate) theirs: Cell<Option<Summary>>,
@@ -69,6 +71,17 @@
 /// reads, so that each read spreads over the whole fleet, and more than one read takes to do so.
 const REGISTRY_STEP: Duration = Duration::from_millis(250);
 
+/// Why an exchange failed.
+#[derive(Debug, derive_more::Display, derive_more::From)]
+pub(crate) enum NoExchange {
+    /// There was no answer in time.
+    #[from(ignore)]
+    #[display("no answer in time")]
+    Silent,
+    /// The connection is closed, or the answer is none.
+    Failed(Error),
+}
+
 /// Records that a session remembers the other side to have told of.
 const KNOWN_MAX: usize = 32;
 
@@ -177,13 +190,41 @@
         digest
     }
 
+    /// Exchanges digests with the other side.
+    ///
+    /// # Errors
+    ///
+    /// Why there is no answer, or it can't be taken in.
+    pub(crate) async fn exchange(self: &Rc<Session>) -> Result<(), NoExchange> {
+        let node = &self.local.node;
+        let pauses = node.pause.lock().pauses();
+        let mut req = self.remote()?.exchange_request();
+        let asked = node.clock.now();
+        codec::write(&self.digest(), req.get().init_digest());
+        let reply = timeout(CALL_TIMEOUT, req.send().promise).await;
+        let reply = reply.map_err(|_| NoExchange::Silent)??;
+        let digest = codec::read(reply.get()?.get_digest()?)?;
+        self.take(&digest, pauses, Some(asked))?;
+        Ok(())
+    }
+
     /// Takes in a digest of the other side, and pulls the records that it has and this host lacks.
+    /// `asked` is the time at which this side asked for it, if it did.
+    ///
+    /// The other side's age of the registry is taken over only with an answer, as of the time of the
+    /// question: how long a digest that came by itself was on its way, nobody knows, and an age
+    /// that every host counts from the arrival gets younger with each of them.
     ///
     /// # Errors
     ///
     /// If the sender has not introduced itself or bears this host's name, or this host's own process
     /// has taken another incarnation since the session began.
-    pub(crate) fn take(self: &Rc<Session>, digest: &Digest, pauses: u64) -> Result<(), Error> {
+    pub(crate) fn take(
+        self: &Rc<Session>,
+        digest: &Digest,
+        pauses: u64,
+        asked: Option<Time>,
+    ) -> Result<(), Error> {
         let node = &self.local.node;
         let now = node.clock.now();
         node.hlc.observe(digest.stamp);
@@ -198,18 +239,27 @@
         taken.leaves.iter().for_each(|s| self.local.told_leaving(s, now));
         self.theirs.set(Some(digest.summary));
         self.is_stale.set(digest.stale);
-        if let Some(at) = digest.registry_age.map(|age| now.before(age)) {
-            self.heard_registry(Some(at));
-            if self.has_equal_records() {
-                node.knowledge.complete_to(at);
-            }
-        }
+        self.take_registry_age(digest.registry_age, asked, now);
         self.remember(&digest.recent);
         let wanted = newer(&node.catalog.lock(), digest.recent.clone());
         pull::start(self, wanted, pauses);
         Ok(())
     }
 
+    fn take_registry_age(&self, age: Option<Duration>, asked: Option<Time>, now: Time) {
+        let Some(age) = age else { return };
+        self.heard_registry(Some(now.before(age)));
+        if !self.has_equal_records() {
+            return;
+        }
+        let own = self.local.node.knowledge.as_of().unwrap_or_default();
+        match asked {
+            Some(asked) => self.local.node.knowledge.complete_to(asked.before(age)),
+            None if now.before(age).since(own) >= REGISTRY_STEP => self.nudged.notify_one(),
+            None => {}
+        }
+    }
+
     fn heard_registry(&self, at: Option<Time>) {
         self.their_registry.set(at.max(Some(self.their_registry.get())).unwrap_or_default());
     }
--- a/src/peer/tests.rs
+++ b/src/peer/tests.rs
@@ -7,7 +7,7 @@
 use capnp::message::Builder;
 use proptest::collection::vec;
 use proptest::prelude::*;
-use tokio::io::copy_bidirectional;
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, copy_bidirectional};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{oneshot, watch};
 use tokio::task::{LocalSet, spawn_local};
@@ -238,6 +238,79 @@
     eventually("in use", || a.version("a") == Some(1));
 }
 
+/// Each host counted an age from a digest's arrival, so that two hosts with a slow link told each
+/// other that their knowledge was ever newer, and nobody read the registry any more.
+#[test]
+fn knowledge_of_the_registry_does_not_get_younger_on_its_way() {
+    let (first, first_address) = bound();
+    let (second, second_address) = bound();
+    let (relay, relay_address) = bound();
+    std::thread::spawn(move || run_slow_relay(relay, second_address));
+    let peers = [peer(0, first_address), peer(1, relay_address)];
+    let a = Host::start("entry-0", first, first_address, &peers);
+    let b = Host::start("entry-1", second, relay_address, &peers);
+    eventually("linked", || a.standing("entry-1") == Some(Standing::Alive));
+    let read = Instant::now();
+    for reader in [&a, &b] {
+        reader.node.knowledge.complete_to(reader.node.clock.now());
+    }
+    let end = read + Duration::from_secs(3);
+    while Instant::now() < end {
+        for host in [&a, &b] {
+            let as_of = host.node.knowledge.as_of().unwrap();
+            let ahead = host.node.clock.instant(as_of).saturating_duration_since(read);
+            assert!(ahead < Duration::from_millis(50), "{ahead:?} after the last read");
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+#[test]
+fn knowledge_of_the_registry_reaches_every_host() {
+    let (hosts, _) = fleet(12);
+    eventually("linked", || hosts.iter().all(|h| h.events(EventCode::PeerJoined) >= 11));
+    let reader = &hosts[5].node;
+    eventually("well after the start", || reader.clock.now() > Time::from_millis(1_000));
+    let read = reader.clock.now();
+    reader.knowledge.complete_to(read);
+    let late = Duration::from_millis(500);
+    let read = reader.clock.instant(read);
+    let knows = |h: &Host| {
+        h.node
+            .knowledge
+            .as_of()
+            .is_some_and(|at| read.saturating_duration_since(h.node.clock.instant(at)) < late)
+    };
+    eventually("known", || hosts.iter().all(knows));
+}
+
+/// Forwards connections, later by 200 ms each way.
+fn run_slow_relay(listener: std::net::TcpListener, to: SocketAddr) {
+    const DELAY: Duration = Duration::from_millis(200);
+    async fn copy(mut rx: impl AsyncRead + Unpin, mut tx: impl AsyncWrite + Unpin) {
+        let mut buf = vec![0; 65_536];
+        while let Ok(read @ 1..) = rx.read(&mut buf).await {
+            tokio::time::sleep(DELAY).await;
+            if tx.write_all(&buf[..read]).await.is_err() {
+                return;
+            }
+        }
+    }
+    let rt = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    rt.block_on(async move {
+        listener.set_nonblocking(true).unwrap();
+        let listener = TcpListener::from_std(listener).unwrap();
+        while let Ok((near, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let far = TcpStream::connect(to).await.unwrap();
+                let (near_rx, near_tx) = near.into_split();
+                let (far_rx, far_tx) = far.into_split();
+                tokio::join!(copy(near_rx, far_tx), copy(far_rx, near_tx));
+            });
+        }
+    });
+}
+
 /// Forwards connections. Those that are open when `frozen` is set go silent; new ones work.
 fn run_relay(listener: std::net::TcpListener, to: SocketAddr, frozen: watch::Receiver<bool>) {
     let rt = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
--- a/src/registry.rs
+++ b/src/registry.rs
@@ -48,7 +48,7 @@
 const FAILED_READS_PER_SECOND: f64 = 25.0;
 /// The longest pause between two reads that fail in a large fleet: a host that has lost its peers
 /// meanwhile goes without news for so long.
-const FAILED_PAUSE_SHARED_MAX: Duration = Duration::from_millis(4_000);
+const FAILED_PAUSE_SHARED_MAX: Duration = Duration::from_millis(2_000);
 /// The longest pause between two renewals that fail: a registration outlasts several of them.
 const FAILED_RENEWAL_PAUSE: Duration = Duration::from_secs(5);
 /// Time for which a host that starts waits for its first read, which may show a registration that an
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -70,9 +70,22 @@
     /// Kills the daemon and starts another with the same settings and addresses, and waits until it is
     /// ready.
     pub fn restart(mut self, settings: &Value) -> Daemon {
-        self.child.kill().expect("kill");
+        let _ = self.child.kill();
         self.child.wait().expect("wait");
-        Daemon::try_start_at(settings, self.caller, self.admin).expect("a daemon that is ready")
+        // A connection of another program may have one of the ports for a moment.
+        let start = Instant::now();
+        loop {
+            if let Some(daemon) = Daemon::try_start_at(settings, self.caller, self.admin) {
+                return daemon;
+            }
+            assert!(start.elapsed() < HANG, "the daemon's ports are taken");
+            std::thread::sleep(Duration::from_millis(200));
+        }
+    }
+
+    /// Returns the id of the daemon's process.
+    pub fn pid(&self) -> u32 {
+        self.child.id()
     }
 
     fn try_start(settings: &Value) -> Option<Daemon> {
@@ -114,22 +127,23 @@
 
     /// Sends a signal to the daemon.
     pub fn signal(&self, name: &str) {
-        let pid = self.child.id().to_string();
-        let done = Command::new("kill").args([&format!("-{name}"), &pid]).status().expect("kill");
-        assert!(done.success());
+        assert!(send_signal(self.child.id(), name));
     }
 
-    /// Waits for the daemon's exit.
-    pub fn wait(mut self) -> ExitStatus {
+    /// Waits for the end of the daemon's process, which a later [`Daemon::restart`] replaces.
+    pub fn until_ended(&mut self) {
         let start = Instant::now();
-        loop {
-            if let Some(status) = self.child.try_wait().expect("wait") {
-                return status;
-            }
+        while self.child.try_wait().expect("wait").is_none() {
             assert!(start.elapsed() < HANG, "the daemon does not exit");
             std::thread::sleep(Duration::from_millis(10));
         }
     }
+
+    /// Waits for the daemon's exit.
+    pub fn wait(mut self) -> ExitStatus {
+        self.until_ended();
+        self.child.wait().expect("wait")
+    }
 }
 
 impl Drop for Daemon {
@@ -139,6 +153,12 @@
     }
 }
 
+/// Sends a signal to a process. Returns whether there is one.
+pub fn send_signal(pid: u32, name: &str) -> bool {
+    let args = [format!("-{name}"), pid.to_string()];
+    Command::new("kill").args(args).status().expect("kill").success()
+}
+
 fn launch(settings: &Value) -> Child {
     static COUNT: AtomicU32 = AtomicU32::new(0);
     let name = format!("{}-{}.json", std::process::id(), COUNT.fetch_add(1, Ordering::Relaxed));
--- /dev/null
+++ b/tests/soak/upstream.rs
@@ -0,0 +1,149 @@
+//! An upstream that signs its answers, tells its occupancy, and counts what it runs.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::{Duration, Instant};
+
+use parking_lot::Mutex;
+use serde_json::json;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::proxy::Proxy;
+use crate::world::{Arrival, World};
+
+/// Requests that one upstream runs at a time.
+const SLOTS: u32 = 4;
+/// The time that a request takes.
+const WORK: Duration = Duration::from_millis(25);
+
+/// What an upstream does wrong.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    None,
+    /// It runs requests and closes the connection without an answer.
+    LosesAnswers,
+    /// It answers with another request's id.
+    Mixes,
+    /// It breaks off in the body.
+    Cuts,
+    /// It takes ten times as long.
+    Slow,
+}
+
+/// A running upstream behind a proxy.
+#[derive(Debug)]
+pub struct Upstream {
+    pub id: String,
+    pub proxy: Arc<Proxy>,
+    fault: Mutex<Fault>,
+    running: AtomicU32,
+    world: Arc<World>,
+}
+
+impl Upstream {
+    /// Starts an upstream.
+    pub async fn start(id: &str, world: &Arc<World>) -> Arc<Upstream> {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("bind");
+        let address: SocketAddr = listener.local_addr().expect("bound");
+        let upstream = Arc::new(Upstream {
+            id: id.to_owned(),
+            proxy: Proxy::start(address).await,
+            fault: Mutex::new(Fault::None),
+            running: AtomicU32::new(0),
+            world: world.clone(),
+        });
+        let serving = upstream.clone();
+        tokio::spawn(async move {
+            loop {
+                let Ok((stream, _)) = listener.accept().await else { continue };
+                let upstream = serving.clone();
+                tokio::spawn(async move {
+                    // A broken connection is what callers have to bear with.
+                    let _ = upstream.serve(stream).await;
+                });
+            }
+        });
+        upstream
+    }
+
+    /// Sets what it does wrong from now on.
+    pub fn set(&self, fault: Fault) {
+        *self.fault.lock() = fault;
+    }
+
+    /// Returns its entry in the store.
+    pub fn entry(&self, state: &str) -> String {
+        json!({
+            "service": "dispatch", "address": self.proxy.address, "zone": "a", "version": "v1",
+            "slots": SLOTS, "state": state, "coldRemainingS": 0, "sequence": 1,
+        })
+        .to_string()
+    }
+
+    async fn serve(&self, mut stream: TcpStream) -> std::io::Result<()> {
+        let mut buf = Vec::new();
+        let mut chunk = [0; 4096];
+        loop {
+            let read = stream.read(&mut chunk).await?;
+            if read == 0 {
+                return Ok(());
+            }
+            buf.extend_from_slice(&chunk[..read]);
+            let Some(end) = buf.windows(4).position(|w| w == b"\r\n\r\n") else { continue };
+            let head = String::from_utf8_lossy(&buf[..end]).into_owned();
+            buf.drain(..end + 4);
+            let Some(answer) = self.answer(&head).await else { return Ok(()) };
+            stream.write_all(answer.as_bytes()).await?;
+            if answer.ends_with("body") {
+                return Ok(());
+            }
+        }
+    }
+
+    /// Returns the answer to a request; nothing where the connection ends without one.
+    async fn answer(&self, head: &str) -> Option<String> {
+        let load = |running: u32| format!("x-instance-load: {running},0,{SLOTS},100");
+        if head.starts_with("GET /health ") {
+            *self.world.probes.lock().entry(self.id.clone()).or_default() += 1;
+            let load = load(self.running.load(Ordering::SeqCst));
+            return Some(format!("HTTP/1.1 200 OK\r\n{load}\r\ncontent-length: 0\r\n\r\n"));
+        }
+        let id = field(head, "x-attempt-id").to_owned();
+        if field(head, "x-expect-instance") != self.id {
+            return Some("HTTP/1.1 421 Misdirected\r\ncontent-length: 0\r\n\r\n".to_owned());
+        }
+        if self.running.fetch_add(1, Ordering::SeqCst) >= SLOTS {
+            self.running.fetch_sub(1, Ordering::SeqCst);
+            let full = "HTTP/1.1 503 Full\r\nx-not-executed: 1\r\ncontent-length: 0\r\n\r\n";
+            return Some(full.to_owned());
+        }
+        let arrival = Arrival { id: id.clone(), upstream: self.id.clone(), at: Instant::now() };
+        self.world.arrivals.lock().push(arrival);
+        let fault = *self.fault.lock();
+        tokio::time::sleep(if fault == Fault::Slow { WORK * 10 } else { WORK }).await;
+        let running = self.running.fetch_sub(1, Ordering::SeqCst);
+        let body = format!("body of {id}");
+        let (echo, cut) = match fault {
+            Fault::LosesAnswers => return None,
+            Fault::Mixes => ("another", false),
+            Fault::Cuts => (id.as_str(), true),
+            Fault::None | Fault::Slow => (id.as_str(), false),
+        };
+        let sent = if cut { "body" } else { body.as_str() };
+        let (load, length) = (load(running), body.len());
+        Some(format!(
+            "HTTP/1.1 200 OK\r\nx-attempt-id: {echo}\r\nx-response-signature: s.{echo}\r\n{load}\r\n\
+             content-length: {length}\r\n\r\n{sent}"
+        ))
+    }
+}
+
+fn field<'a>(head: &'a str, name: &str) -> &'a str {
+    let value = |line: &'a str| {
+        let (found, value) = line.split_once(':')?;
+        found.eq_ignore_ascii_case(name).then(|| value.trim())
+    };
+    head.lines().find_map(value).unwrap_or("")
+}
--- /dev/null
+++ b/tests/soak/world.rs
@@ -0,0 +1,180 @@
+//! What the soak's upstreams and callers see, and the promises that it is held against.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use parking_lot::Mutex;
+
+/// Time within which a drain, a new route or the end of one is known everywhere: the bound of the
+/// users' deployments.
+pub const IN_FORCE: Duration = Duration::from_secs(2);
+/// Time without faults of the kinds that excuse a late host, before a bound holds.
+const CALM: Duration = Duration::from_secs(3);
+/// Probes a second and upstream that the fleet may send.
+pub const PROBES_PER_SECOND: f64 = 60.0;
+/// Retries of the fleet: a share of the requests and so many more in any window.
+pub const RETRY_SHARE: f64 = 0.2;
+pub const RETRY_SLACK: f64 = 40.0;
+pub const RETRY_WINDOW: Duration = Duration::from_secs(10);
+
+/// One arrival of a request at an upstream.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    pub id: String,
+    pub upstream: String,
+    pub at: Instant,
+}
+
+/// What a caller was told of one request.
+#[derive(Clone, Debug)]
+pub struct Told {
+    pub id: String,
+    pub idempotent: bool,
+    pub host: usize,
+    pub sent: Instant,
+    /// The route's version that the request's path needs; 0 for a route that is always there.
+    pub route: u64,
+    /// Nothing if the connection ended without an answer.
+    pub answer: Option<Reply>,
+}
+
+/// An answer.
+#[derive(Clone, Debug)]
+pub struct Reply {
+    pub status: u16,
+    pub signature: String,
+    pub body: String,
+}
+
+/// All that was seen.
+#[derive(Debug, Default)]
+pub struct World {
+    pub arrivals: Mutex<Vec<Arrival>>,
+    pub told: Mutex<Vec<Told>>,
+    /// When the store acknowledged that an upstream leaves.
+    pub left: Mutex<BTreeMap<String, Instant>>,
+    /// When the store acknowledged a version of the config.
+    pub versions: Mutex<BTreeMap<u64, Instant>>,
+    /// Spans in which the store, or a path to it, was impaired.
+    pub store_faults: Mutex<Vec<(Instant, Instant)>>,
+    /// Spans in which a host was stopped, killed or starting.
+    pub host_faults: Mutex<Vec<(usize, Instant, Instant)>>,
+    /// Times at which a host was asked to stop in order.
+    pub terms: Mutex<Vec<(usize, Instant)>>,
+    pub probes: Mutex<BTreeMap<String, u64>>,
+}
+
+impl World {
+    /// Returns each promise that was broken, with what shows it.
+    pub fn breaches(&self, began: Instant, ended: Instant) -> Vec<String> {
+        let mut out = Vec::new();
+        let runs = self.runs();
+        for told in self.told.lock().iter() {
+            let count = runs.get(told.id.as_str()).copied().unwrap_or(0);
+            if !told.idempotent && count > 1 {
+                out.push(format!("TWICE: {} ran {count} times", told.id));
+            }
+            let Some(reply) = &told.answer else {
+                out.extend(self.lost(told, count));
+                continue;
+            };
+            if !told.idempotent && matches!(reply.status, 408 | 421 | 429 | 503) && count > 0 {
+                out.push(format!("REFUSED: {} was told {} and ran", told.id, reply.status));
+            }
+            let (signature, body) = (format!("s.{}", told.id), format!("body of {}", told.id));
+            if reply.status == 200 && (reply.signature != signature || reply.body != body) {
+                out.push(format!("MIXED: {} got {reply:?}", told.id));
+            }
+            out.extend(self.outdated(told, reply));
+        }
+        out.extend(self.drains());
+        out.extend(self.retries());
+        let seconds = ended.duration_since(began).as_secs_f64();
+        for (upstream, probes) in self.probes.lock().iter() {
+            if *probes as f64 > PROBES_PER_SECOND * seconds {
+                out.push(format!("PROBES: {upstream} was asked {probes} times in {seconds} s"));
+            }
+        }
+        out
+    }
+
+    fn runs(&self) -> BTreeMap<String, u64> {
+        let mut runs = BTreeMap::new();
+        for arrival in self.arrivals.lock().iter() {
+            *runs.entry(arrival.id.clone()).or_default() += 1;
+        }
+        runs
+    }
+
+    /// A request that an upstream ran was cut off although its host only stopped in order.
+    fn lost(&self, told: &Told, runs: u64) -> Option<String> {
+        let until = told.sent + IN_FORCE;
+        let was_asked = self.terms.lock().iter().any(|(host, at)| {
+            *host == told.host && *at <= until && told.sent <= *at + Duration::from_secs(1)
+        });
+        let is_calm = self.is_host_calm(told.host, told.sent - CALM, until);
+        (was_asked && is_calm && runs > 0).then(|| format!("LOST: {} ran, no answer", told.id))
+    }
+
+    /// A route that was long in force was not found.
+    fn outdated(&self, told: &Told, reply: &Reply) -> Option<String> {
+        let known = *self.versions.lock().get(&told.route)?;
+        let is_due = told.sent.checked_duration_since(known)? > IN_FORCE;
+        let (from, to) = (told.sent - CALM, told.sent);
+        let is_calm = self.is_store_calm(from, to) && self.is_host_calm(told.host, from, to);
+        let is_denied = reply.status == 404 && is_due && is_calm;
+        is_denied.then(|| format!("CONFIG: {} denied, version {}", told.id, told.route))
+    }
+
+    /// A request came to an upstream long after the store had acknowledged that it leaves.
+    fn drains(&self) -> Vec<String> {
+        let left = self.left.lock();
+        let late = |a: &&Arrival| {
+            let since = left.get(&a.upstream).and_then(|t| a.at.checked_duration_since(*t));
+            let from = a.at - CALM - IN_FORCE;
+            let calm = self.is_store_calm(from, a.at) && self.are_hosts_calm(from, a.at);
+            since.is_some_and(|t| t > IN_FORCE) && calm
+        };
+        let arrivals = self.arrivals.lock();
+        arrivals
+            .iter()
+            .filter(late)
+            .map(|a| format!("DRAIN: {} ran at {}", a.id, a.upstream))
+            .collect()
+    }
+
+    /// Arrivals beyond the first of each request exceed the budget in some window.
+    fn retries(&self) -> Option<String> {
+        let mut seen = std::collections::BTreeSet::new();
+        let mut repeats: Vec<Instant> = Vec::new();
+        for arrival in self.arrivals.lock().iter() {
+            if !seen.insert(arrival.id.clone()) {
+                repeats.push(arrival.at);
+            }
+        }
+        let told = self.told.lock();
+        for (i, end) in repeats.iter().enumerate() {
+            let within = |at: &Instant| *at <= *end && end.duration_since(*at) < RETRY_WINDOW;
+            let count = repeats[..=i].iter().filter(|at| within(at)).count() as f64;
+            // Requests are told when they have ended, some time after they came.
+            let requests = told.iter().filter(|t| within(&t.sent)).count() as f64;
+            if count > requests * RETRY_SHARE + RETRY_SLACK {
+                return Some(format!("BUDGET: {count} repeats of {requests} requests"));
+            }
+        }
+        None
+    }
+
+    fn is_store_calm(&self, from: Instant, to: Instant) -> bool {
+        !self.store_faults.lock().iter().any(|(start, end)| *start <= to && *end >= from)
+    }
+
+    fn is_host_calm(&self, host: usize, from: Instant, to: Instant) -> bool {
+        let faults = self.host_faults.lock();
+        !faults.iter().any(|(h, start, end)| *h == host && *start <= to && *end >= from)
+    }
+
+    fn are_hosts_calm(&self, from: Instant, to: Instant) -> bool {
+        !self.host_faults.lock().iter().any(|(_, start, end)| *start <= to && *end >= from)
+    }
+}
