Fetch a record from one peer at a time; keep informed of two near upstreams

Probes beside requests went to the upstreams that the fleet's hash gave the host, a quarter of them in other data centres.

Change: a version that is being fetched is fetched from another peer only after 700 ms; a host keeps informed of two upstreams of its data centre by rendezvous hashing.

--- a/src/decide/measure.rs
+++ b/src/decide/measure.rs
@@ -66,7 +66,7 @@
     rows: &[Row],
     requested: Option<Time>,
     now: Time,
-    owned: impl Fn(&str) -> bool,
+    owned: impl Fn(&Row) -> bool,
 ) -> Option<&Row> {
     let used = requested.is_some_and(|at| now.since(at) < IDLE);
     if !used || rows.iter().filter(|r| open(r)).nth(1).is_none() {
@@ -75,7 +75,7 @@
     let known = |r: &Row| r.load.map_or(r.probed, |l| l.at.max(r.probed));
     let stale = |r: &Row| now.since(known(r)) >= FRESH || now.since(r.probed) >= HEALTH;
     let due = |r: &&Row| open(r) && !r.health.ejected(now) && stale(r);
-    rows.iter().filter(due).filter(|r| owned(&r.name)).min_by_key(|r| r.probed)
+    rows.iter().filter(due).filter(|r| owned(r)).min_by_key(|r| r.probed)
 }
 
 /// Tells whether an upstream takes work, or is leaving by nothing but its own word and may be
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -26,6 +26,7 @@
 pub(crate) mod capacity;
 pub(crate) mod concurrency;
 pub(crate) mod drain;
+pub(crate) mod fetch;
 pub(crate) mod health;
 pub mod kinds;
 pub(crate) mod load;
--- a/src/decide/service.rs
+++ b/src/decide/service.rs
@@ -8,6 +8,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use twox_hash::XxHash64;
+
 use crate::config::{self, Service};
 use crate::decide::admit::{Target, Ticket};
 use crate::decide::baseline::Baseline;
@@ -77,6 +79,12 @@
 
 /// Time between two searches for an upstream to probe.
 const PROBE_INTERVAL: Duration = Duration::from_millis(50);
+/// The same where upstreams tell their occupancy: reports that a request finds beside those that are
+/// asked for it.
+const REPORT_INTERVAL: Duration = Duration::from_millis(125);
+/// Upstreams that a host keeps informed of: at four reports a second of each, a quarter of the probes
+/// that the users' largest deployment leaves to one host.
+const HOME_SIZE: usize = 2;
 /// Time without requests after which a service is quiet.
 const QUIET_AFTER: Duration = Duration::from_secs(5);
 /// Changes that are held until they are asked for.
@@ -245,13 +253,21 @@
         std::mem::take(&mut self.changes)
     }
 
-    /// Returns the upstreams to probe now. `owned` tells which upstreams are this host's to probe.
+    /// Returns the upstreams to probe now. `owned` tells which upstreams are this host's to probe. Where
+    /// upstreams tell their occupancy, a report is of use to the host that asked for it alone, and
+    /// each host keeps informed of a few.
     pub fn probes(&mut self, now: Time, owned: impl Fn(&str) -> bool) -> Vec<Target> {
         if now < self.probes_sought || self.cfg.measure.path.is_empty() || !self.probes.ready(now) {
             return Vec::new();
         }
-        self.probes_sought = now + PROBE_INTERVAL;
-        let chosen = measure::choose(&self.rows, self.requested, now, owned);
+        let chosen = if self.is_timed() {
+            self.probes_sought = now + REPORT_INTERVAL;
+            let home = self.home();
+            measure::choose(&self.rows, self.requested, now, |r| home.contains(&r.id))
+        } else {
+            self.probes_sought = now + PROBE_INTERVAL;
+            measure::choose(&self.rows, self.requested, now, |r| owned(&r.name))
+        };
         let Some((id, target)) = chosen.map(|r| (r.id, target(r))) else { return Vec::new() };
         if !self.probes.take(now) {
             return Vec::new();
@@ -262,6 +278,19 @@
         vec![target]
     }
 
+    /// Returns the upstreams that this host keeps informed of: a few of its own data centre, by
+    /// rendezvous hashing, so that hosts spread over all of them and their connections are used.
+    fn home(&self) -> Vec<UpstreamId> {
+        let rank = |r: &Row| {
+            let seed = XxHash64::oneshot(0, self.facts.host.as_bytes());
+            (r.data_centre != self.facts.data_centre, XxHash64::oneshot(seed, r.name.as_bytes()))
+        };
+        let live = self.rows.iter().filter(|r| r.state == State::Live);
+        let mut ranked: Vec<_> = live.map(|r| (rank(r), r.id)).collect();
+        ranked.sort_unstable();
+        ranked.into_iter().take(HOME_SIZE).map(|(_, id)| id).collect()
+    }
+
     /// Returns what this host may spend on retries.
     pub(crate) fn retry_limits(&self) -> RetryLimits {
         RetryLimits {
--- a/src/peer/local.rs
+++ b/src/peer/local.rs
@@ -9,6 +9,7 @@
 use prometheus::IntCounter;
 
 use crate::decide::digest::{Summary, UpstreamName, Version};
+use crate::decide::fetch::Fetches;
 use crate::decide::leaving::{SIGHTING_AGE_MAX, Sighting, Sightings};
 use crate::decide::member::Process;
 use crate::decide::upstream::Shared;
@@ -35,6 +36,8 @@
     pub(crate) traffic: Traffic,
     /// Comparisons of whole catalogs that are under way.
     pub(crate) comparisons: Cell<usize>,
+    /// Versions that are being fetched.
+    pub(crate) fetches: RefCell<Fetches>,
     /// Versions that this host can't read.
     pub(crate) unreadable: RefCell<Vec<Version>>,
     /// Upstreams that some host has seen to be leaving.
@@ -60,6 +63,7 @@
             process: RefCell::new(process),
             traffic: Traffic::default(),
             comparisons: Cell::default(),
+            fetches: RefCell::default(),
             unreadable: RefCell::default(),
             sightings: RefCell::default(),
             sent: node.metrics.control_bytes("sent"),
--- a/src/peer/pull.rs
+++ b/src/peer/pull.rs
@@ -9,6 +9,7 @@
 use tokio::task::spawn_local;
 
 use crate::decide::digest::{Version, newer};
+use crate::decide::fetch;
 use crate::decide::stored::{self, Stored};
 use crate::peer::codec;
 use crate::peer::local::Local;
@@ -39,9 +40,25 @@
     differs_since: Cell<Option<Time>>,
 }
 
-/// Fetches `wanted`, and compares the whole catalogs if they still differ after that. Does nothing
-/// while a fetch over the connection is running.
+/// Fetches `wanted`, and compares the whole catalogs if they still differ after that. What is being
+/// fetched from another peer is fetched later, if it is still lacking then. Does nothing while a
+/// fetch over the connection is running.
 pub(crate) fn start(session: &Rc<Session>, wanted: Vec<Version>, pauses: u64) {
+    let now = session.local.node.clock.now();
+    let mut fetches = session.local.fetches.borrow_mut();
+    let (wanted, later): (Vec<Version>, Vec<Version>) =
+        wanted.into_iter().partition(|v| fetches.begin(v, now));
+    drop(fetches);
+    if !later.is_empty() {
+        let session = session.clone();
+        spawn_local(async move {
+            tokio::time::sleep(fetch::AGAIN_AFTER).await;
+            let lacking = newer(&session.local.node.catalog.lock(), later);
+            if !lacking.is_empty() {
+                start(&session, lacking, pauses);
+            }
+        });
+    }
     if !session.pulls.running.replace(true) {
         let session = session.clone();
         spawn_local(async move {
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -379,3 +379,24 @@
     let choice = bench.runs(&req).choice.expect("a choice");
     assert!(choice.slowdown > 1.4, "{}", choice.slowdown);
 }
+
+/// On a fleet of 122 hosts an upstream was probed by whichever host the fleet's hash chose, also from
+/// another data centre, though the report was of use to that host alone.
+#[test]
+fn a_host_keeps_informed_of_a_few_upstreams_of_its_own_data_centre() {
+    let mut bench = Bench::new(10, 30);
+    let mut asked = Vec::new();
+    for _ in 0..400 {
+        bench.now = bench.now + ms(50);
+        let req = bench.request(1, Priority::Normal);
+        bench.admit(&req);
+        asked.extend(bench.table.probes(bench.now, |_| true).into_iter().map(|t| t.id));
+    }
+    let in_time = asked.len();
+    asked.sort();
+    asked.dedup();
+    assert!(asked.iter().all(|id| *id < UpstreamId::from(10)), "{asked:?}");
+    assert_eq!(asked.len(), 2);
+    // Each four times a second, for 20 s.
+    assert!((100..=160).contains(&in_time), "{in_time} probes");
+}
