Fetch later what a connection can't fetch now

Cause: what a peer offered while a fetch over its connection was running was dropped, and now also counted as being fetched, so that the other neighbours waited for nothing. Found by reading the change.

Change: it is fetched after the pause for a second fetch, if it is still lacking and the connection stands.

--- a/src/decide/fetch.rs
+++ b/src/decide/fetch.rs
@@ -15,7 +15,7 @@
 /// of it over a link of 10 Mbit/s.
 pub(crate) const AGAIN_AFTER: Duration = Duration::from_millis(700);
 
-/// The versions that are being fetched, with the times of their begin.
+/// The versions that are being fetched, and when each fetch began.
 #[derive(Debug, Default)]
 pub(crate) struct Fetches {
     rows: Vec<(Version, Time)>,
--- a/src/decide/service.rs
+++ b/src/decide/service.rs
@@ -84,7 +84,7 @@
 const REPORT_INTERVAL: Duration = Duration::from_millis(125);
 /// Upstreams that a host keeps informed of: at four reports a second of each, a quarter of the probes
 /// that the users' largest deployment leaves to one host.
-const HOME_SIZE: usize = 2;
+const WATCHED: usize = 2;
 /// Time without requests after which a service is quiet.
 const QUIET_AFTER: Duration = Duration::from_secs(5);
 /// Changes that are held until they are asked for.
@@ -262,8 +262,8 @@
         }
         let chosen = if self.is_timed() {
             self.probes_sought = now + REPORT_INTERVAL;
-            let home = self.home();
-            measure::choose(&self.rows, self.requested, now, |r| home.contains(&r.id))
+            let watched = self.watched();
+            measure::choose(&self.rows, self.requested, now, |r| watched.contains(&r.id))
         } else {
             self.probes_sought = now + PROBE_INTERVAL;
             measure::choose(&self.rows, self.requested, now, |r| owned(&r.name))
@@ -280,7 +280,7 @@
 
     /// Returns the upstreams that this host keeps informed of: a few of its own data centre, by
     /// rendezvous hashing, so that hosts spread over all of them and their connections are used.
-    fn home(&self) -> Vec<UpstreamId> {
+    fn watched(&self) -> Vec<UpstreamId> {
         let rank = |r: &Row| {
             let seed = XxHash64::oneshot(0, self.facts.host.as_bytes());
             (r.data_centre != self.facts.data_centre, XxHash64::oneshot(seed, r.name.as_bytes()))
@@ -288,7 +288,7 @@
         let live = self.rows.iter().filter(|r| r.state == State::Live);
         let mut ranked: Vec<_> = live.map(|r| (rank(r), r.id)).collect();
         ranked.sort_unstable();
-        ranked.into_iter().take(HOME_SIZE).map(|(_, id)| id).collect()
+        ranked.into_iter().take(WATCHED).map(|(_, id)| id).collect()
     }
 
     /// Returns what this host may spend on retries.
--- a/src/peer/pull.rs
+++ b/src/peer/pull.rs
@@ -40,34 +40,40 @@
     differs_since: Cell<Option<Time>>,
 }
 
-/// Fetches `wanted`, and compares the whole catalogs if they still differ after that. What is being
-/// fetched from another peer is fetched later, if it is still lacking then. Does nothing while a
-/// fetch over the connection is running.
+/// Fetches `wanted`, and compares the whole catalogs if they still differ after that. What can't be
+/// fetched now, because another peer or this connection is at it, is fetched later if it is still
+/// lacking then.
 pub(crate) fn start(session: &Rc<Session>, wanted: Vec<Version>, pauses: u64) {
+    if session.pulls.running.replace(true) {
+        return start_later(session, wanted, pauses);
+    }
     let now = session.local.node.clock.now();
     let mut fetches = session.local.fetches.borrow_mut();
     let (wanted, later): (Vec<Version>, Vec<Version>) =
         wanted.into_iter().partition(|v| fetches.begin(v, now));
     drop(fetches);
-    if !later.is_empty() {
-        let session = session.clone();
-        spawn_local(async move {
-            tokio::time::sleep(fetch::AGAIN_AFTER).await;
-            let lacking = newer(&session.local.node.catalog.lock(), later);
-            if !lacking.is_empty() {
-                start(&session, lacking, pauses);
-            }
-        });
-    }
-    if !session.pulls.running.replace(true) {
-        let session = session.clone();
-        spawn_local(async move {
-            if let Err(e) = pull(&session, wanted, pauses).await {
-                log::debug!("fetch from peer: {e}");
-            }
-            session.pulls.running.set(false);
-        });
+    start_later(session, later, pauses);
+    let session = session.clone();
+    spawn_local(async move {
+        if let Err(e) = pull(&session, wanted, pauses).await {
+            log::debug!("fetch from peer: {e}");
+        }
+        session.pulls.running.set(false);
+    });
+}
+
+fn start_later(session: &Rc<Session>, wanted: Vec<Version>, pauses: u64) {
+    if wanted.is_empty() {
+        return;
     }
+    let session = session.clone();
+    spawn_local(async move {
+        tokio::time::sleep(fetch::AGAIN_AFTER).await;
+        let lacking = newer(&session.local.node.catalog.lock(), wanted);
+        if !lacking.is_empty() && session.remote().is_ok() {
+            start(&session, lacking, pauses);
+        }
+    });
 }
 
 async fn pull(session: &Session, wanted: Vec<Version>, pauses: u64) -> Result<(), Error> {
