--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -229,21 +229,17 @@
         let start = Instant::now();
         daemon.signal(signal);
         let (in_order, settings) = (signal == "TERM", self.settings[host].clone());
-        if in_order {
-            self.world.terms.lock().push((host, start));
-        }
         let mut daemon = daemon;
-        let ended = tokio::task::spawn_blocking(move || {
+        let restarted = tokio::task::spawn_blocking(move || {
             if in_order {
                 daemon.until_ended();
             }
-            let ended = Instant::now();
-            (ended, daemon.restart(&settings))
+            daemon.restart(&settings)
         });
-        let (ended, daemon) = ended.await.expect("a restart");
-        *self.hosts[host].lock() = Some(daemon);
-        let from = if in_order { ended } else { start };
-        self.world.host_faults.lock().push((host, from, Instant::now()));
+        *self.hosts[host].lock() = Some(restarted.await.expect("a restart"));
+        let world = &self.world;
+        let spans = if in_order { &world.terms } else { &world.host_faults };
+        spans.lock().push((host, start, Instant::now()));
     }
 
     async fn freeze(&self, host: usize, length: Duration) {
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -10,11 +10,13 @@
 pub const IN_FORCE: Duration = Duration::from_secs(2);
 /// Time without faults of the kinds that excuse a late host, before a bound holds.
 const CALM: Duration = Duration::from_secs(3);
-/// Probes a second and upstream that the fleet may send.
-pub const PROBES_PER_SECOND: f64 = 60.0;
-/// Retries of the fleet: a share of the requests and so many more in any window.
-pub const RETRY_SHARE: f64 = 0.2;
-pub const RETRY_SLACK: f64 = 40.0;
+/// Probes a second and upstream that the fleet may send: less than the users allow, so that the load here
+/// reaches it.
+pub const PROBES_PER_SECOND: f64 = 20.0;
+/// Retries of the fleet: a share of the requests and so many more in any window. Less than the users
+/// allow, so that faults of some seconds reach it.
+pub const RETRY_SHARE: f64 = 0.01;
+pub const RETRY_SLACK: f64 = 2.0;
 pub const RETRY_WINDOW: Duration = Duration::from_secs(10);
 
 /// One arrival of a request at an upstream.
@@ -57,10 +59,10 @@
     pub versions: Mutex<BTreeMap<u64, Instant>>,
     /// Spans in which the store, or a path to it, was impaired.
     pub store_faults: Mutex<Vec<(Instant, Instant)>>,
-    /// Spans in which a host was stopped, killed or starting.
+    /// Spans in which a host was frozen, or was killed and starting.
     pub host_faults: Mutex<Vec<(usize, Instant, Instant)>>,
-    /// Times at which a host was asked to stop in order.
-    pub terms: Mutex<Vec<(usize, Instant)>>,
+    /// When a host was asked to stop in order, and when the next process was ready.
+    pub terms: Mutex<Vec<(usize, Instant, Instant)>>,
     pub probes: Mutex<BTreeMap<String, u64>>,
 }
 
@@ -109,10 +111,13 @@
     /// A request that an upstream ran was cut off although its host only stopped in order.
     fn lost(&self, told: &Told, runs: u64) -> Option<String> {
         let until = told.sent + IN_FORCE;
-        let was_asked = self.terms.lock().iter().any(|(host, at)| {
-            *host == told.host && *at <= until && told.sent <= *at + Duration::from_secs(1)
-        });
-        let is_calm = self.is_host_calm(told.host, told.sent - CALM, until);
+        let was_asked = self
+            .terms
+            .lock()
+            .iter()
+            .any(|(host, at, ready)| *host == told.host && *at <= until && told.sent <= *ready);
+        let faults = self.host_faults.lock();
+        let is_calm = is_calm(&faults, told.host, told.sent - CALM, until);
         (was_asked && is_calm && runs > 0).then(|| format!("LOST: {} ran, no answer", told.id))
     }
 
@@ -173,7 +178,12 @@
     }
 
     fn is_host_calm(&self, host: usize, from: Instant, to: Instant) -> bool {
-        let faults = self.host_faults.lock();
-        !faults.iter().any(|(h, start, end)| *h == host && *start <= to && *end >= from)
+        is_calm(&self.host_faults.lock(), host, from, to)
+            && is_calm(&self.terms.lock(), host, from, to)
     }
 }
+
+/// Tells whether no span of a host touches the time between `from` and `to`.
+fn is_calm(spans: &[(usize, Instant, Instant)], host: usize, from: Instant, to: Instant) -> bool {
+    !spans.iter().any(|(h, start, end)| *h == host && *start <= to && *end >= from)
+}
