--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -10,11 +10,11 @@
 
 #[path = "../harness/mod.rs"]
 mod harness;
+mod observed;
 mod proxy;
 #[path = "../../examples/standin/mod.rs"]
 mod standin;
 mod upstream;
-mod world;
 
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::sync::Arc;
@@ -30,10 +30,10 @@
 use serde_json::{Value, json};
 
 use harness::{Caller, Daemon};
+use observed::{Answer, IN_FORCE, Observed, Outcome, PROBES_PER_SECOND, RETRY_SHARE, RETRY_SLACK};
 use proxy::{Mode, Proxy};
 use standin::registry::Registry;
 use upstream::{Fault, Upstream};
-use world::{IN_FORCE, PROBES_PER_SECOND, RETRY_SHARE, RETRY_SLACK, Reply, Told, World};
 
 /// Seeds of the run in CI. Seeds that ever failed stay here, each with a line on its cause.
 const SEEDS: [u64; 2] = [1, 2];
@@ -58,7 +58,7 @@
 
 /// One fleet under one schedule of faults.
 struct Soak {
-    world: Arc<World>,
+    observed: Arc<Observed>,
     registry: Arc<Registry>,
     store: Arc<Proxy>,
     settings: Vec<Value>,
@@ -102,13 +102,13 @@
 impl Soak {
     async fn start(hosts: usize) -> Arc<Soak> {
         let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
-        let world = Arc::new(World::default());
+        let observed = Arc::new(Observed::default());
         let registry = Registry::start(any).await;
         let store = Proxy::start(registry.address).await;
         registry.put("op/config", &config(1));
         let mut upstreams = Vec::new();
         for i in 0..UPSTREAMS {
-            let upstream = Upstream::start(&format!("u-{i}"), &world).await;
+            let upstream = Upstream::start(&format!("u-{i}"), &observed).await;
             registry.put(&format!("servers/u-{i}"), &upstream.entry("ready"));
             upstreams.push(upstream);
         }
@@ -127,7 +127,7 @@
             .collect();
         let daemons: Vec<Daemon> = settings.iter().map(Daemon::run).collect();
         Arc::new(Soak {
-            world,
+            observed,
             registry,
             store,
             addresses: daemons.iter().map(|d| d.caller).collect(),
@@ -173,13 +173,20 @@
                 let signature = res.headers().get("x-response-signature");
                 let signature = signature.and_then(|v| v.to_str().ok()).unwrap_or("").to_owned();
                 let body = String::from_utf8_lossy(res.body()).into_owned();
-                Reply { status: res.status().as_u16(), signature, body }
+                Answer { status: res.status().as_u16(), signature, body }
             });
             if answer.is_some() {
                 kept = Some((host, conn));
             }
             let idempotent = method == "GET";
-            self.world.told.lock().push(Told { id, idempotent, host, sent, route, answer });
+            self.observed.outcomes.lock().push(Outcome {
+                id,
+                idempotent,
+                host,
+                sent,
+                route,
+                answer,
+            });
         }
     }
 
@@ -237,8 +244,8 @@
             daemon.restart(&settings)
         });
         *self.hosts[host].lock() = Some(restarted.await.expect("a restart"));
-        let world = &self.world;
-        let spans = if in_order { &world.terms } else { &world.host_faults };
+        let observed = &self.observed;
+        let spans = if in_order { &observed.terms } else { &observed.host_faults };
         spans.lock().push((host, start, Instant::now()));
     }
 
@@ -249,13 +256,13 @@
         tokio::time::sleep(length).await;
         // It may have been asked to stop, or was killed, meanwhile.
         harness::send_signal(pid, "CONT");
-        self.world.host_faults.lock().push((host, start, Instant::now()));
+        self.observed.host_faults.lock().push((host, start, Instant::now()));
     }
 
     async fn impair_store(&self, length: Duration) {
         let start = Instant::now();
         tokio::time::sleep(length).await;
-        self.world.store_faults.lock().push((start, Instant::now()));
+        self.observed.store_faults.lock().push((start, Instant::now()));
     }
 
     /// Has an upstream leave: it serves on for a while and is then gone.
@@ -269,13 +276,14 @@
         };
         let key = format!("servers/{}", upstream.id);
         self.registry.put(&key, &upstream.entry("draining"));
-        self.world.left.lock().insert(upstream.id.clone(), Instant::now());
+        self.observed.left.lock().insert(upstream.id.clone(), Instant::now());
         tokio::time::sleep(IN_FORCE * 2).await;
         self.registry.remove(&key);
     }
 
     async fn join(&self, rng: &mut SmallRng) {
-        let upstream = Upstream::start(&format!("u-{:x}", rng.random::<u32>()), &self.world).await;
+        let upstream =
+            Upstream::start(&format!("u-{:x}", rng.random::<u32>()), &self.observed).await;
         self.registry.put(&format!("servers/{}", upstream.id), &upstream.entry("ready"));
         self.upstreams.lock().push(upstream);
     }
@@ -283,7 +291,7 @@
     fn publish(&self) {
         let version = *self.version.lock() + 1;
         self.registry.put("op/config", &config(version));
-        self.world.versions.lock().insert(version, Instant::now());
+        self.observed.versions.lock().insert(version, Instant::now());
         *self.version.lock() = version;
     }
 
@@ -334,16 +342,17 @@
     for caller in callers {
         caller.await.expect("a caller");
     }
-    let mut broken = soak.world.breaches(began, Instant::now());
-    let told = soak.world.told.lock();
-    let settled: Vec<&Told> = told.iter().filter(|t| t.sent > ended - SETTLE).collect();
-    let is_served = |t: &&&Told| t.answer.as_ref().is_some_and(|a| a.status == 200);
+    let mut broken = soak.observed.breaches(began, Instant::now());
+    let outcomes = soak.observed.outcomes.lock();
+    let settled: Vec<&Outcome> = outcomes.iter().filter(|t| t.sent > ended - SETTLE).collect();
+    let is_served = |t: &&&Outcome| t.answer.as_ref().is_some_and(|a| a.status == 200);
     let served = settled.iter().filter(is_served).count();
     if served * 10 < settled.len() * 9 || settled.is_empty() {
         broken.push(format!("RECOVER: {served} of {} served at the end", settled.len()));
     }
-    let served = told.iter().filter(|t| is_served(&t)).count();
-    let figures = format!("seed {seed}: {count} faults, {} requests, {served} served", told.len());
+    let served = outcomes.iter().filter(|t| is_served(&t)).count();
+    let figures =
+        format!("seed {seed}: {count} faults, {} requests, {served} served", outcomes.len());
     (broken, figures)
 }
 
--- a/tests/soak/world.rs
+++ b/tests/soak/observed.rs
@@ -29,7 +29,7 @@
 
 /// What a caller was told of one request.
 #[derive(Clone, Debug)]
-pub struct Told {
+pub struct Outcome {
     pub id: String,
     pub idempotent: bool,
     pub host: usize,
@@ -37,12 +37,12 @@
     /// The route's version that the request's path needs; 0 for a route that is always there.
     pub route: u64,
     /// Nothing if the connection ended without an answer.
-    pub answer: Option<Reply>,
+    pub answer: Option<Answer>,
 }
 
 /// An answer.
 #[derive(Clone, Debug)]
-pub struct Reply {
+pub struct Answer {
     pub status: u16,
     pub signature: String,
     pub body: String,
@@ -50,9 +50,9 @@
 
 /// All that was seen.
 #[derive(Debug, Default)]
-pub struct World {
+pub struct Observed {
     pub arrivals: Mutex<Vec<Arrival>>,
-    pub told: Mutex<Vec<Told>>,
+    pub outcomes: Mutex<Vec<Outcome>>,
     /// When the store acknowledged that an upstream leaves.
     pub left: Mutex<BTreeMap<String, Instant>>,
     /// When the store acknowledged a version of the config.
@@ -66,28 +66,29 @@
     pub probes: Mutex<BTreeMap<String, u64>>,
 }
 
-impl World {
+impl Observed {
     /// Returns each promise that was broken, with what shows it.
     pub fn breaches(&self, began: Instant, ended: Instant) -> Vec<String> {
         let mut out = Vec::new();
         let runs = self.runs();
-        for told in self.told.lock().iter() {
-            let count = runs.get(told.id.as_str()).copied().unwrap_or(0);
-            if !told.idempotent && count > 1 {
-                out.push(format!("TWICE: {} ran {count} times", told.id));
+        for outcome in self.outcomes.lock().iter() {
+            let count = runs.get(outcome.id.as_str()).copied().unwrap_or(0);
+            if !outcome.idempotent && count > 1 {
+                out.push(format!("TWICE: {} ran {count} times", outcome.id));
             }
-            let Some(reply) = &told.answer else {
-                out.extend(self.lost(told, count));
+            let Some(answer) = &outcome.answer else {
+                out.extend(self.lost(outcome, count));
                 continue;
             };
-            if !told.idempotent && matches!(reply.status, 408 | 421 | 429 | 503) && count > 0 {
-                out.push(format!("REFUSED: {} was told {} and ran", told.id, reply.status));
+            if !outcome.idempotent && matches!(answer.status, 408 | 421 | 429 | 503) && count > 0 {
+                out.push(format!("REFUSED: {} was told {} and ran", outcome.id, answer.status));
             }
-            let (signature, body) = (format!("s.{}", told.id), format!("body of {}", told.id));
-            if reply.status == 200 && (reply.signature != signature || reply.body != body) {
-                out.push(format!("MIXED: {} got {reply:?}", told.id));
+            let (signature, body) =
+                (format!("s.{}", outcome.id), format!("body of {}", outcome.id));
+            if answer.status == 200 && (answer.signature != signature || answer.body != body) {
+                out.push(format!("MIXED: {} got {answer:?}", outcome.id));
             }
-            out.extend(self.outdated(told, reply));
+            out.extend(self.outdated(outcome, answer));
         }
         out.extend(self.drains());
         out.extend(self.retries());
@@ -109,33 +110,31 @@
     }
 
     /// A request that an upstream ran was cut off although its host only stopped in order.
-    fn lost(&self, told: &Told, runs: u64) -> Option<String> {
-        let until = told.sent + IN_FORCE;
-        let was_asked = self
-            .terms
-            .lock()
-            .iter()
-            .any(|(host, at, ready)| *host == told.host && *at <= until && told.sent <= *ready);
+    fn lost(&self, outcome: &Outcome, runs: u64) -> Option<String> {
+        let until = outcome.sent + IN_FORCE;
+        let was_asked = self.terms.lock().iter().any(|(host, at, ready)| {
+            *host == outcome.host && *at <= until && outcome.sent <= *ready
+        });
         let faults = self.host_faults.lock();
-        let is_calm = is_calm(&faults, told.host, told.sent - CALM, until);
-        (was_asked && is_calm && runs > 0).then(|| format!("LOST: {} ran, no answer", told.id))
+        let is_calm = is_calm(&faults, outcome.host, outcome.sent - CALM, until);
+        (was_asked && is_calm && runs > 0).then(|| format!("LOST: {} ran, no answer", outcome.id))
     }
 
     /// A route that was long in force was not found.
-    fn outdated(&self, told: &Told, reply: &Reply) -> Option<String> {
-        let known = *self.versions.lock().get(&told.route)?;
-        let is_due = told.sent.checked_duration_since(known)? > IN_FORCE;
-        let (from, to) = (told.sent - CALM, told.sent);
-        let is_calm = self.is_store_calm(from, to) && self.is_host_calm(told.host, from, to);
-        let is_denied = reply.status == 404 && is_due && is_calm;
-        is_denied.then(|| format!("CONFIG: {} denied, version {}", told.id, told.route))
+    fn outdated(&self, outcome: &Outcome, answer: &Answer) -> Option<String> {
+        let known = *self.versions.lock().get(&outcome.route)?;
+        let is_due = outcome.sent.checked_duration_since(known)? > IN_FORCE;
+        let (from, to) = (outcome.sent - CALM, outcome.sent);
+        let is_calm = self.is_store_calm(from, to) && self.is_host_calm(outcome.host, from, to);
+        let is_denied = answer.status == 404 && is_due && is_calm;
+        is_denied.then(|| format!("CONFIG: {} denied, version {}", outcome.id, outcome.route))
     }
 
     /// A request came to an upstream long after the store had acknowledged that it leaves.
     fn drains(&self) -> Vec<String> {
         let left = self.left.lock();
         let hosts: BTreeMap<String, usize> =
-            self.told.lock().iter().map(|t| (t.id.clone(), t.host)).collect();
+            self.outcomes.lock().iter().map(|t| (t.id.clone(), t.host)).collect();
         let late = |a: &&Arrival| {
             let Some(left) = left.get(&a.upstream) else { return false };
             let Some(host) = hosts.get(&a.id) else { return false };
@@ -160,12 +159,12 @@
                 repeats.push(arrival.at);
             }
         }
-        let told = self.told.lock();
+        let outcomes = self.outcomes.lock();
         for (i, end) in repeats.iter().enumerate() {
             let within = |at: &Instant| *at <= *end && end.duration_since(*at) < RETRY_WINDOW;
             let count = repeats[..=i].iter().filter(|at| within(at)).count() as f64;
-            // Requests are told when they have ended, some time after they came.
-            let requests = told.iter().filter(|t| within(&t.sent)).count() as f64;
+            // The list is in the order of the ends of requests.
+            let requests = outcomes.iter().filter(|t| within(&t.sent)).count() as f64;
             if count > requests * RETRY_SHARE + RETRY_SLACK {
                 return Some(format!("BUDGET: {count} repeats of {requests} requests"));
             }
--- a/tests/soak/upstream.rs
+++ b/tests/soak/upstream.rs
@@ -10,8 +10,8 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
+use crate::observed::{Arrival, Observed};
 use crate::proxy::Proxy;
-use crate::world::{Arrival, World};
 
 /// Requests that one upstream runs at a time.
 const SLOTS: u32 = 4;
@@ -39,12 +39,12 @@
     pub proxy: Arc<Proxy>,
     fault: Mutex<Fault>,
     running: AtomicU32,
-    world: Arc<World>,
+    observed: Arc<Observed>,
 }
 
 impl Upstream {
     /// Starts an upstream.
-    pub async fn start(id: &str, world: &Arc<World>) -> Arc<Upstream> {
+    pub async fn start(id: &str, observed: &Arc<Observed>) -> Arc<Upstream> {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("bind");
         let address: SocketAddr = listener.local_addr().expect("bound");
         let upstream = Arc::new(Upstream {
@@ -52,7 +52,7 @@
             proxy: Proxy::start(address).await,
             fault: Mutex::new(Fault::None),
             running: AtomicU32::new(0),
-            world: world.clone(),
+            observed: observed.clone(),
         });
         let serving = upstream.clone();
         tokio::spawn(async move {
@@ -106,7 +106,7 @@
     async fn answer(&self, head: &str) -> Option<String> {
         let load = |running: u32| format!("x-instance-load: {running},0,{SLOTS},100");
         if head.starts_with("GET /health ") {
-            *self.world.probes.lock().entry(self.id.clone()).or_default() += 1;
+            *self.observed.probes.lock().entry(self.id.clone()).or_default() += 1;
             let load = load(self.running.load(Ordering::SeqCst));
             return Some(format!("HTTP/1.1 200 OK\r\n{load}\r\ncontent-length: 0\r\n\r\n"));
         }
@@ -120,7 +120,7 @@
             return Some(full.to_owned());
         }
         let arrival = Arrival { id: id.clone(), upstream: self.id.clone(), at: Instant::now() };
-        self.world.arrivals.lock().push(arrival);
+        self.observed.arrivals.lock().push(arrival);
         let fault = *self.fault.lock();
         tokio::time::sleep(if fault == Fault::Slow { WORK * 10 } else { WORK }).await;
         let running = self.running.fetch_sub(1, Ordering::SeqCst);
