--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -187,6 +187,15 @@
         caller.send(req).await.expect("answer")
     }
 
+    /// Waits until a path is served.
+    async fn until_in_force(&self, path: &str) {
+        let start = std::time::Instant::now();
+        while self.status("POST", path).await != 200 {
+            assert!(start.elapsed() < harness::HANG, "never in force");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
     async fn status(&self, method: &str, path: &str) -> u16 {
         self.call(method, path).await.status().as_u16()
     }
@@ -213,11 +222,7 @@
     let fleet = Fleet::start(&[("u-1", &upstream)]).await;
     fleet.registry.put("op/config", r#"{"version": 4, "listeners": "none"}"#);
     fleet.registry.put("op/config", &config(5, "/later/"));
-    let start = std::time::Instant::now();
-    while fleet.status("POST", "/later/7").await != 200 {
-        assert!(start.elapsed() < harness::HANG, "never in force");
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
+    fleet.until_in_force("/later/7").await;
     assert_eq!(fleet.status("POST", "/book/7").await, 404);
 }
 
@@ -288,11 +293,7 @@
     fleet.registry.put("op/config", &config(5, "/later/"));
     fleet.registry.forget();
     fleet.registry.refuse(false);
-    let start = std::time::Instant::now();
-    while fleet.status("POST", "/later/7").await != 200 {
-        assert!(start.elapsed() < harness::HANG, "never in force");
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
+    fleet.until_in_force("/later/7").await;
 }
 
 /// A host that was cut off answered 404 for routes that were added meanwhile.
@@ -316,11 +317,7 @@
     assert_ne!(text(&refused, "retry-after"), "");
     assert_eq!(fleet.status("POST", "/book/7").await, 200, "known routes are served");
     fleet.registry.refuse(false);
-    let start = std::time::Instant::now();
-    while fleet.status("POST", "/later/7").await != 200 {
-        assert!(start.elapsed() < harness::HANG, "never in force");
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
+    fleet.until_in_force("/later/7").await;
 }
 
 /// A restart wrote a lease and an entry anew, though those of the process before still stood.
@@ -342,11 +339,7 @@
     let fleet = Fleet::start(&[("u-1", &upstream)]).await;
     fleet.registry.slow(Duration::from_secs(1));
     fleet.registry.put("op/config", &config(5, "/later/"));
-    let start = std::time::Instant::now();
-    while fleet.status("POST", "/later/7").await != 200 {
-        assert!(start.elapsed() < harness::HANG, "never in force");
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
+    fleet.until_in_force("/later/7").await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
