--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -21,6 +21,8 @@
   leaves @12 :List(Leave);       # Upstreams that some host has seen to be leaving.
   stale @11 :Bool;               # The sender was paused and has not heard of the newest records.
   registryAge @13 :UInt16;       # Age in ms of the newest read of the platform's store that the sender heard of.
+  members @14 :UInt64;           # Hash over the processes that the sender knows, its own included.
+  registryEra @15 :UInt32;       # Newest era of the platform's store that the sender knows of.
 }
 
 # One run of the daemon on an entry host.
@@ -36,6 +38,7 @@
   age @1 :UInt8;                 # In units of 20 ms.
   left @2 :Bool;
   counter @3 :UInt32;
+  dead @4 :Bool;                 # A neighbour of the process has declared it dead.
 }
 
 struct Upstream {
--- a/src/decide/catalog.rs
+++ b/src/decide/catalog.rs
@@ -209,15 +209,6 @@
         })
     }
 
-    /// Returns the hosts in force with the versions of their records.
-    pub(crate) fn hosts_with_versions(&self) -> Vec<(Arc<Host>, u64)> {
-        let host = |r: &Record| match &r.body {
-            Body::Host(host) => Some((host.clone(), r.version)),
-            _ => None,
-        };
-        self.records.iter().filter_map(host).collect()
-    }
-
     /// Drops the older half of the deleted hosts if there are more than [`DELETED_HOSTS_MAX`], so
     /// that they don't accumulate.
     fn prune_deleted_hosts(&mut self) {
--- a/src/decide/digest.rs
+++ b/src/decide/digest.rs
@@ -26,6 +26,9 @@
 /// The number of leaving upstreams that a digest may list.
 const LEAVING_MAX: usize = 32;
 
+/// The number of heartbeats that a digest may relay.
+const HEARTBEATS_MAX: usize = 64;
+
 /// The number of upstreams that may be named on a connection.
 const UPSTREAMS_MAX: usize = u16::MAX as usize;
 
@@ -92,6 +95,8 @@
     pub age: Duration,
     /// Whether the process has announced that it is shutting down.
     pub left: bool,
+    /// Whether a neighbour has declared the process dead.
+    pub dead: bool,
 }
 
 /// The identity of an upstream across services.
@@ -139,8 +144,13 @@
     pub stale: bool,
     /// The age of the sender's copy of the platform's registry, if it follows one.
     pub registry_age: Option<Duration>,
+    /// The newest era of the platform's registry that the sender knows of.
+    pub registry_era: u32,
     /// The summary of the sender's records in force.
     pub summary: CatalogSummary,
+    /// A hash over the processes that the sender knows, its own included, see
+    /// [`Members::fingerprint`](crate::decide::member::Members::fingerprint).
+    pub members_fingerprint: u64,
     /// Processes named for the first time. The first one on a connection is the sender.
     pub processes: Vec<Process>,
     /// Heartbeats of other hosts.
@@ -159,9 +169,21 @@
 #[derive(Debug, Default)]
 pub struct DeltaEncoder {
     processes: Vec<Sent<Process>>,
+    /// Indices into `processes`, sorted by host and incarnation.
+    sorted_processes: Vec<u16>,
     upstreams: Vec<Sent<UpstreamSummary>>,
     /// Indices into `upstreams`, sorted by service and name.
     sorted: Vec<u16>,
+    /// When the first digest was built.
+    opened: Option<Time>,
+}
+
+/// What a sender knows of the receiver's view of the fleet.
+pub struct ReceiverView<'a> {
+    /// Returns the counter that the receiver itself has sent for a process.
+    pub counter_of: &'a dyn Fn(&Process) -> Option<u32>,
+    /// Whether the receiver may lack processes that the sender knows.
+    pub differs: bool,
 }
 
 /// An item named on the connection, with what was last sent about it.
@@ -173,8 +195,8 @@
     /// When anything but its name was last sent about the item. Until then, zero for a process, and
     /// the time of its naming for an upstream.
     at: Time,
-    /// Whether the shutdown of a process was sent.
-    left: bool,
+    /// Whether the shutdown or the death of a process was sent.
+    is_over: bool,
 }
 
 impl DeltaEncoder {
@@ -185,53 +207,71 @@
         }
     }
 
-    /// Adds a heartbeat of a later process on the receiver's host, which tells the receiver that it
-    /// has been superseded. The age is the highest possible one; the receiver uses only the
-    /// incarnation.
-    pub fn add_superseding_process(&mut self, member: &Member, digest: &mut Digest) {
+    /// Adds a heartbeat of the newest known process on the receiver's host, which tells the receiver
+    /// that it has been superseded or is taken for dead. The age is the highest possible one; the
+    /// receiver uses only the incarnation.
+    pub fn add_newest_process(&mut self, member: &Member, digest: &mut Digest) {
         let Some(at) = self.process_index(&member.process(), digest) else { return };
         digest.heartbeats.push(RelayedHeartbeat {
             process: at as u16,
             counter: member.counter,
             age: Duration::MAX,
             left: member.left,
+            dead: member.dead,
         });
     }
 
-    /// Adds the heartbeats of `members` that are newer than those sent before. `known` returns the
-    /// counter that the receiver itself has sent for a process. Heartbeats of one process are at
-    /// least `interval` apart, except for the one that announces its shutdown.
+    /// Adds the heartbeats of `members` that are newer than those sent before, at most
+    /// [`HEARTBEATS_MAX`]: first those of the processes that changed last. With `relay`, every newer
+    /// heartbeat is due. Without it, only one that announces a shutdown or a death, and the first one
+    /// of a process on the connection if the receiver's view differs or if the process has changed
+    /// since the connection was opened.
     pub fn add_heartbeats<'a>(
         &mut self,
         members: impl Iterator<Item = &'a Member>,
-        known: impl Fn(&Process) -> Option<u32>,
-        interval: Duration,
+        receiver: &ReceiverView<'_>,
+        relay: bool,
         now: Time,
         digest: &mut Digest,
     ) {
-        for member in members {
-            let Some(last_heartbeat) = member.last_heartbeat else { continue };
-            let process = member.process();
-            let newer = known(&process).is_none_or(|c| c < member.counter);
-            let Some(at) = self.process_index(&process, digest).filter(|_| newer) else { continue };
-            let sent = &mut self.processes[at];
-            let is_due = sent.counter < member.counter && now.since(sent.at) >= interval;
-            let is_first = sent.counter == 0;
-            if !is_due && !is_first && sent.left == member.left {
-                continue;
+        let opened = *self.opened.get_or_insert(now);
+        let is_due = |m: &&Member| {
+            let sent = self.find_process(&m.host, m.incarnation).ok();
+            let sent = sent.map(|at| &self.processes[at]).filter(|s| s.counter > 0);
+            match sent {
+                Some(s) if s.is_over != (m.left || m.dead) => true,
+                Some(s) => relay && s.counter < m.counter,
+                None => relay || receiver.differs || m.changed >= opened,
             }
-            sent.counter = member.counter;
-            sent.at = now;
-            sent.left = member.left;
-            digest.heartbeats.push(RelayedHeartbeat {
-                process: at as u16,
-                counter: member.counter,
-                age: now.since(last_heartbeat),
-                left: member.left,
-            });
+        };
+        let is_newer = |m: &&Member| {
+            let known = (receiver.counter_of)(&m.process());
+            known.is_none_or(|c| c < m.counter || m.left || m.dead)
+        };
+        let heard = members.filter(|m| m.last_heartbeat.is_some());
+        let mut due: Vec<&Member> = heard.filter(is_due).filter(is_newer).collect();
+        due.sort_by_key(|m| std::cmp::Reverse(m.changed));
+        for member in due.into_iter().take(HEARTBEATS_MAX) {
+            self.add_heartbeat(member, now, digest);
         }
     }
 
+    fn add_heartbeat(&mut self, member: &Member, now: Time, digest: &mut Digest) {
+        let Some(last_heartbeat) = member.last_heartbeat else { return };
+        let Some(at) = self.process_index(&member.process(), digest) else { return };
+        let sent = &mut self.processes[at];
+        sent.counter = member.counter;
+        sent.at = now;
+        sent.is_over = member.left || member.dead;
+        digest.heartbeats.push(RelayedHeartbeat {
+            process: at as u16,
+            counter: member.counter,
+            age: now.since(last_heartbeat),
+            left: member.left,
+            dead: member.dead,
+        });
+    }
+
     /// Adds at most `max` of the upstreams whose summary differs from the one last sent: first
     /// those that have begun to leave, then those that were sent least recently.
     pub fn add_loads(
@@ -313,7 +353,7 @@
                     item: summary.clone(),
                     counter: 0,
                     at: now,
-                    left: false,
+                    is_over: false,
                 });
                 Some(self.upstreams.len() - 1)
             }
@@ -335,19 +375,29 @@
     /// Returns the index of a process, and names it on the connection first if necessary. Returns
     /// `None` if too many are named already.
     fn process_index(&mut self, process: &Process, digest: &mut Digest) -> Option<usize> {
-        let is_same = |s: &Sent<Process>| {
-            s.item.incarnation == process.incarnation && s.item.host == process.host
-        };
-        match self.processes.iter().position(is_same) {
-            Some(at) => Some(at),
-            None if self.processes.len() == PROCESSES_MAX => None,
-            None => Some(self.add_process(process, digest)),
+        match self.find_process(&process.host, process.incarnation) {
+            Ok(at) => Some(at),
+            Err(_) if self.processes.len() == PROCESSES_MAX => None,
+            Err(_) => Some(self.add_process(process, digest)),
         }
     }
 
+    /// Returns the index of a process, or if it isn't named yet, the position in `sorted_processes`
+    /// at which to insert it.
+    fn find_process(&self, host: &str, incarnation: u64) -> Result<usize, usize> {
+        let found = self.sorted_processes.binary_search_by(|at| {
+            let named = &self.processes[usize::from(*at)].item;
+            (&*named.host, named.incarnation).cmp(&(host, incarnation))
+        });
+        found.map(|position| usize::from(self.sorted_processes[position]))
+    }
+
     fn add_process(&mut self, process: &Process, digest: &mut Digest) -> usize {
         digest.processes.push(process.clone());
-        let sent = Sent { item: process.clone(), counter: 0, at: Time::ZERO, left: false };
+        if let Err(position) = self.find_process(&process.host, process.incarnation) {
+            self.sorted_processes.insert(position, self.processes.len() as u16);
+        }
+        let sent = Sent { item: process.clone(), counter: 0, at: Time::ZERO, is_over: false };
         self.processes.push(sent);
         self.processes.len() - 1
     }
@@ -358,6 +408,8 @@
 pub struct DeltaDecoder {
     /// The processes named so far, with the newest counter received for each.
     processes: Vec<(Process, u32)>,
+    /// Indices into `processes`, sorted by host and incarnation.
+    sorted: Vec<u16>,
     upstreams: Vec<UpstreamName>,
 }
 
@@ -382,10 +434,23 @@
 
     /// Returns the newest heartbeat counter that the sender has sent for a process.
     pub fn counter_of(&self, process: &Process) -> Option<u32> {
-        let is_same = |p: &&(Process, u32)| {
-            p.0.incarnation == process.incarnation && p.0.host == process.host
-        };
-        self.processes.iter().find(is_same).map(|(_, counter)| *counter)
+        let position = self.position(process).ok()?;
+        Some(self.processes[usize::from(self.sorted[position])].1)
+    }
+
+    /// Returns the position of a process in `sorted`, or the one at which to insert it.
+    fn position(&self, process: &Process) -> Result<usize, usize> {
+        self.sorted.binary_search_by(|at| {
+            let named = &self.processes[usize::from(*at)].0;
+            (&*named.host, named.incarnation).cmp(&(&*process.host, process.incarnation))
+        })
+    }
+
+    fn add_process(&mut self, process: &Process) {
+        if let Err(position) = self.position(process) {
+            self.sorted.insert(position, self.processes.len() as u16);
+        }
+        self.processes.push((process.clone(), 0));
     }
 
     /// Decodes the next digest, which arrives at `now`. Entries with an unknown index are left out.
@@ -397,10 +462,11 @@
         if processes > PROCESSES_MAX || upstreams > UPSTREAMS_MAX {
             return None;
         }
-        self.processes.extend(digest.processes.iter().map(|p| (p.clone(), 0)));
+        digest.processes.iter().for_each(|p| self.add_process(p));
         self.upstreams.extend(digest.upstreams.iter().cloned());
         let sender = self.sender()?.clone();
-        let own = Heartbeat { counter: digest.heartbeat, at: now, left: digest.left };
+        let (counter, left) = (digest.heartbeat, digest.left);
+        let own = Heartbeat { counter, at: now, left, dead: false };
         let mut heartbeats = vec![(sender.clone(), own)];
         for entry in &digest.heartbeats {
             let Some(named) = self.processes.get_mut(usize::from(entry.process)) else { continue };
@@ -408,7 +474,7 @@
             let at = before(now, entry.age);
             heartbeats.push((
                 named.0.clone(),
-                Heartbeat { counter: entry.counter, at, left: entry.left },
+                Heartbeat { counter: entry.counter, at, left: entry.left, dead: entry.dead },
             ));
         }
         let loads = digest.loads.iter().filter_map(|l| self.load(l)).collect();
--- a/src/decide/health.rs
+++ b/src/decide/health.rs
@@ -14,6 +14,7 @@
     error_share: f32,
     ejected_until: Time,
     refused_until: Time,
+    paused_until: Time,
     awaiting_restore: bool,
     /// When the ramp-up of a new, ejected or readmitted upstream began or will begin. `None` for
     /// one that was added while the service had no live upstream.
@@ -34,6 +35,8 @@
 const REFUSAL_BASE: Duration = Duration::from_millis(5);
 /// The longest backoff after a refusal.
 const REFUSAL_MAX: Duration = Duration::from_millis(500);
+/// The longest pause that an upstream is granted. A longer one is taken for a fault.
+const PAUSE_MAX: Duration = Duration::from_secs(600);
 /// Share of the requests at the beginning of a ramp-up.
 const RAMP_UP_SHARE_MIN: f32 = 0.05;
 
@@ -87,9 +90,19 @@
         is_restored
     }
 
-    /// Returns whether the upstream is in its backoff after a refusal.
+    /// Returns whether the upstream is in its backoff after a refusal, or has asked for a pause.
     pub(crate) fn is_refusing(&self, now: Time) -> bool {
-        now < self.refused_until
+        now < self.refused_until.max(self.paused_until)
+    }
+
+    /// Records that the upstream has asked to be sent nothing for `pause`.
+    pub(crate) fn pause(&mut self, pause: Duration, now: Time) {
+        self.paused_until = self.paused_until.max(now + pause.min(PAUSE_MAX));
+    }
+
+    /// Returns when the pause that the upstream has asked for ends; a past time if there is none.
+    pub(crate) fn paused_until(&self) -> Time {
+        self.paused_until
     }
 
     /// Returns the share of recent attempts that failed.
--- a/src/decide/hosts.rs
+++ b/src/decide/hosts.rs
@@ -46,6 +46,9 @@
     /// The admin address of an entry host.
     #[serde(default)]
     pub admin: Option<SocketAddr>,
+    /// When an upstream's process started, in milliseconds since the Unix epoch, if it says so.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub born: Option<u64>,
 }
 
 /// A version of the host list. The list lags behind the real state of the hosts, and an older
@@ -100,6 +103,22 @@
         self.hosts.iter().filter(is_upstream)
     }
 
+    /// Returns the upstreams of a service that have another start time than in `previous`, so that
+    /// a new process runs under the same name.
+    pub fn restarted_upstreams<'a>(
+        &'a self,
+        previous: &'a HostList,
+        service: &'a str,
+    ) -> impl Iterator<Item = &'a Host> {
+        let mut born: Vec<(&str, u64)> =
+            previous.upstreams_of(service).filter_map(|h| Some((&*h.name, h.born?))).collect();
+        born.sort_unstable();
+        self.upstreams_of(service).filter(move |h| {
+            let before = born.binary_search_by_key(&&*h.name, |(name, _)| name);
+            before.is_ok_and(|at| h.born.is_some_and(|b| b != born[at].1))
+        })
+    }
+
     /// Returns the upstreams of a service whose state differs from the one in `previous`. Upstreams
     /// that `previous` doesn't contain count as live there.
     pub fn changed_upstreams<'a>(
@@ -107,9 +126,12 @@
         previous: &'a HostList,
         service: &'a str,
     ) -> impl Iterator<Item = &'a Host> {
-        let state = |name: &str| {
-            let known = previous.upstreams_of(service).find(|h| *h.name == *name);
-            known.map_or(State::Live, |h| h.state)
+        let mut known: Vec<(&str, State)> =
+            previous.upstreams_of(service).map(|h| (&*h.name, h.state)).collect();
+        known.sort_unstable_by_key(|(name, _)| *name);
+        let state = move |name: &str| {
+            let found = known.binary_search_by_key(&name, |(name, _)| name);
+            found.map_or(State::Live, |at| known[at].1)
         };
         self.upstreams_of(service).filter(move |h| h.state != state(&h.name))
     }
--- a/src/decide/lapse.rs
+++ b/src/decide/lapse.rs
@@ -18,8 +18,6 @@
 pub struct MissingRegistration {
     /// The name of the registration.
     pub name: Arc<str>,
-    /// The registry revision at which it was found missing.
-    pub revision: u64,
 }
 
 /// The registrations that are missing and whose owners may register again, sorted by name.
@@ -53,20 +51,12 @@
     /// Marks a registration as missing. Returns whether its owner counts as gone already; if not,
     /// [`MissingRegistrations::take_expired`] returns it later unless it registers again. An
     /// owner that had announced that it is leaving counts as gone at once.
-    pub fn mark_missing(
-        &mut self,
-        name: &Arc<str>,
-        revision: u64,
-        leaving: bool,
-        now: Time,
-    ) -> bool {
+    pub fn mark_missing(&mut self, name: &Arc<str>, leaving: bool, now: Time) -> bool {
         if leaving || !self.is_in_grace(now) {
             return true;
         }
-        let row = MissingRegistration { name: name.clone(), revision };
-        match self.missing.binary_search_by(|m| m.name.cmp(name)) {
-            Ok(at) => self.missing[at] = row,
-            Err(at) => self.missing.insert(at, row),
+        if let Err(at) = self.missing.binary_search_by(|m| m.name.cmp(name)) {
+            self.missing.insert(at, MissingRegistration { name: name.clone() });
         }
         false
     }
--- a/src/decide/member.rs
+++ b/src/decide/member.rs
@@ -1,9 +1,14 @@
 //! Fleet membership: which entry hosts are alive, and which of them owns each shared duty. A duty
 //! is a task that one host does for the whole fleet or for its data centre, identified by a name.
 //!
-//! A host counts as alive while its newest heartbeat, received directly or relayed by a peer, is
-//! younger than [`Members::dead_after`]. A host whose view may be incomplete, because it has just
-//! started or was paused, owns no duty.
+//! In a small fleet, a host counts as alive while its newest heartbeat, received directly or relayed
+//! by a peer, is younger than [`Members::dead_after`]. In a large one, only its neighbours watch it,
+//! and the first one that finds it silent declares it dead, which all hosts tell each other. So a
+//! fleet without changes tells nothing of its members, whatever its size. A process that learns of
+//! its own death raises its incarnation, by which it is alive again (as in SWIM by Das, Gupta and
+//! Motivala, 2002).
+//!
+//! A host whose view may be incomplete, because it has just started or was paused, owns no duty.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -20,21 +25,21 @@
 /// In a small fleet, a host counts as dead once its newest heartbeat is this old.
 pub const DEAD_AFTER: Duration = Duration::from_millis(1_800);
 
-/// The counterpart of [`DEAD_AFTER`] for a fleet of more than [`SMALL_FLEET_MAX`] hosts, where
-/// heartbeats take more hops.
+/// The counterpart of [`DEAD_AFTER`] for a fleet of more than [`SMALL_FLEET_MAX`] hosts: the time
+/// without an exchange after which a host declares a neighbour dead.
 pub const DEAD_AFTER_LARGE: Duration = Duration::from_millis(4_000);
 
-/// The minimum time between two heartbeats of one host that a link relays in a large fleet. Each
-/// host receives the heartbeats of every other over several links, at different times.
-const RELAY_INTERVAL_LARGE: Duration = Duration::from_millis(2_500);
-
 /// The number of hosts up to which a fleet counts as small and [`DEAD_AFTER`] applies.
 pub const SMALL_FLEET_MAX: usize = 30;
 
+/// The number of hosts up to which heartbeats are relayed. It is above [`SMALL_FLEET_MAX`], so that
+/// a host that knows a few hosts less than its peers still receives the heartbeats that it needs.
+const RELAY_FLEET_MAX: usize = 40;
+
 /// The time between two ticks above which the process is taken to have been paused.
 pub const PAUSE_THRESHOLD: Duration = Duration::from_millis(1_000);
 
-/// A host that is not listed is removed once its newest heartbeat is older than this.
+/// A host that is not listed is removed once it has counted as dead for this long.
 const FORGET_AFTER: Duration = Duration::from_secs(30);
 
 /// The result of [`Members::owner`] when no owner can be determined.
@@ -62,6 +67,8 @@
     pub at: Time,
     /// Whether the process has announced that it is shutting down.
     pub left: bool,
+    /// Whether a neighbour has declared the process dead.
+    pub dead: bool,
 }
 
 /// A peer, as this host knows it.
@@ -81,11 +88,15 @@
     pub last_heartbeat: Option<Time>,
     /// Whether it has announced that it is shutting down.
     pub left: bool,
-    /// Whether the settings or the host list name it.
+    /// Whether a neighbour has declared its newest known process dead.
+    pub dead: bool,
+    /// Whether the settings or the registry name it.
     pub listed: bool,
     /// Whether this host has fetched all of the peer's records. Cleared when the peer restarts and
     /// when this host was paused.
     pub synced: bool,
+    /// When this host learned of its newest process, or of its shutdown.
+    pub changed: Time,
     hash: u64,
     state: MemberState,
 }
@@ -110,8 +121,10 @@
             counter: 0,
             last_heartbeat: None,
             left: false,
+            dead: false,
             listed,
             synced: false,
+            changed: Time::ZERO,
             hash: hash(&process.host),
             state: MemberState::Unknown,
         }
@@ -126,6 +139,7 @@
         self.counter = 0;
         self.last_heartbeat = None;
         self.left = false;
+        self.dead = false;
         self.synced = false;
     }
 }
@@ -139,7 +153,7 @@
     Unknown,
     /// Its newest heartbeat is younger than [`Members::dead_after`].
     Alive,
-    /// Its newest heartbeat is at least that old.
+    /// Its newest heartbeat is at least that old, or it was declared dead.
     Dead,
     /// It has announced that it is shutting down.
     Left,
@@ -157,10 +171,9 @@
 /// The result of recording a heartbeat.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum HeartbeatOutcome {
-    /// It is the newest heartbeat of its process. The first heartbeat of a host that is not a
-    /// member yet is also of this kind.
+    /// It is the newest heartbeat of its process.
     Newer,
-    /// It is the first from a later process of a member, or the first to announce a shutdown.
+    /// It is the first from a process, or the first to announce a shutdown or a death.
     Changed,
     /// A heartbeat at least as new is already known.
     NotNewer,
@@ -238,11 +251,12 @@
         self.members.retain(|m| m.listed || m.last_heartbeat.is_some());
     }
 
-    /// Records a heartbeat, and adds its host if that is not a member yet.
+    /// Records a heartbeat that arrived at `now`, and adds its host if that is not a member yet.
     pub fn record_heartbeat(
         &mut self,
         process: &Process,
         heartbeat: Heartbeat,
+        now: Time,
     ) -> HeartbeatOutcome {
         if process.host == self.host {
             return HeartbeatOutcome::OwnName;
@@ -258,11 +272,16 @@
         if process.incarnation < member.incarnation {
             return HeartbeatOutcome::Superseded;
         }
-        let changed = process.incarnation > member.incarnation || heartbeat.left && !member.left;
+        let is_first = process.incarnation > member.incarnation || member.last_heartbeat.is_none();
+        let changed = is_first || heartbeat.left && !member.left || heartbeat.dead && !member.dead;
         if process.incarnation > member.incarnation {
             member.replace_process(process);
         }
         member.left |= heartbeat.left;
+        member.dead |= heartbeat.dead;
+        if changed {
+            member.changed = now;
+        }
         if member.last_heartbeat.is_some() && heartbeat.counter <= member.counter {
             return if changed { HeartbeatOutcome::Changed } else { HeartbeatOutcome::NotNewer };
         }
@@ -271,6 +290,17 @@
         if changed { HeartbeatOutcome::Changed } else { HeartbeatOutcome::Newer }
     }
 
+    /// Declares a host dead that has been silent as a neighbour. Returns false if that was known.
+    pub fn declare_dead(&mut self, host: &str, now: Time) -> bool {
+        let Ok(at) = self.find(host) else { return false };
+        let member = &mut self.members[at];
+        let is_new = !member.dead && !member.left && member.last_heartbeat.is_some();
+        if is_new {
+            (member.dead, member.changed) = (true, now);
+        }
+        is_new
+    }
+
     /// Marks a member as synced: this host has all of its records.
     pub fn set_synced(&mut self, host: &str) {
         if let Ok(at) = self.find(host) {
@@ -292,15 +322,24 @@
     }
 
     /// Updates the state of every member and returns the changes. Resets the view if the last tick
-    /// is longer ago than [`PAUSE_THRESHOLD`], and removes members that are not listed and whose
-    /// newest heartbeat is more than 30 s old.
+    /// is longer ago than [`PAUSE_THRESHOLD`], and removes members that are not listed and have
+    /// counted as dead for 30 s. A host that hears from less than half of its peers may itself be
+    /// cut off, and removes none: it must neither lose the way back nor take over the others' shares
+    /// of what the fleet may do.
     pub fn tick(&mut self, now: Time) -> Vec<MemberChange> {
         if now.since(self.last_tick) > PAUSE_THRESHOLD {
             self.reset_view(now);
         }
         self.last_tick = now;
-        let is_expired = |m: &Member| m.last_heartbeat.is_some_and(|t| now.since(t) > FORGET_AFTER);
-        self.members.retain(|m| m.listed || !is_expired(m));
+        let forget_after = self.dead_after() + FORGET_AFTER;
+        let is_large = self.is_large();
+        let is_expired = |m: &Member| match m.last_heartbeat {
+            Some(_) if is_large => (m.dead || m.left) && now.since(m.changed) > FORGET_AFTER,
+            last => last.is_some_and(|t| now.since(t) > forget_after),
+        };
+        if self.recently_heard(now).count() * 2 >= self.members.len() {
+            self.members.retain(|m| m.listed || !is_expired(m));
+        }
         let states: Vec<MemberState> = self.members.iter().map(|m| self.state_of(m, now)).collect();
         let mut changes = Vec::new();
         for (member, state) in self.members.iter_mut().zip(states) {
@@ -349,6 +388,25 @@
         own.into_iter().chain(others).max().map_or(NO_OWNER, |(_, host)| host)
     }
 
+    /// Returns this host's rank among the live hosts as an owner of `duty`: the number of hosts that
+    /// come before it. Unlike [`Members::owner`], it is also known while this host's view is
+    /// incomplete, and may then be too low. `None` if this host is shutting down.
+    pub fn rank(&self, duty: &str, now: Time) -> Option<usize> {
+        let duty = hash(duty);
+        let own = (mix(self.hash, duty), &*self.host);
+        let before = self.alive(now).filter(|m| (mix(m.hash, duty), &*m.host) > own).count();
+        (!self.leaving).then_some(before)
+    }
+
+    /// Returns a hash over the known processes and whether they have left or died, this host's own
+    /// excluded. Hosts with the same view of the fleet have the same hash once
+    /// [`process_fingerprint`] of their own processes is combined with it by an exclusive or.
+    pub fn fingerprint(&self) -> u64 {
+        let known = self.members.iter().filter(|m| m.last_heartbeat.is_some());
+        let is_over = |m: &Member| m.left || m.dead;
+        known.map(|m| process_fingerprint(&m.host, m.incarnation, is_over(m))).fold(0, |a, b| a ^ b)
+    }
+
     /// Returns the number of live peers from which this host has fetched all records, see
     /// [`Member::synced`].
     pub fn synced_count(&self) -> usize {
@@ -399,15 +457,16 @@
         if self.is_large() { DEAD_AFTER_LARGE } else { DEAD_AFTER }
     }
 
-    /// Returns the minimum time between two heartbeats of one host that a link relays.
-    pub fn relay_interval(&self) -> Duration {
-        if self.is_large() { RELAY_INTERVAL_LARGE } else { Duration::ZERO }
+    /// Returns whether links relay the heartbeats of other hosts, and not only their changes.
+    pub fn relays_heartbeats(&self) -> bool {
+        self.members.len() < RELAY_FLEET_MAX
     }
 
     fn state_of(&self, member: &Member, now: Time) -> MemberState {
         match member.last_heartbeat {
             None => MemberState::Unknown,
             Some(_) if member.left => MemberState::Left,
+            Some(_) if member.dead => MemberState::Dead,
             Some(_) if self.is_fresh(member, now) => MemberState::Alive,
             Some(at) if at < self.view_reset && !self.is_view_complete(now) => MemberState::Unknown,
             Some(_) => MemberState::Dead,
@@ -418,9 +477,14 @@
         !member.left && self.is_fresh(member, now)
     }
 
+    /// Returns whether a member's newest heartbeat is recent, or in a large fleet, whether it has
+    /// not been declared dead.
     fn is_fresh(&self, member: &Member, now: Time) -> bool {
-        let max_age = self.dead_after();
-        member.last_heartbeat.is_some_and(|t| t >= self.view_reset && now.since(t) < max_age)
+        let Some(at) = member.last_heartbeat else { return false };
+        if member.dead || self.is_large() {
+            return !member.dead;
+        }
+        at >= self.view_reset && now.since(at) < self.dead_after()
     }
 
     fn find(&self, host: &str) -> Result<usize, usize> {
@@ -428,6 +492,11 @@
     }
 }
 
+/// Returns a hash of a process and of whether it has left or died, see [`Members::fingerprint`].
+pub fn process_fingerprint(host: &str, incarnation: u64, is_over: bool) -> u64 {
+    mix(mix(hash(host), incarnation), u64::from(is_over))
+}
+
 fn vertex(host: &Arc<str>, host_hash: u64, data_centre: &str) -> Vertex {
     Vertex { data_centre: hash(data_centre), hash: host_hash, host: host.clone() }
 }
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -16,6 +16,8 @@
 pub mod member;
 pub mod pause;
 pub mod probing;
+pub mod reads;
+pub mod registered;
 pub mod service;
 pub mod stored;
 pub mod tick;
--- /dev/null
+++ b/src/decide/reads.rs
@@ -0,0 +1,59 @@
+//! Decides when a host reads the platform's registry.
+//!
+//! A few hosts, the readers, take turns by rank: the first one reads at a fixed interval, and each
+//! of the next ones only if no newer copy has reached it shortly after that. All other hosts
+//! receive the copy from their peers, and read for themselves only once it has become old. So the
+//! number of reads doesn't depend on the size of the fleet, and no failure has to be detected for
+//! the next reader to take over.
+
+use std::time::Duration;
+
+use crate::time::Time;
+
+/// The number of hosts that read by rank.
+const READERS: usize = 4;
+/// The time between two reads by the first reader, as a part of the time in which a change must be
+/// in force everywhere.
+const INTERVAL_SHARE: f64 = 0.3;
+/// The time by which each further reader waits longer, as a part of the same time.
+const RANK_SHARE: f64 = 0.06;
+/// The age of its copy at which any other host reads at the latest, as a part of the same time. The
+/// rest is for a registry that responds slowly.
+const AGE_MAX_SHARE: f64 = 0.75;
+/// The lower bound of the random factor by which each host shortens that age, so that one host
+/// reads first and the others receive its result.
+pub const AGE_FACTOR_MIN: f64 = 0.75;
+
+/// The times at which the hosts of a fleet read the registry.
+#[derive(Clone, Copy, Debug)]
+pub struct ReadSchedule {
+    apply: Duration,
+}
+
+impl ReadSchedule {
+    /// Creates the schedule by which a change is in force everywhere within `apply`.
+    pub fn new(apply: Duration) -> ReadSchedule {
+        ReadSchedule { apply }
+    }
+
+    /// Returns when the next read is due on a host whose copy was current at `as_of`. `rank` is the
+    /// host's rank among the live hosts, and `age_factor` a random number from [`AGE_FACTOR_MIN`]
+    /// to 1.
+    pub fn due(&self, as_of: Time, rank: Option<usize>, age_factor: f64) -> Time {
+        let share = match rank {
+            Some(rank) if rank < READERS => INTERVAL_SHARE + RANK_SHARE * rank as f64,
+            _ => AGE_MAX_SHARE * age_factor,
+        };
+        as_of + self.apply.mul_f64(share)
+    }
+
+    /// Returns the age below which a copy is young enough to serve with.
+    pub fn age_max(&self) -> Duration {
+        self.apply.mul_f64(AGE_MAX_SHARE)
+    }
+
+    /// Returns the age of its copy below which a host may conclude that a route doesn't exist.
+    pub fn routes_age_max(&self) -> Duration {
+        self.apply
+    }
+}
--- /dev/null
+++ b/src/decide/registered.rs
@@ -0,0 +1,107 @@
+//! Versions of upstreams' registrations, which depend only on what the upstreams say themselves.
+//!
+//! An upstream writes its registration again with every heartbeat, so the registry's revisions tell
+//! neither what has changed nor, once the registry has returned from an older copy, what is newer.
+//! A version derived from the upstream's own words is the same on every host that reads the
+//! registration, whenever it does, and orders changes across such a return:
+//!
+//! - A later process of the upstream replaces an earlier one.
+//! - For one process, live is followed by leaving, and leaving by gone.
+//! - A process that says otherwise later than that, such as one that registers again after its
+//!   registration lapsed, begins a new round.
+
+use crate::decide::hosts::Host;
+use crate::decide::upstream::State;
+
+/// The number of bits for the step within a round.
+const STEP_BITS: u32 = 2;
+/// The number of bits for the round.
+const ROUND_BITS: u32 = 10;
+
+/// The place of a registration in its upstream's history. The order of the fields is that of
+/// history.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct RegistrationVersion {
+    /// When the upstream's process started, in milliseconds since the Unix epoch; 0 if unknown.
+    pub born: u64,
+    /// The number of times that the process has taken back that it is leaving or gone.
+    pub round: u64,
+    /// The step within the round.
+    pub step: Step,
+}
+
+/// A step in the life of an upstream's process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Step {
+    /// It takes requests.
+    Live,
+    /// It is leaving.
+    Leaving,
+    /// Its registration has ended.
+    Gone,
+}
+
+impl Step {
+    /// Returns the step of a registered upstream.
+    pub fn of(state: State) -> Step {
+        match state {
+            State::Live => Step::Live,
+            State::Leaving => Step::Leaving,
+        }
+    }
+}
+
+impl RegistrationVersion {
+    /// Returns the version as a number that keeps the order.
+    pub fn number(self) -> u64 {
+        // One more than zero, the version of records from a settings file.
+        let step = self.step as u64 + 1;
+        let round = self.round.min((1 << ROUND_BITS) - 1);
+        (self.born << ROUND_BITS | round) << STEP_BITS | step
+    }
+
+    /// Returns the version that [`RegistrationVersion::number`] has turned into a number.
+    pub fn from_number(number: u64) -> RegistrationVersion {
+        let step = match number & ((1 << STEP_BITS) - 1) {
+            0 | 1 => Step::Live,
+            2 => Step::Leaving,
+            _ => Step::Gone,
+        };
+        let round = number >> STEP_BITS & ((1 << ROUND_BITS) - 1);
+        RegistrationVersion { born: number >> (STEP_BITS + ROUND_BITS), round, step }
+    }
+}
+
+/// How a registration was read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reading {
+    /// As a change, so that the upstream has just written it.
+    Written,
+    /// In a listing, which may contain what an older copy of the registry has brought back.
+    Listed,
+}
+
+/// Returns the version of a registration if it replaces what is known: the version in force, and
+/// the host unless that is gone.
+pub fn next_version(
+    known: Option<(RegistrationVersion, Option<&Host>)>,
+    registered: &Host,
+    reading: Reading,
+) -> Option<RegistrationVersion> {
+    let born = registered.born.unwrap_or(0);
+    let first = RegistrationVersion { born, round: 0, step: Step::of(registered.state) };
+    let Some((version, host)) = known else { return Some(first) };
+    if born != version.born {
+        return (born > version.born).then_some(first);
+    }
+    if host == Some(registered) {
+        return None;
+    }
+    let same_round = RegistrationVersion { step: first.step, ..version };
+    if same_round > version {
+        return Some(same_round);
+    }
+    // Without a start time, a listing is the only sign of a process that has started again.
+    let is_news = reading == Reading::Written || registered.born.is_none();
+    is_news.then_some(RegistrationVersion { round: version.round + 1, ..same_round })
+}
--- a/src/decide/service.rs
+++ b/src/decide/service.rs
@@ -5,6 +5,7 @@
 mod reports;
 mod sharing;
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -17,7 +18,7 @@
 use crate::decide::baseline::Baseline;
 use crate::decide::capacity::Capacity;
 use crate::decide::concurrency::Concurrency;
-use crate::decide::health;
+use crate::decide::health::{self, Health};
 use crate::decide::kinds::KindEstimates;
 use crate::decide::probing::{self, ProbeBudget};
 use crate::decide::queue::Queue;
@@ -180,9 +181,11 @@
     /// drain ends: it is live unless the host list or a peer marks it as leaving.
     pub fn set_upstreams(&mut self, upstreams: &[config::Upstream], now: Time) {
         let has_live = self.rows.iter().any(|r| r.state == State::Live);
+        let mut sorted: Vec<(&str, SocketAddr)> =
+            upstreams.iter().map(|u| (&*u.name, u.address)).collect();
+        sorted.sort_unstable();
         for row in &mut self.rows {
-            let is_same = |u: &config::Upstream| u.name == row.name && u.address == row.address;
-            let configured = upstreams.iter().any(is_same);
+            let configured = sorted.binary_search(&(&*row.name, row.address)).is_ok();
             if configured && !row.configured {
                 row.readmit(now);
             }
@@ -194,9 +197,14 @@
             self.rows.iter().filter(|r| is_gone(r)).map(|r| r.change(EventCode::UpstreamGone));
         self.changes.extend(removed);
         self.rows.retain(|r| !is_gone(r));
+        let mut existing: Vec<(Arc<str>, SocketAddr)> =
+            self.rows.iter().map(|r| (r.name.clone(), r.address)).collect();
+        existing.sort_unstable();
         for upstream in upstreams {
-            let is_same = |r: &Row| r.name == upstream.name && r.address == upstream.address;
-            if !self.rows.iter().any(is_same) {
+            let found = existing.binary_search_by(|(name, address)| {
+                (&**name, *address).cmp(&(&*upstream.name, upstream.address))
+            });
+            if found.is_err() {
                 self.add_upstream(upstream, has_live, now);
             }
         }
@@ -337,6 +345,26 @@
         self.probe_budget.set_rate(rate, self.host_info.fleet_size_max);
     }
 
+    /// Records that an upstream has asked this host to send it nothing for `pause`. This neither
+    /// counts as a failure nor concerns other hosts. An unknown `id` is ignored.
+    pub fn pause(&mut self, id: UpstreamId, pause: Duration, now: Time) {
+        if let Some(row) = upstream::find_mut(&mut self.rows, id) {
+            row.health.pause(pause, now);
+        }
+    }
+
+    /// Resets what is known of an upstream, because a new process has taken its place under the same
+    /// name and address. An unknown name is ignored.
+    pub fn restart(&mut self, name: &str, now: Time) {
+        for row in self.rows.iter_mut().filter(|r| *r.name == *name) {
+            row.health = Health::default();
+            row.occupancy_reading = None;
+            row.readmit(now);
+            row.update_state(&mut self.changes);
+        }
+        self.capacity.invalidate();
+    }
+
     /// Records the result of a probe. An unknown `id` is ignored.
     pub fn finish_probe(&mut self, id: UpstreamId, report: &AttemptReport, now: Time) {
         let Ok(index) = self.rows.binary_search_by_key(&id, |r| r.id) else { return };
--- a/src/decide/service/placement.rs
+++ b/src/decide/service/placement.rs
@@ -144,7 +144,7 @@
         rng: &mut impl Rng,
     ) -> Admission {
         let estimate = self.estimate_request(req, now);
-        if now + estimate.work >= req.deadline {
+        if self.opens_at(now) + estimate.work >= req.deadline {
             return Admission::Refuse(self.refusal_by_occupancy(Code::DeadlineTooClose, now, rng));
         }
         if !self.is_outranked(req, estimate, now)
@@ -381,8 +381,10 @@
         out: &mut Vec<(Ticket, Admission)>,
     ) {
         let mut requests = self.queued_requests(now);
-        let misses_deadline =
-            |q: &QueuedRequest, estimate: &RequestEstimate| now + estimate.work >= q.req.deadline;
+        let opens_at = self.opens_at(now);
+        let misses_deadline = |q: &QueuedRequest, estimate: &RequestEstimate| {
+            opens_at + estimate.work >= q.req.deadline
+        };
         let has_feasible =
             requests.iter().any(|(q, e)| !misses_deadline(q, e) && !e.misses_objective(now));
         requests.sort_by_key(|(q, _)| Reverse(q.ticket));
@@ -398,15 +400,23 @@
         }
     }
 
+    /// Returns when an upstream may next be sent a request: now, unless all that take requests have
+    /// asked for a pause.
+    fn opens_at(&self, now: Time) -> Time {
+        let live = self.rows.iter().filter(|r| r.state == State::Live);
+        live.map(|r| r.health.paused_until()).min().map_or(now, |until| until.max(now))
+    }
+
     /// Returns a refusal whose retry-after time is the expected time until the queue is empty,
-    /// within `RETRY_AFTER_RANGE` and times a random factor.
+    /// within `RETRY_AFTER_RANGE` and times a random factor, and counted from the time at which an
+    /// upstream may be sent a request again.
     fn refusal_by_occupancy(&mut self, code: Code, now: Time, rng: &mut impl Rng) -> Refusal {
         let work = self.queued_requests(now).iter().map(|(_, estimate)| estimate.work).sum();
         let drain_time =
             self.work_rate.time_to_start(work, now).unwrap_or(*RETRY_AFTER_RANGE.end());
         let after = drain_time.clamp(*RETRY_AFTER_RANGE.start(), *RETRY_AFTER_RANGE.end());
         let spread = rng.random_range(RETRY_AFTER_SPREAD);
-        Refusal { code, retry_after: after.mul_f32(spread) }
+        Refusal { code, retry_after: now.until(self.opens_at(now)) + after.mul_f32(spread) }
     }
 }
 
--- a/src/decide/service/sharing.rs
+++ b/src/decide/service/sharing.rs
@@ -27,7 +27,10 @@
 
     /// Returns the names of the upstreams that this host itself observes to be leaving.
     pub fn observed_leaving(&self) -> impl Iterator<Item = &Arc<str>> {
-        self.rows.iter().filter(|r| r.is_leaving_first_hand()).map(|r| &r.name)
+        // What the registry says of upstreams reaches all hosts as records.
+        let is_news =
+            |r: &&Row| r.drain.is_set() || !self.uses_occupancy() && r.is_leaving_first_hand();
+        self.rows.iter().filter(is_news).map(|r| &r.name)
     }
 
     /// Records a peer's summary of an upstream. Upstreams that are not configured are ignored.
--- a/src/decide/tick.rs
+++ b/src/decide/tick.rs
@@ -16,8 +16,9 @@
 pub struct ServiceTables {
     host_info: HostInfo,
     live_peers: u32,
-    /// Number of entry hosts in the registry; `None` for a fleet whose size the settings limit.
-    registered_hosts: Option<u32>,
+    /// Number of entry hosts that are known, this one included; `None` for a fleet whose size the
+    /// settings limit.
+    known_hosts: Option<u32>,
     services: Vec<ServiceTable>,
     /// When each service is next due, in the order of `services`. Kept apart from the tables, so
     /// that a tick touches little memory of a service without requests.
@@ -25,7 +26,7 @@
 }
 
 /// The number of known entry hosts divided by this, rounded up, is added to it, for hosts that have
-/// started and are not yet registered or heard from.
+/// started and are not yet heard from.
 const FLEET_MARGIN_DIVISOR: u32 = 4;
 /// Time between two ticks of a service without requests.
 const QUIET_INTERVAL: Duration = Duration::from_millis(100);
@@ -47,7 +48,7 @@
         ServiceTables {
             host_info,
             live_peers: 0,
-            registered_hosts: None,
+            known_hosts: None,
             services: Vec::new(),
             due: Vec::new(),
         }
@@ -89,30 +90,23 @@
 
     /// Sets the number of live peers.
     pub fn set_live_peers(&mut self, live_peers: u32) {
-        let has_changed = self.live_peers != live_peers;
         self.live_peers = live_peers;
         self.services.iter_mut().for_each(|s| s.set_live_peers(live_peers));
-        if has_changed {
-            self.estimate_fleet();
-        }
     }
 
-    /// Sets the number of entry hosts in the registry.
-    pub fn set_registered_hosts(&mut self, hosts: u32) {
-        self.registered_hosts = Some(hosts);
-        self.estimate_fleet();
+    /// Returns the number of entry hosts by which fleet-wide budgets are divided.
+    pub fn fleet_size(&self) -> u32 {
+        self.host_info.fleet_size_max
     }
 
-    /// Estimates the largest number of entry hosts from those that are registered or those that are
-    /// heard from, whichever are more: a host whose calls the registry refuses still receives its
-    /// peers' heartbeats.
-    fn estimate_fleet(&mut self) {
-        let Some(registered) = self.registered_hosts.filter(|n| *n > 0 || self.live_peers > 0)
-        else {
+    /// Sets the number of entry hosts that are known, this one included, whether alive or not: a
+    /// host that is cut off must not take over the others' shares of the budgets.
+    pub fn set_known_hosts(&mut self, hosts: u32) {
+        if self.known_hosts == Some(hosts) {
             return;
-        };
-        let known = registered.max(self.live_peers.saturating_add(1));
-        let size_max = known.saturating_add(known.div_ceil(FLEET_MARGIN_DIVISOR));
+        }
+        self.known_hosts = Some(hosts);
+        let size_max = hosts.saturating_add(hosts.div_ceil(FLEET_MARGIN_DIVISOR));
         if size_max != self.host_info.fleet_size_max {
             self.host_info.fleet_size_max = size_max;
             self.services.iter_mut().for_each(|s| s.set_fleet_size(size_max));
--- a/src/decide/upstream.rs
+++ b/src/decide/upstream.rs
@@ -21,7 +21,7 @@
 pub struct UpstreamId(u32);
 
 /// The state of an upstream, which decides whether it gets new requests.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum State {
     /// It takes new requests.
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -15,7 +15,7 @@
 use crate::decide::upstream::{AttemptReport, Occupancy, UpstreamId, UpstreamOutcome};
 use crate::entry::waiting::Waiter;
 use crate::error::Code;
-use crate::event::Subject;
+use crate::event::{EventCode, Subject};
 use crate::node::Node;
 use crate::time::Time;
 use crate::trace::{Entry, Probe};
@@ -112,6 +112,22 @@
         table.update_occupancy(id, occupancy, now);
     }
 
+    /// Records that an upstream has asked this host to send it nothing for some time.
+    pub(crate) fn pause_upstream(&self, service: &str, target: &Target, pause: Duration) {
+        let now = self.clock.now();
+        if let Some(table) = self.tables.lock().service(service) {
+            self.recorder.record_at(now, || Entry::pause(table, target, pause));
+            table.pause(target.id, pause, now);
+        }
+        let subject = Subject {
+            service: Some(service.into()),
+            upstream: Some(target.name.clone()),
+            ..Subject::default()
+        };
+        let millis = u64::try_from(pause.as_millis()).unwrap_or(u64::MAX);
+        self.events.record(EventCode::UpstreamPaused, subject, Some(millis));
+    }
+
     /// Returns the upstreams that the next request would probably go to and that have no fresh load
     /// report, within the probe budget.
     pub(crate) fn probe_candidates(&self, service: &str) -> Vec<Target> {
@@ -151,6 +167,10 @@
             let mut tables = self.tables.lock();
             let live_peers = members.alive(now).count();
             self.set_live_peers(&mut tables, u32::try_from(live_peers).unwrap_or(u32::MAX));
+            if self.settings.registry.is_some() {
+                let known = members.members().len() + 1;
+                tables.set_known_hosts(u32::try_from(known).unwrap_or(u32::MAX));
+            }
             let output = tables.tick(now, rng, is_probe_owner);
             self.record_tick(&output, now);
             output
--- a/src/event.rs
+++ b/src/event.rs
@@ -85,6 +85,8 @@
     UpstreamGone = 3006, "upstream gone";
     /// A response was discarded because it does not belong to the request.
     AnswerDiscarded = 3007, "answer discarded, not this request's";
+    /// An upstream has asked this host to send it nothing for some time.
+    UpstreamPaused = 3008, "upstream asked for a pause";
     /// A record version came into force.
     InForce = 4001, "record version in force";
     /// A newer record can't be read, so the old one stays in force.
@@ -97,6 +99,8 @@
     PlatformUp = 5002, "platform reachable";
     /// A watch was lost and will be reopened.
     WatchLost = 5003, "watch lost";
+    /// The registry has returned from a copy that lacks its newest changes.
+    RegistryRewound = 5004, "registry returned from an older copy";
     /// A peer joined.
     PeerJoined = 6001, "peer joined";
     /// A peer was declared dead.
@@ -130,6 +134,8 @@
             EventCode::Sent => "attempt",
             EventCode::Refused => "retry_after_ms",
             EventCode::AttemptAnswered => "took_ms",
+            EventCode::UpstreamPaused => "pause_ms",
+            EventCode::RegistryRewound => "era",
             EventCode::AttemptFailed | EventCode::CallerAnswered | EventCode::Rejected => "code",
             EventCode::InForce | EventCode::RecordUnreadable | EventCode::StaleVersion => "version",
             _ => "value",
--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::header::RETRY_AFTER;
 use http::response::Parts;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode};
 use http_body_util::Full;
@@ -150,10 +151,13 @@
             return;
         }
         let latency = self.node.clock.now().since(self.started);
-        let LoadReport { load, draining, occupancy } = self.load_report;
+        let LoadReport { load, draining, occupancy, pause } = self.load_report;
         if let Some(occupancy) = occupancy {
             self.node.update_occupancy(&self.service.name, self.target.id, &occupancy);
         }
+        if let Some(pause) = pause {
+            self.node.pause_upstream(&self.service.name, &self.target, pause);
+        }
         let report = AttemptReport { outcome: upstream_outcome, latency, load, draining };
         self.node.finish_attempt(&self.service.name, self.target.id, &report);
     }
@@ -227,7 +231,7 @@
         let limit = Duration::from_millis(limits.connect_timeout_ms);
         let until = (self.node.clock.now() + limit).min(request.deadline);
         let until = self.node.clock.instant(until);
-        let max = self.service.connections / self.node.settings.fleet_size_max.max(1);
+        let max = self.node.connections_max(&self.service);
         let address = self.target.address;
         loop {
             if self.node.clock.now() >= request.deadline {
@@ -236,7 +240,7 @@
             if let Some(conn) = self.idle_connection(request) {
                 return Ok((conn, false));
             }
-            if let Some(permit) = self.node.pool.reserve(address, max.max(1)) {
+            if let Some(permit) = self.node.pool.reserve(address, max) {
                 let conn = Connection::open(address, self.node.clock, until, permit).await?;
                 return Ok((conn, true));
             }
@@ -270,7 +274,7 @@
             self.node.pool.disable_reuse(self.target.address, self.node.clock.now());
             return (self.fail(AttemptOutcome::InvalidResponse, UpstreamOutcome::Lost), None);
         }
-        self.load_report = LoadReport::new(&self.service, &head.headers);
+        self.load_report = LoadReport::new(&self.service, head.status, &head.headers);
         let (outcome, upstream_outcome) = classify(&self.service, &head);
         self.upstream_outcome = upstream_outcome;
         let length = body.size_hint().exact();
@@ -323,11 +327,14 @@
     pub(crate) load: Option<u32>,
     pub(crate) draining: bool,
     pub(crate) occupancy: Option<Occupancy>,
+    /// How long the upstream asks this host to send it nothing.
+    pub(crate) pause: Option<Duration>,
 }
 
 impl LoadReport {
-    /// Reads the header fields that the service's configuration names.
-    pub(crate) fn new(service: &Service, headers: &HeaderMap) -> LoadReport {
+    /// Reads the header fields that the service's configuration names, and how long a response with
+    /// status 503 asks this host to wait.
+    pub(crate) fn new(service: &Service, status: StatusCode, headers: &HeaderMap) -> LoadReport {
         let value = |name: &str| headers.get(name).and_then(|v| v.to_str().ok()).map(str::trim);
         let says_no = |v: &str| v == "0" || v.eq_ignore_ascii_case("false");
         let load = value(&service.load_header);
@@ -340,6 +347,23 @@
             load: in_flight.or_else(|| load.and_then(|v| v.parse().ok())),
             draining: value(&service.drain_header).is_some_and(|v| !says_no(v)),
             occupancy,
+            pause: (status == StatusCode::SERVICE_UNAVAILABLE)
+                .then(|| value(RETRY_AFTER.as_str()).and_then(parse_pause))
+                .flatten(),
+        }
+    }
+}
+
+/// Parses a `Retry-After` time in seconds, with or without fractions. A date is not supported, since
+/// it depends on two hosts' clocks.
+fn parse_pause(text: &str) -> Option<Duration> {
+    let seconds = text.parse::<f64>().ok();
+    let pause = seconds.filter(|s| *s >= 0.0).map(Duration::try_from_secs_f64);
+    match pause {
+        Some(pause) => Some(pause.unwrap_or(Duration::MAX)),
+        None => {
+            log::debug!("ignoring Retry-After {text:?} of an upstream");
+            None
         }
     }
 }
--- a/src/forward/connection.rs
+++ b/src/forward/connection.rs
@@ -20,6 +20,10 @@
 use crate::forward::pool::ConnectionPermit;
 use crate::time::{Clock, Time};
 
+/// Maximum size of the head of a response, in bytes, which also bounds the read buffer of a
+/// connection.
+const HEAD_MAX_BYTES: usize = 64 << 10;
+
 /// The reason why no connection is available.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub(crate) enum ConnectError {
@@ -69,7 +73,8 @@
         stream.set_nodelay(true).map_err(|_| ConnectError::Failed)?;
         let gate = Arc::new(SendGate::new(clock));
         let io = TokioIo::new(GatedStream::new(stream, gate.clone()));
-        let (tx, conn) = http1::handshake(io).await.map_err(|_| ConnectError::Failed)?;
+        let handshake = http1::Builder::new().max_buf_size(HEAD_MAX_BYTES).handshake(io);
+        let (tx, conn) = handshake.await.map_err(|_| ConnectError::Failed)?;
         let task = tokio::spawn(async move {
             let _ = conn.await;
         });
--- a/src/forward/probe.rs
+++ b/src/forward/probe.rs
@@ -6,8 +6,8 @@
 use bytes::Bytes;
 use futures_util::future::join_all;
 use http::header::HOST;
-use http::{HeaderValue, Request, StatusCode, Uri};
-use http_body_util::{BodyExt, Full};
+use http::{HeaderMap, HeaderValue, Request, StatusCode, Uri};
+use http_body_util::{BodyExt, Full, Limited};
 use tokio::task::spawn_local;
 
 use crate::config::Service;
@@ -23,6 +23,10 @@
 /// a nearby data centre.
 const REFRESH_TIMEOUT: Duration = Duration::from_millis(12);
 
+/// Maximum size of the body of a response to a probe, in bytes. A longer one is a fault of the
+/// upstream.
+const BODY_MAX_BYTES: usize = 64 << 10;
+
 /// Sends one probe and reports its result to the service tables.
 pub(crate) async fn send(node: Arc<Node>, service: Arc<Service>, target: Target) {
     let start = node.clock.now();
@@ -36,6 +40,9 @@
             if let Some(occupancy) = &load_report.occupancy {
                 node.update_occupancy(&service.name, target.id, occupancy);
             }
+            if let Some(pause) = load_report.pause {
+                node.pause_upstream(&service.name, &target, pause);
+            }
             AttemptReport {
                 outcome,
                 latency,
@@ -81,30 +88,48 @@
         .await
         .map_err(|_| UpstreamOutcome::Lost)?;
     let (head, body) = res.into_parts();
+    let body = Limited::new(body, BODY_MAX_BYTES);
     body.collect().await.map_err(|_| UpstreamOutcome::Lost)?;
     // A probe has no request id to echo, so this response belongs to an earlier request.
     if head.headers.contains_key(&service.echo_header) {
         node.pool.disable_reuse(target.address, node.clock.now());
         return Err(UpstreamOutcome::Lost);
     }
+    if is_from_another(service, target, &head.headers) {
+        return Err(UpstreamOutcome::ConnectFailed);
+    }
     if keep_open {
         node.pool.put(target.address, conn, node.clock.now());
     }
-    let mut load_report = LoadReport::new(service, &head.headers);
-    load_report.draining |= head.status == StatusCode::SERVICE_UNAVAILABLE;
-    let outcome =
-        if head.status.is_success() { UpstreamOutcome::Answered } else { UpstreamOutcome::Failed };
+    let mut load_report = LoadReport::new(service, head.status, &head.headers);
+    let is_unavailable = head.status == StatusCode::SERVICE_UNAVAILABLE;
+    let outcome = match load_report.occupancy {
+        // A health check may be wrong either way. Where each request shows how an upstream does,
+        // only those count, and a drain is announced by a header field of its own.
+        Some(_) if is_unavailable => UpstreamOutcome::Cancelled,
+        _ if head.status.is_success() => UpstreamOutcome::Answered,
+        _ => UpstreamOutcome::Failed,
+    };
+    load_report.draining |= is_unavailable && load_report.occupancy.is_none();
     Ok((outcome, load_report))
 }
 
+/// Returns whether a response names another upstream than the target, which has taken over its
+/// address.
+fn is_from_another(service: &Service, target: &Target, headers: &HeaderMap) -> bool {
+    let named = headers.get(&service.identity_header);
+    !service.identity_header.is_empty()
+        && named.is_some_and(|n| n.as_bytes() != target.name.as_bytes())
+}
+
 async fn open(
     node: &Node,
     service: &Service,
     target: &Target,
     deadline: Time,
 ) -> Result<Connection, UpstreamOutcome> {
-    let max = service.connections / node.settings.fleet_size_max.max(1);
-    let permit = node.pool.reserve(target.address, max.max(1)).ok_or(UpstreamOutcome::Cancelled)?;
+    let max = node.connections_max(service);
+    let permit = node.pool.reserve(target.address, max).ok_or(UpstreamOutcome::Cancelled)?;
     let until = node.clock.instant(deadline);
     let opened = Connection::open(target.address, node.clock, until, permit).await;
     opened.map_err(|_| UpstreamOutcome::ConnectFailed)
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,7 +17,8 @@
 //!   [`stored`] parses them.
 //! - The fleet: [`member`] decides which hosts are alive and who owns a duty, [`topology`] which
 //!   hosts are neighbours, [`digest`] what they exchange, and [`pause`] whether the process was
-//!   paused. [`hosts`], [`lapse`] and [`leaving`] follow hosts and upstreams that come and go.
+//!   paused. [`hosts`], [`registered`], [`lapse`] and [`leaving`] follow hosts and upstreams that
+//!   come and go, and [`reads`] decides which host reads the platform's registry.
 //! - Observation: [`event`], [`hlc`], [`logs`], [`status`], and [`trace`], which also checks
 //!   traces.
 //! - The programs: [`daemon`], [`tool`], [`cli`], [`settings`], [`header`] and [`error`].
@@ -72,7 +73,7 @@
 
 pub use decide::{
     admission, attempt, balancing, catalog, digest, hosts, kinds, lapse, leaving, matching, member,
-    pause, probing, service, stored, tick, topology, upstream,
+    pause, probing, reads, registered, service, stored, tick, topology, upstream,
 };
 pub use time::{Clock, Time};
 
--- a/src/node.rs
+++ b/src/node.rs
@@ -2,18 +2,21 @@
 //! events.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use parking_lot::{Mutex, RwLock};
 use tokio::sync::Notify;
 use tokio::sync::watch;
 
 use crate::claim::Claims;
+use crate::config::Service;
 use crate::decide::catalog::{Body, Catalog, OfferOutcome, Record, RecordKind};
 use crate::decide::digest::RecordVersion;
 use crate::decide::hosts::{Host, HostList};
 use crate::decide::matching::Routes;
 use crate::decide::member::{MemberChange, MemberState, Members};
 use crate::decide::pause::{PauseDetector, RESYNC_TIMEOUT};
+use crate::decide::reads::ReadSchedule;
 use crate::decide::service::HostInfo;
 use crate::decide::tick::ServiceTables;
 use crate::entry::waiting::WaitingRequests;
@@ -25,7 +28,7 @@
 use crate::peer::feed::ChangeFeed;
 use crate::registry::RegistryFreshness;
 use crate::request_log::LogLimiter;
-use crate::settings::Settings;
+use crate::settings::{DEFAULT_APPLY_S, Settings};
 use crate::store::client::Client;
 use crate::time::Clock;
 use crate::trace::Entry as TraceEntry;
@@ -131,7 +134,7 @@
             pool: Pool::default(),
             memory: MemoryBudget::new(settings.limits.body_bytes),
             pause_detector: Mutex::default(),
-            registry_freshness: RegistryFreshness::default(),
+            registry_freshness: RegistryFreshness::new(ReadSchedule::new(apply_time(&settings))),
             header_names: match settings.registry {
                 Some(_) => platform::headers::names(),
                 None => header::FieldNames::default(),
@@ -178,6 +181,24 @@
         self.routes.read().clone()
     }
 
+    /// Records the era that a response of the registry states, or that a peer knows of. Returns the
+    /// era to take the response for, or `None` if it is older than the newest one known.
+    pub(crate) fn observe_registry_era(&self, stated: Option<u32>) -> Option<u32> {
+        let Some(era) = stated else { return Some(self.registry_freshness.era()) };
+        let before = self.registry_freshness.observe_era(era);
+        if before < era && self.registry_freshness.as_of().is_some() {
+            self.events.record(EventCode::RegistryRewound, Subject::default(), Some(era.into()));
+        }
+        (before <= era).then_some(era)
+    }
+
+    /// Returns the number of connections that this host may open to an upstream of a service: its
+    /// equal share of those that the upstream accepts from the fleet.
+    pub(crate) fn connections_max(&self, service: &Service) -> u32 {
+        let hosts = self.tables.lock().fleet_size();
+        (service.connections / hosts.max(1)).max(1)
+    }
+
     /// Returns the settings as last reloaded.
     pub(crate) fn latest_settings(&self) -> Arc<Settings> {
         self.latest_settings.read().clone()
@@ -322,3 +343,9 @@
             .collect()
     }
 }
+
+/// Returns the time within which a change of the registry must be in force on every host.
+fn apply_time(settings: &Settings) -> Duration {
+    let seconds = settings.registry.as_ref().map_or(DEFAULT_APPLY_S, |r| r.apply_s);
+    Duration::from_secs_f64(seconds)
+}
--- a/src/peer/codec.rs
+++ b/src/peer/codec.rs
@@ -37,6 +37,8 @@
     out.set_registry_age(digest.registry_age.map_or(0, registry_age_units));
     out.set_fingerprint(digest.summary.fingerprint);
     out.set_versions(digest.summary.version_sum);
+    out.set_members(digest.members_fingerprint);
+    out.set_registry_era(digest.registry_era);
     write_processes(&digest.processes, &mut out);
     write_heartbeats(&digest.heartbeats, &mut out);
     write_upstreams(&digest.upstreams, &mut out);
@@ -62,7 +64,9 @@
         left: digest.get_leaving(),
         stale: digest.get_stale(),
         registry_age: registry_age(digest.get_registry_age()),
+        registry_era: digest.get_registry_era(),
         summary,
+        members_fingerprint: digest.get_members(),
         processes: digest.get_processes()?.iter().map(read_process).collect::<Result<_, _>>()?,
         heartbeats: digest.get_beats()?.iter().map(read_heartbeat).collect(),
         upstreams: digest.get_upstreams()?.iter().map(read_upstream).collect::<Result<_, _>>()?,
@@ -165,6 +169,7 @@
         row.set_counter(heartbeat.counter);
         row.set_age(age_units(heartbeat.age, HEARTBEAT_AGE_UNIT));
         row.set_left(heartbeat.left);
+        row.set_dead(heartbeat.dead);
     }
 }
 
@@ -174,6 +179,7 @@
         counter: row.get_counter(),
         age: HEARTBEAT_AGE_UNIT * u32::from(row.get_age()),
         left: row.get_left(),
+        dead: row.get_dead(),
     }
 }
 
--- a/src/peer/dial.rs
+++ b/src/peer/dial.rs
@@ -29,9 +29,6 @@
 /// The maximum delay before a peer is dialled again.
 const BACKOFF_MAX: Duration = Duration::from_millis(400);
 
-/// The minimum time between two exchanges on a connection, however frequent the changes.
-const EXCHANGE_INTERVAL_MIN: Duration = Duration::from_millis(20);
-
 /// The fraction by which a delay varies randomly in either direction.
 const JITTER: f64 = 0.1;
 
@@ -120,10 +117,12 @@
         }
         on_exchange(is_first);
         is_first = false;
-        sleep(EXCHANGE_INTERVAL_MIN).await;
-        let wait = jittered(exchange_interval(local));
+        let is_large = local.node.members.lock().is_large();
+        let min = local.traffic.exchange_interval_min(is_large);
+        sleep(min).await;
+        let wait = local.traffic.exchange_interval(is_large, local.node.clock.now());
         tokio::select! {
-            () = sleep(wait.saturating_sub(EXCHANGE_INTERVAL_MIN)) => {}
+            () = sleep(jittered(wait).saturating_sub(min)) => {}
             _ = changes.changed() => {}
             () = wait_for_registry_lead(&mut freshness, session) => {}
             () = session.nudged.notified() => {}
@@ -140,11 +139,6 @@
     }
 }
 
-fn exchange_interval(local: &LocalState) -> Duration {
-    let is_large = local.node.members.lock().is_large();
-    local.traffic.exchange_interval(is_large, local.node.clock.now())
-}
-
 fn jittered(delay: Duration) -> Duration {
     delay.mul_f64(rand::rng().random_range(1.0 - JITTER..1.0 + JITTER))
 }
--- a/src/peer/feed.rs
+++ b/src/peer/feed.rs
@@ -9,7 +9,7 @@
 use crate::decide::digest::RecordVersion;
 
 /// The number of record versions that the feed remembers.
-const RECENT_MAX: usize = 16;
+const RECENT_MAX: usize = 512;
 
 /// The record versions that came into force last, and a notification for every change. Each change
 /// has a sequence number, from 1.
--- a/src/peer/links.rs
+++ b/src/peer/links.rs
@@ -18,6 +18,12 @@
 /// The time between two updates of the links.
 const UPDATE_INTERVAL: Duration = Duration::from_millis(100);
 
+/// The same time in a large fleet, whose topology takes longer to compute.
+const UPDATE_INTERVAL_LARGE: Duration = Duration::from_millis(250);
+
+/// The time for which exchanges with peers that are no longer neighbours are remembered.
+const EXCHANGES_KEPT: Duration = Duration::from_secs(30);
+
 /// The time without an exchange after which this host dials a neighbour that should have dialled
 /// it.
 const INCOMING_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -49,10 +55,12 @@
 pub(crate) async fn maintain(local: Rc<LocalState>) {
     let mut links: Vec<Link> = Vec::new();
     let mut reconnect = Reconnect::default();
+    let mut watched = WatchedNeighbours::default();
     let mut started = local.node.clock.now();
     let mut pauses = 0;
     loop {
-        sleep(UPDATE_INTERVAL).await;
+        let is_large = local.node.members.lock().is_large();
+        sleep(if is_large { UPDATE_INTERVAL_LARGE } else { UPDATE_INTERVAL }).await;
         let now = local.node.clock.now();
         local.update_observations(now);
         let pause_count = local.node.pause_detector.lock().pause_count();
@@ -61,7 +69,9 @@
             started = now;
             links.clear();
         }
-        let mut targets = neighbours_to_dial(&local, started, now);
+        let neighbours = local.node.members.lock().neighbours(now);
+        watched.update(&local, &neighbours, started, now);
+        let mut targets = neighbours_to_dial(&local, &neighbours, started, now);
         targets.extend(reconnect.target(&local, now));
         links.retain(|l| targets.iter().any(|t| t.host == l.host && t.address == l.address));
         for target in targets {
@@ -80,9 +90,13 @@
 /// Returns the neighbours that this host has to dial: those whose names sort after its own, and
 /// those that should have dialled this host and have not. `started` is when this host started or
 /// last resumed from a pause.
-fn neighbours_to_dial(local: &LocalState, started: Time, now: Time) -> Vec<DialTarget> {
+fn neighbours_to_dial(
+    local: &LocalState,
+    neighbours: &[Arc<str>],
+    started: Time,
+    now: Time,
+) -> Vec<DialTarget> {
     let members = local.node.members.lock();
-    let neighbours = members.neighbours(now);
     let must_dial =
         |host: &str| *local.node.settings.host < *host || is_overdue(local, host, started, now);
     let is_neighbour = |host: &str| neighbours.binary_search_by(|n| (**n).cmp(host)).is_ok();
@@ -98,6 +112,46 @@
     }
 }
 
+/// The neighbours that this host watches in a large fleet, sorted by name, and since when.
+#[derive(Default)]
+struct WatchedNeighbours(Vec<(Arc<str>, Time)>);
+
+impl WatchedNeighbours {
+    /// Watches `neighbours` from now on, and declares those dead that have been silent for too long.
+    /// A host that hears from less than half of its neighbours may itself be cut off, and declares
+    /// none.
+    fn update(&mut self, local: &LocalState, neighbours: &[Arc<str>], started: Time, now: Time) {
+        let since = |host: &Arc<str>| {
+            let found = self.0.binary_search_by(|(h, _)| h.cmp(host));
+            found.map_or(now, |at| self.0[at].1.max(started))
+        };
+        self.0 = neighbours.iter().map(|h| (h.clone(), since(h))).collect();
+        local.forget_exchanges(now.before(EXCHANGES_KEPT));
+        let mut members = local.node.members.lock();
+        if !members.is_large() {
+            return;
+        }
+        let dead_after = members.dead_after();
+        let last_sign = |host: &str, since: Time| local.last_exchange(host).max(Some(since));
+        let is_silent =
+            |host: &str, since| last_sign(host, since).is_some_and(|t| now.since(t) >= dead_after);
+        let silent = self.0.iter().filter(|(host, since)| is_silent(host, *since));
+        let silent: Vec<&Arc<str>> = silent.map(|(host, _)| host).collect();
+        let is_heard = |(host, _): &&(Arc<str>, Time)| {
+            local.last_exchange(host).is_some_and(|t| now.since(t) < dead_after)
+        };
+        if self.0.iter().filter(is_heard).count() * 2 < self.0.len() {
+            return;
+        }
+        let declared: Vec<bool> =
+            silent.into_iter().map(|host| members.declare_dead(host, now)).collect();
+        drop(members);
+        if declared.contains(&true) {
+            local.node.change_feed.notify();
+        }
+    }
+}
+
 /// The choice of an unreachable host, or of a seed while no peer is alive, to dial for a while, so
 /// that the two sides of a healed network partition reconnect.
 #[derive(Default)]
--- a/src/peer/local.rs
+++ b/src/peer/local.rs
@@ -11,9 +11,9 @@
 use crate::decide::digest::{CatalogSummary, RecordVersion, UpstreamName};
 use crate::decide::fetch::PendingFetches;
 use crate::decide::leaving::{LeavingObservation, LeavingObservations, OBSERVATION_AGE_MAX};
-use crate::decide::member::Process;
+use crate::decide::member::{Process, process_fingerprint};
 use crate::decide::upstream::UpstreamSummary;
-use crate::node::Node;
+use crate::node::{Node, Phase};
 use crate::peer::traffic::TrafficBudget;
 use crate::time::Time;
 
@@ -47,6 +47,8 @@
     received_bytes: IntCounter,
     /// The peers that have begun exchanges, with the time of the last one, sorted by name.
     incoming_exchanges: RefCell<Vec<(Arc<str>, Time)>>,
+    /// The peers with which digests were exchanged, with the time of the last one, sorted by name.
+    exchanges: RefCell<Vec<(Arc<str>, Time)>>,
     /// The cached upstream summaries, and when they were read.
     upstream_summaries: RefCell<Option<(Time, Rc<Vec<UpstreamSummary>>)>>,
     /// The cached catalog summary, and the sequence number of the change feed to which it belongs.
@@ -72,6 +74,7 @@
             sent_bytes: node.metrics.control_bytes("sent"),
             received_bytes: node.metrics.control_bytes("received"),
             incoming_exchanges: RefCell::default(),
+            exchanges: RefCell::default(),
             upstream_summaries: RefCell::default(),
             catalog_summary: RefCell::default(),
             node,
@@ -107,6 +110,14 @@
         (now.as_micros() / HEARTBEAT_INTERVAL.as_micros() as u64) as u32 + 1
     }
 
+    /// Returns a hash over all processes that this host knows, its own included.
+    pub(crate) fn members_fingerprint(&self) -> u64 {
+        let process = self.process.borrow();
+        let left = self.node.phase() >= Phase::Draining;
+        let own = process_fingerprint(&process.host, process.incarnation, left);
+        own ^ self.node.members.lock().fingerprint()
+    }
+
     /// Returns the summary of the records in force.
     pub(crate) fn catalog_summary(&self) -> CatalogSummary {
         let (newest, _) = self.node.change_feed.since(u64::MAX);
@@ -179,18 +190,43 @@
 
     /// Records an exchange that a peer has begun.
     pub(crate) fn record_incoming_exchange(&self, host: &Arc<str>, now: Time) {
-        let mut exchanges = self.incoming_exchanges.borrow_mut();
-        match exchanges.binary_search_by(|(h, _)| h.cmp(host)) {
-            Ok(at) => exchanges[at].1 = now,
-            Err(at) => exchanges.insert(at, (host.clone(), now)),
-        }
+        set_time(&mut self.incoming_exchanges.borrow_mut(), host, now);
+        self.record_exchange(host, now);
+    }
+
+    /// Records an exchange of digests with a peer.
+    pub(crate) fn record_exchange(&self, host: &Arc<str>, now: Time) {
+        set_time(&mut self.exchanges.borrow_mut(), host, now);
     }
 
     /// Returns when a peer last began an exchange.
     pub(crate) fn last_incoming_exchange(&self, host: &str) -> Option<Time> {
-        let exchanges = self.incoming_exchanges.borrow();
-        exchanges.binary_search_by(|(h, _)| (**h).cmp(host)).ok().map(|at| exchanges[at].1)
+        time_of(&self.incoming_exchanges.borrow(), host)
+    }
+
+    /// Returns when digests were last exchanged with a peer.
+    pub(crate) fn last_exchange(&self, host: &str) -> Option<Time> {
+        time_of(&self.exchanges.borrow(), host)
     }
+
+    /// Forgets the exchanges with peers before `oldest`.
+    pub(crate) fn forget_exchanges(&self, oldest: Time) {
+        self.incoming_exchanges.borrow_mut().retain(|(_, at)| *at >= oldest);
+        self.exchanges.borrow_mut().retain(|(_, at)| *at >= oldest);
+    }
+}
+
+/// Sets the time of a host in a table sorted by name.
+fn set_time(table: &mut Vec<(Arc<str>, Time)>, host: &Arc<str>, now: Time) {
+    match table.binary_search_by(|(h, _)| h.cmp(host)) {
+        Ok(at) => table[at].1 = now,
+        Err(at) => table.insert(at, (host.clone(), now)),
+    }
+}
+
+/// Returns the time of a host in a table sorted by name.
+fn time_of(table: &[(Arc<str>, Time)], host: &str) -> Option<Time> {
+    table.binary_search_by(|(h, _)| (**h).cmp(host)).ok().map(|at| table[at].1)
 }
 
 /// Returns the incarnation of a process that starts now: the milliseconds since the Unix epoch,
--- a/src/peer/peer_capnp.rs
+++ b/src/peer/peer_capnp.rs
@@ -146,11 +146,19 @@
         pub fn get_registry_age(self) -> u16 {
             self.reader.get_data_field::<u16>(17)
         }
+        #[inline]
+        pub fn get_members(self) -> u64 {
+            self.reader.get_data_field::<u64>(5)
+        }
+        #[inline]
+        pub fn get_registry_era(self) -> u32 {
+            self.reader.get_data_field::<u32>(9)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 5, pointers: 6 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 6, pointers: 6 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -360,6 +368,22 @@
         pub fn set_registry_age(&mut self, value: u16)  {
             self.builder.set_data_field::<u16>(17, value);
         }
+        #[inline]
+        pub fn get_members(self) -> u64 {
+            self.builder.get_data_field::<u64>(5)
+        }
+        #[inline]
+        pub fn set_members(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(5, value);
+        }
+        #[inline]
+        pub fn get_registry_era(self) -> u32 {
+            self.builder.get_data_field::<u32>(9)
+        }
+        #[inline]
+        pub fn set_registry_era(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(9, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -371,122 +395,136 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 256] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 287] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(75, 129, 217, 106, 37, 199, 47, 173),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 5, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 6, 0),
             ::capnp::word(39, 82, 161, 156, 57, 191, 28, 128),
             ::capnp::word(6, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 23, 3, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 135, 3, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 68, 105, 103, 101, 115),
             ::capnp::word(116, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(56, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(121, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(177, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(128, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(172, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(181, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(176, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(185, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(180, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(133, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(189, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(132, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(144, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(188, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(200, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(141, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(197, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(140, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(152, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(196, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(208, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 0, 1, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(149, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(205, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(144, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(156, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(200, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(209, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(180, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(208, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(236, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(177, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(233, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(172, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(200, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(228, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(0, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(197, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(253, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(196, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(224, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(252, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(221, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(21, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(216, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(244, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(16, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(241, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(41, 2, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(236, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(8, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(36, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(64, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 1, 1, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(5, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(61, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(12, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(56, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(68, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(65, 2, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(4, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(32, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(60, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(13, 0, 0, 0, 17, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 2, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(85, 2, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(84, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(96, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(14, 0, 0, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(28, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(40, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(93, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(88, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(100, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(15, 0, 0, 0, 9, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 2, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(96, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(109, 105, 108, 108, 105, 115, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -628,6 +666,23 @@
             ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 101, 109, 98, 101, 114, 115, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 103, 105, 115, 116, 114, 121),
+            ::capnp::word(69, 114, 97, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -645,6 +700,8 @@
                 11 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 12 => <::capnp::struct_list::Owned<crate::peer::peer_capnp::leave::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 13 => <u16 as ::capnp::introspect::Introspect>::introspect(),
+                14 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                15 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -658,9 +715,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,7,1,3,12,5,9,0,6,10,13,11,8,4];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,7,1,3,12,5,9,14,0,6,10,13,15,11,8,4];
         pub(crate) const TYPE_ID: u64 = 0xad2f_c725_6ad9_814b;
     }
 }
@@ -1059,6 +1116,10 @@
         pub fn get_counter(self) -> u32 {
             self.reader.get_data_field::<u32>(1)
         }
+        #[inline]
+        pub fn get_dead(self) -> bool {
+            self.reader.get_bool_field(25)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -1145,6 +1206,14 @@
         pub fn set_counter(&mut self, value: u32)  {
             self.builder.set_data_field::<u32>(1, value);
         }
+        #[inline]
+        pub fn get_dead(self) -> bool {
+            self.builder.get_bool_field(25)
+        }
+        #[inline]
+        pub fn set_dead(&mut self, value: bool)  {
+            self.builder.set_bool_field(25, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -1156,7 +1225,7 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 76] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 91] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(161, 219, 94, 92, 66, 112, 174, 215),
             ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
@@ -1166,41 +1235,48 @@
             ::capnp::word(21, 0, 0, 0, 130, 0, 0, 0),
             ::capnp::word(25, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 31, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 66, 101, 97, 116, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(129, 0, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 24, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(133, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(137, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 25, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(141, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(112, 114, 111, 99, 101, 115, 115, 0),
             ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1233,6 +1309,14 @@
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 101, 97, 100, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -1240,6 +1324,7 @@
                 1 => <u8 as ::capnp::introspect::Introspect>::introspect(),
                 2 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1253,9 +1338,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,3,2,0];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,3,4,2,0];
         pub(crate) const TYPE_ID: u64 = 0xd7ae_7042_5c5e_dba1;
     }
 }
--- a/src/peer/pull.rs
+++ b/src/peer/pull.rs
@@ -8,6 +8,7 @@
 use capnp::Error;
 use tokio::task::spawn_local;
 
+use crate::decide::catalog::Record;
 use crate::decide::digest::{RecordVersion, newer_versions};
 use crate::decide::fetch;
 use crate::decide::stored::{self, StoredRecord};
@@ -162,27 +163,28 @@
         if count == 0 {
             return Err(Error::failed("peer returned no records".into()));
         }
+        let mut readable = Vec::new();
         for (i, version) in batch.iter().take(count).enumerate() {
-            offer(&session.local, version, records.get(i as u32)?);
+            readable.extend(parse(&session.local, version, records.get(i as u32)?));
         }
+        session.local.node.offer(readable);
         remaining = &remaining[count..];
     }
     Ok(())
 }
 
-/// Offers a fetched record to the catalog. An empty `json` means that the peer no longer has the
-/// record.
-fn offer(local: &LocalState, version: &RecordVersion, json: &[u8]) {
+/// Returns a fetched record, unless this release can't read it. An empty `json` means that the peer
+/// no longer has the record.
+fn parse(local: &LocalState, version: &RecordVersion, json: &[u8]) -> Option<Record> {
     if json.is_empty() {
-        return;
+        return None;
     }
     match stored::read(version.kind, &version.name, json) {
-        StoredRecord::Readable(record) => {
-            local.node.offer(vec![record]);
-        }
+        StoredRecord::Readable(record) => Some(record),
         StoredRecord::Unreadable(unreadable) => {
             local.node.record_unreadable(unreadable);
             local.unreadable.borrow_mut().push(version.clone());
+            None
         }
     }
 }
--- a/src/peer/session.rs
+++ b/src/peer/session.rs
@@ -18,10 +18,10 @@
 use tokio_util::io::{InspectReader, InspectWriter};
 
 use crate::decide::digest::{
-    CatalogSummary, DecodedDigest, DeltaDecoder, DeltaEncoder, Digest, RecordVersion,
+    CatalogSummary, DecodedDigest, DeltaDecoder, DeltaEncoder, Digest, ReceiverView, RecordVersion,
     newer_versions,
 };
-use crate::decide::member::{HeartbeatOutcome, Process};
+use crate::decide::member::{HeartbeatOutcome, Process, process_fingerprint};
 use crate::node::Phase;
 use crate::peer::local::LocalState;
 use crate::peer::peer_capnp::peer;
@@ -52,6 +52,10 @@
     pub(crate) nudged: Notify,
     /// The summary of the peer's records in its last digest.
     pub(crate) peer_summary: Cell<Option<CatalogSummary>>,
+    /// The hash of the peer's view of the fleet in its last digest.
+    peer_members: Cell<Option<u64>>,
+    /// Since when the peer's view has differed from this host's.
+    members_differ_since: Cell<Option<Time>>,
     /// Whether the peer may lack the newest records after a pause, according to its last digest.
     pub(crate) is_peer_stale: Cell<bool>,
     /// The time up to which the peer knows every change of the registry, according to the digests
@@ -77,6 +81,10 @@
 /// more than the time that a read takes to spread.
 const REGISTRY_LEAD: Duration = Duration::from_millis(250);
 
+/// The time for which two hosts' views of the fleet may differ before they send each other the
+/// processes that the other one may lack. News reaches hosts at different times.
+const VIEW_DIFFERENCE_MAX: Duration = Duration::from_millis(1_000);
+
 /// The reason why an exchange of digests failed.
 #[derive(Debug, derive_more::Display, derive_more::From)]
 pub(crate) enum ExchangeError {
@@ -89,7 +97,7 @@
 }
 
 /// The number of versions that a session remembers the peer to have announced.
-const ANNOUNCED_MAX: usize = 32;
+const ANNOUNCED_MAX: usize = 512;
 
 /// The task that sends and receives a connection's messages.
 pub(crate) type RpcTask = Pin<Box<RpcSystem<Side>>>;
@@ -114,6 +122,8 @@
             local: local.clone(),
             nudged: Notify::new(),
             peer_summary: Cell::default(),
+            peer_members: Cell::default(),
+            members_differ_since: Cell::default(),
             is_peer_stale: Cell::default(),
             peer_registry_as_of: Cell::default(),
             pull_state: PullState::default(),
@@ -182,7 +192,9 @@
             left: node.phase() >= Phase::Draining,
             stale: node.pause_detector.lock().is_stale(now),
             registry_age: node.registry_freshness.as_of().map(|at| now.since(at)),
+            registry_era: node.registry_freshness.era(),
             summary: self.local.catalog_summary(),
+            members_fingerprint: self.local.members_fingerprint(),
             recent: recent
                 .into_iter()
                 .filter(|v| v.version > 0 && !announced.contains(v))
@@ -193,8 +205,8 @@
         self.advance_peer_registry(node.registry_freshness.as_of());
         let mut encoder = self.encoder.borrow_mut();
         encoder.add_sender(&self.process, &mut digest);
-        if self.is_superseded.get() {
-            self.add_superseding_process(&mut encoder, &mut digest);
+        if self.is_superseded.get() || self.is_peer_declared_dead() {
+            self.add_newest_process(&mut encoder, &mut digest);
         }
         self.add_heartbeats(&mut encoder, now, &mut digest);
         let max_loads = self.local.traffic.max_loads(now);
@@ -220,6 +232,9 @@
         let reply = reply.map_err(|_| ExchangeError::TimedOut)??;
         let digest = codec::read(reply.get()?.get_digest()?)?;
         self.apply(&digest, pauses, Some(requested))?;
+        if let Some(host) = self.host() {
+            self.local.record_exchange(&host, node.clock.now());
+        }
         Ok(())
     }
 
@@ -248,7 +263,7 @@
         node.hlc.observe(digest.stamp);
         let decoded = self.decoder.borrow_mut().decode(digest, now);
         let decoded = decoded.ok_or_else(|| Error::failed("peer names no sender".into()))?;
-        self.record_heartbeats(&decoded)?;
+        self.record_heartbeats(&decoded, now)?;
         self.last_digest.set(now);
         if self.is_superseded.get() {
             return Ok(());
@@ -256,7 +271,9 @@
         self.import_loads(&decoded, now);
         decoded.leaving_upstreams.iter().for_each(|o| self.local.apply_observation(o, now));
         self.peer_summary.set(Some(digest.summary));
+        self.peer_members.set(Some(digest.members_fingerprint));
         self.is_peer_stale.set(digest.stale);
+        node.observe_registry_era(Some(digest.registry_era));
         self.apply_registry_age(digest.registry_age, requested, now);
         self.record_announced(&digest.recent);
         let wanted = newer_versions(&node.catalog.lock(), digest.recent.clone());
@@ -297,17 +314,35 @@
         let peer = decoder.sender().map(|p| p.host.clone());
         let members = self.local.node.members.lock();
         let others = members.recently_heard(now).filter(|m| Some(&m.host) != peer.as_ref());
-        let interval = members.relay_interval();
-        encoder.add_heartbeats(others, |p| decoder.counter_of(p), interval, now, digest);
+        let relay = members.relays_heartbeats();
+        let receiver = ReceiverView {
+            counter_of: &|p| decoder.counter_of(p),
+            differs: self.peer_lacks_members(digest.members_fingerprint, now),
+        };
+        encoder.add_heartbeats(others, &receiver, relay, now, digest);
     }
 
-    fn record_heartbeats(&self, decoded: &DecodedDigest) -> Result<(), Error> {
+    /// Returns whether the peer seems to lack processes that this host knows: its view of the fleet
+    /// is not the one with the hash `own`, and has not become so within [`VIEW_DIFFERENCE_MAX`], or
+    /// it knows nobody yet.
+    fn peer_lacks_members(&self, own: u64, now: Time) -> bool {
+        let Some(theirs) = self.peer_members.get().filter(|theirs| *theirs != own) else {
+            self.members_differ_since.set(None);
+            return false;
+        };
+        let since = self.members_differ_since.get().unwrap_or(now);
+        self.members_differ_since.set(Some(since));
+        let is_alone = |p: Process| theirs == process_fingerprint(&p.host, p.incarnation, false);
+        now.since(since) >= VIEW_DIFFERENCE_MAX || self.peer().is_some_and(is_alone)
+    }
+
+    fn record_heartbeats(&self, decoded: &DecodedDigest, now: Time) -> Result<(), Error> {
         let mut changed = false;
         let mut members = self.local.node.members.lock();
         for (i, (process, heartbeat)) in decoded.heartbeats.iter().enumerate() {
-            let outcome = members.record_heartbeat(process, *heartbeat);
+            let outcome = members.record_heartbeat(process, *heartbeat, now);
             if outcome == HeartbeatOutcome::OwnName {
-                self.check_own_name(process, i == 0)?;
+                self.check_own_name(process, heartbeat.dead, i == 0)?;
             }
             if i == 0 {
                 self.is_superseded.set(outcome == HeartbeatOutcome::Superseded);
@@ -325,24 +360,38 @@
     }
 
     /// Checks a heartbeat that carries this host's own name. From the peer itself, it means that
-    /// two hosts run under this name. Relayed, it comes from an earlier process of this host, and
-    /// this process raises its incarnation above it.
-    fn check_own_name(&self, process: &Process, is_sender: bool) -> Result<(), Error> {
+    /// two hosts run under this name. Relayed, it comes from an earlier process of this host, or the
+    /// fleet takes this process for dead, and this process raises its incarnation above it.
+    fn check_own_name(
+        &self,
+        process: &Process,
+        is_dead: bool,
+        is_sender: bool,
+    ) -> Result<(), Error> {
         if is_sender {
             return Err(Error::failed(format!("host {:?} runs twice", process.host)));
         }
-        if process.incarnation > self.local.process().incarnation {
+        let own = self.local.process().incarnation;
+        if process.incarnation > own || is_dead && process.incarnation == own {
             self.local.raise_incarnation(process.incarnation);
         }
         Ok(())
     }
 
-    /// Tells a superseded peer of the later process that is known under its host name.
-    fn add_superseding_process(&self, encoder: &mut DeltaEncoder, digest: &mut Digest) {
+    /// Returns whether the peer's process is taken for dead.
+    fn is_peer_declared_dead(&self) -> bool {
+        let Some(peer) = self.peer() else { return false };
+        let members = self.local.node.members.lock();
+        members.get(&peer.host).is_some_and(|m| m.dead && m.incarnation == peer.incarnation)
+    }
+
+    /// Tells the peer of the newest process that is known under its host name: a later one than its
+    /// own, or its own if that is taken for dead.
+    fn add_newest_process(&self, encoder: &mut DeltaEncoder, digest: &mut Digest) {
         let members = self.local.node.members.lock();
-        let later = self.host().and_then(|host| members.get(&host).cloned());
-        if let Some(member) = later {
-            encoder.add_superseding_process(&member, digest);
+        let newest = self.host().and_then(|host| members.get(&host).cloned());
+        if let Some(member) = newest {
+            encoder.add_newest_process(&member, digest);
         }
     }
 
--- a/src/peer/tests.rs
+++ b/src/peer/tests.rs
@@ -355,8 +355,8 @@
         address: other_address,
         incarnation: u64::MAX / 2,
     };
-    let shutdown = Heartbeat { counter: 9, at: Time::ZERO, left: true };
-    a.node.members.lock().record_heartbeat(&earlier, shutdown);
+    let shutdown = Heartbeat { counter: 9, at: Time::ZERO, left: true, dead: false };
+    a.node.members.lock().record_heartbeat(&earlier, shutdown, Time::ZERO);
     let _b = Host::start("entry-1", other, other_address, &peers);
     wait_until("alive", || a.state("entry-1") == Some(MemberState::Alive));
 }
@@ -370,7 +370,7 @@
     let heartbeat = (any::<u16>(), any::<u32>(), 0_u32..255, any::<bool>()).prop_map(
         |(process, counter, age, left)| {
             let age = Duration::from_millis(20) * age;
-            RelayedHeartbeat { process, counter, age, left }
+            RelayedHeartbeat { process, counter, age, left, dead: !left }
         },
     );
     let upstream = ("[a-z]{0,8}", "\\PC{0,8}")
@@ -394,7 +394,9 @@
         leaving_upstreams: Vec::new(),
         stale: !head.3,
         registry_age: head.3.then(|| Duration::from_millis(u64::from(head.1 % 60_000))),
+        registry_era: head.1,
         summary: CatalogSummary { fingerprint: head.4, version_sum: head.0 },
+        members_fingerprint: head.0 ^ head.4,
         processes: lists.0,
         heartbeats: lists.1,
         upstreams: lists.2,
--- a/src/peer/traffic.rs
+++ b/src/peer/traffic.rs
@@ -24,8 +24,19 @@
 /// The time between two exchanges on a link.
 const EXCHANGE_INTERVAL: Duration = Duration::from_millis(500);
 
-/// The time between two exchanges on a link in a large fleet while the budget is overdrawn.
-const EXCHANGE_INTERVAL_OVERDRAWN: Duration = Duration::from_millis(900);
+/// The time between two exchanges on a link in a large fleet.
+const EXCHANGE_INTERVAL_LARGE: Duration = Duration::from_millis(1_000);
+
+/// The same time while the budget is overdrawn. A neighbour counts as dead only after several of
+/// them.
+const EXCHANGE_INTERVAL_OVERDRAWN: Duration = Duration::from_millis(1_300);
+
+/// The minimum time between two exchanges on a link, however frequent the changes.
+const EXCHANGE_INTERVAL_MIN: Duration = Duration::from_millis(20);
+
+/// The same time in a large fleet, where each host has more links and there are more changes. A
+/// change still crosses the fleet in half a second.
+const EXCHANGE_INTERVAL_MIN_LARGE: Duration = Duration::from_millis(100);
 
 /// A token bucket of bytes that can be overdrawn. Heartbeats and versions are sent in any case; a
 /// debt is paid off with the loads of fewer upstreams and, in a large fleet, with longer intervals
@@ -51,13 +62,18 @@
     /// Returns the time until the next exchange on a link. A small fleet always keeps the short
     /// interval, since its hosts are considered dead sooner.
     pub(crate) fn exchange_interval(&self, is_large: bool, now: Time) -> Duration {
-        if is_large && self.tokens_at(now) < 0.0 {
-            EXCHANGE_INTERVAL_OVERDRAWN
-        } else {
-            EXCHANGE_INTERVAL
+        match is_large {
+            false => EXCHANGE_INTERVAL,
+            true if self.tokens_at(now) < 0.0 => EXCHANGE_INTERVAL_OVERDRAWN,
+            true => EXCHANGE_INTERVAL_LARGE,
         }
     }
 
+    /// Returns the minimum time between two exchanges on a link.
+    pub(crate) fn exchange_interval_min(&self, is_large: bool) -> Duration {
+        if is_large { EXCHANGE_INTERVAL_MIN_LARGE } else { EXCHANGE_INTERVAL_MIN }
+    }
+
     fn tokens_at(&self, now: Time) -> f64 {
         let gained = now.since(self.refilled.get()).as_secs_f64() * BYTES_PER_SECOND;
         self.refilled.set(self.refilled.get().max(now));
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -6,7 +6,7 @@
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
-use http::{Method, StatusCode};
+use http::{HeaderMap, HeaderName, Method, StatusCode};
 use parking_lot::Mutex;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Deserializer, de};
@@ -20,18 +20,39 @@
 /// registry responds within milliseconds, and takes some 60 times as long when it is slow.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// The header field with the registry's era, which rises by one each time the registry returns from
+/// a copy that lacks its newest changes. Revisions may then be given out again.
+const ERA: HeaderName = HeaderName::from_static("store-era");
+
+/// A callback that is given the era that a response states. Returns the era to take it for, or
+/// `None` if a newer one is known.
+pub(crate) type EraObserver = Box<dyn Fn(Option<u32>) -> Option<u32> + Send + Sync>;
+
 /// A client of the registry.
 pub(crate) struct Client {
     http: HttpClient,
     timeout: Mutex<AdaptiveTimeout>,
+    observe_era: EraObserver,
+}
+
+/// A point in the registry's history.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Revision {
+    pub(crate) era: u32,
+    pub(crate) number: u64,
+}
+
+/// Whether a read may return what was true some seconds ago, which costs a tenth.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Consistency {
+    Linearizable,
+    Stale,
 }
 
 /// A stored or removed key.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Change {
     pub(crate) key: String,
-    /// The registry's revision of the change.
-    pub(crate) revision: u64,
     /// The value; `None` if the key was removed.
     pub(crate) value: Option<Vec<u8>>,
     /// The lease with whose expiry the key is removed.
@@ -44,14 +65,14 @@
     /// The keys and their values, sorted by key.
     pub(crate) items: Vec<Change>,
     /// The registry's revision before the items were read.
-    pub(crate) revision: u64,
+    pub(crate) revision: Revision,
 }
 
 /// The changes under a prefix since a revision.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum WatchResponse {
     /// The changes, in order of revision, and the revision up to which they are complete.
-    Changes(Vec<Change>, u64),
+    Changes(Vec<Change>, Revision),
     /// The registry has discarded that part of its history; everything has to be read again.
     Compacted,
 }
@@ -77,7 +98,6 @@
     key: String,
     #[serde(default, deserialize_with = "base64")]
     value: Vec<u8>,
-    revision: u64,
     #[serde(default)]
     deleted: bool,
     /// The id of the lease; 0 for none.
@@ -89,7 +109,7 @@
     fn from(item: Item) -> Change {
         let value = (!item.deleted).then_some(item.value);
         let lease = (item.lease > 0).then_some(LeaseId(item.lease));
-        Change { key: item.key, revision: item.revision, value, lease }
+        Change { key: item.key, value, lease }
     }
 }
 
@@ -104,9 +124,11 @@
         address: SocketAddr,
         calls_per_second: f64,
         counter: CallCounter,
+        observe_era: EraObserver,
     ) -> Client {
         let http = HttpClient::new(vec![address], calls_per_second, counter);
-        Client { http, timeout: Mutex::new(AdaptiveTimeout::new(RESPONSE_TIMEOUT)) }
+        let timeout = Mutex::new(AdaptiveTimeout::new(RESPONSE_TIMEOUT));
+        Client { http, timeout, observe_era }
     }
 
     /// Lists the keys under a prefix, page by page. A key that changes meanwhile may be read as it
@@ -114,18 +136,31 @@
     ///
     /// # Errors
     ///
-    /// Returns the [`CallError`] of the first page that can't be read.
-    pub(crate) async fn list(&self, prefix: &str) -> Result<Items, CallError> {
+    /// Returns the [`CallError`] of the first page that can't be read, or an error if the registry's
+    /// era changes between two pages.
+    pub(crate) async fn list(
+        &self,
+        prefix: &str,
+        consistency: Consistency,
+    ) -> Result<Items, CallError> {
         let mut out = Items::default();
         loop {
             let after = out.items.last().map_or("", |item| item.key.as_str());
-            let query = [("pathPrefix", prefix), ("after", after)];
-            let query = if after.is_empty() { &query[..1] } else { &query[..] };
+            let mut query = vec![("pathPrefix", prefix)];
+            if !after.is_empty() {
+                query.push(("after", after));
+            }
+            if consistency == Consistency::Stale {
+                query.push(("serializable", "1"));
+            }
             let path = "/api/kv-range";
-            let (status, text) = self.read(CallKind::Range, path, query).await?;
-            let page: RangeResponse = parse(path, status, &text)?;
-            if out.revision == 0 {
-                out.revision = page.current_rev;
+            let res = self.read(CallKind::Range, path, &query).await?;
+            let era = res.era;
+            let page: RangeResponse = parse(path, &res)?;
+            if out.items.is_empty() {
+                out.revision = Revision { era, number: page.current_rev };
+            } else if out.revision.era != era {
+                return Err(CallError::OutcomeUnknown(format!("{path}: the era has changed")));
             }
             let is_last = !page.has_more || page.items.is_empty();
             out.items.extend(page.items.into_iter().map(Change::from));
@@ -143,18 +178,19 @@
     pub(crate) async fn changes(
         &self,
         prefix: &str,
-        after: u64,
+        after: Revision,
     ) -> Result<WatchResponse, CallError> {
-        let after = after.to_string();
-        let query = [("pathPrefix", prefix), ("after", &after), ("waitMs", "0")];
+        let number = after.number.to_string();
+        let query = [("pathPrefix", prefix), ("after", &number), ("waitMs", "0")];
         let path = "/api/kv-watch";
-        let (status, text) = self.read(CallKind::Watch, path, &query).await?;
-        if status == StatusCode::GONE {
+        let res = self.read(CallKind::Watch, path, &query).await?;
+        // Revisions of an earlier era mean nothing in this one, even if it has reached them.
+        if res.status == StatusCode::GONE || res.era != after.era {
             return Ok(WatchResponse::Compacted);
         }
-        let EventsResponse { events, current_rev } = parse(path, status, &text)?;
+        let EventsResponse { events, current_rev } = parse(path, &res)?;
         let changes = events.into_iter().map(Change::from).collect();
-        Ok(WatchResponse::Changes(changes, current_rev))
+        Ok(WatchResponse::Changes(changes, Revision { number: current_rev, ..after }))
     }
 
     /// Grants a lease with a time to live.
@@ -165,8 +201,8 @@
     pub(crate) async fn grant(&self, ttl: Duration) -> Result<LeaseId, CallError> {
         let body = json!({ "ttlS_time": ttl.as_secs_f64() });
         let path = "/api/kv-lease";
-        let (status, text) = self.call(CallKind::Lease, Method::POST, path, Some(&body)).await?;
-        let lease: LeaseResponse = parse(path, status, &text)?;
+        let res = self.call(CallKind::Lease, Method::POST, path, Some(&body)).await?;
+        let lease: LeaseResponse = parse(path, &res)?;
         Ok(LeaseId(lease.lease))
     }
 
@@ -177,8 +213,8 @@
     /// Returns a [`CallError`] if the call fails.
     pub(crate) async fn renew(&self, lease: LeaseId) -> Result<bool, CallError> {
         let path = format!("/api/kv-keep/{}", lease.0);
-        let (status, text) = self.call(CallKind::Lease, Method::POST, &path, None).await?;
-        has_lease(&path, status, &text)
+        let res = self.call(CallKind::Lease, Method::POST, &path, None).await?;
+        has_lease(&path, &res)
     }
 
     /// Stores a value under a lease. Returns false if the lease has expired.
@@ -196,8 +232,8 @@
         let put = json!({ "key": key, "value": STANDARD.encode(value), "lease": lease.0 });
         let body = json!({ "expected": [], "puts": [put], "remove": [] });
         let path = "/api/kv-txn";
-        let (status, text) = self.call(CallKind::Txn, Method::POST, path, Some(&body)).await?;
-        has_lease(path, status, &text)
+        let res = self.call(CallKind::Txn, Method::POST, path, Some(&body)).await?;
+        has_lease(path, &res)
     }
 
     async fn read(
@@ -205,20 +241,21 @@
         kind: CallKind,
         path: &str,
         query: &[(&str, &str)],
-    ) -> Result<(StatusCode, Bytes), CallError> {
+    ) -> Result<RegistryResponse, CallError> {
         let query = serde_urlencoded::to_string(query)
             .map_err(|e| CallError::NotSent(format!("{path}: {e}")))?;
         self.call(kind, Method::GET, &format!("{path}?{query}"), None).await
     }
 
-    /// Makes a call and adapts the timeout to how long the response took.
+    /// Makes a call and adapts the timeout to how long the response took. A response from an earlier
+    /// era than the newest one known is discarded.
     async fn call(
         &self,
         kind: CallKind,
         method: Method,
         path: &str,
         body: Option<&Value>,
-    ) -> Result<(StatusCode, Bytes), CallError> {
+    ) -> Result<RegistryResponse, CallError> {
         let request = Request { method, path, body };
         let timeout = self.timeout.lock().current();
         let start = Instant::now();
@@ -229,30 +266,53 @@
             Err(_) if took >= timeout => self.timeout.lock().record_timeout(),
             Err(_) => {}
         }
-        response
+        let (head, body) = response?.into_parts();
+        let stated = era(&head.headers);
+        let Some(era) = (self.observe_era)(stated) else {
+            return Err(CallError::OutcomeUnknown(format!("{path}: response of era {stated:?}")));
+        };
+        Ok(RegistryResponse { status: head.status, era, body })
+    }
+}
+
+/// A response of the registry.
+struct RegistryResponse {
+    status: StatusCode,
+    era: u32,
+    body: Bytes,
+}
+
+/// Returns the era that a response states, if it states one.
+fn era(headers: &HeaderMap) -> Option<u32> {
+    let value = headers.get(ERA)?;
+    let era = value.to_str().ok().and_then(|v| v.trim().parse().ok());
+    if era.is_none() {
+        log::warn!("registry: unreadable {ERA} {value:?}");
     }
+    era
 }
 
 /// Parses the body of a successful response.
-fn parse<T: DeserializeOwned>(path: &str, status: StatusCode, text: &[u8]) -> Result<T, CallError> {
-    if !status.is_success() {
-        return Err(refusal(path, status, text));
+fn parse<T: DeserializeOwned>(path: &str, res: &RegistryResponse) -> Result<T, CallError> {
+    if !res.status.is_success() {
+        return Err(refusal(path, res));
     }
-    serde_json::from_slice(text).map_err(|e| CallError::OutcomeUnknown(format!("{path}: {e}")))
+    serde_json::from_slice(&res.body).map_err(|e| CallError::OutcomeUnknown(format!("{path}: {e}")))
 }
 
 /// Returns whether the lease that a call names exists, by the status of the response.
-fn has_lease(path: &str, status: StatusCode, text: &[u8]) -> Result<bool, CallError> {
-    match status {
+fn has_lease(path: &str, res: &RegistryResponse) -> Result<bool, CallError> {
+    match res.status {
         StatusCode::NOT_FOUND => Ok(false),
         s if s.is_success() => Ok(true),
-        s => Err(refusal(path, s, text)),
+        _ => Err(refusal(path, res)),
     }
 }
 
 /// Returns the error of a response with an unexpected status.
-fn refusal(path: &str, status: StatusCode, text: &[u8]) -> CallError {
-    CallError::Refused(format!("{path}: status {status}: {}", String::from_utf8_lossy(text).trim()))
+fn refusal(path: &str, res: &RegistryResponse) -> CallError {
+    let text = String::from_utf8_lossy(&res.body);
+    CallError::Refused(format!("{path}: status {}: {}", res.status, text.trim()))
 }
 
 /// Deserializes bytes encoded in base64.
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -11,6 +11,8 @@
 const EXPECTED_UPSTREAM: &str = "x-expect-instance";
 /// Id of the upstream that sent a response.
 const UPSTREAM: &str = "x-instance-id";
+/// Set to 1 by an upstream that is leaving, on all of its responses.
+const LEAVING: &str = "server-leaving";
 /// The upstream's load: requests running, requests waiting, slots, and the current service time in
 /// percent of the usual one.
 const LOAD: &str = "x-instance-load";
@@ -38,7 +40,8 @@
     service.refusals.push(DeclaredRefusal { status: MISDIRECTED_STATUS, header, value: None });
     service.load_header = LOAD.to_owned();
     service.load_format = LoadFormat::Occupancy;
-    service.drain_header = String::new();
+    service.drain_header = LEAVING.to_owned();
+    service.identity_header = UPSTREAM.to_owned();
     service.signature_header = SIGNATURE.to_owned();
     service.echo_header = REQUEST_ID.to_owned();
     service.instance_header = EXPECTED_UPSTREAM.to_owned();
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -11,4 +11,4 @@
 #[cfg(test)]
 mod tests;
 
-pub(crate) use client::{Change, Client, Items, WatchResponse};
+pub(crate) use client::{Change, Client, Consistency, Items, Revision, WatchResponse};
--- a/src/platform/registration.rs
+++ b/src/platform/registration.rs
@@ -20,6 +20,12 @@
     zone: Arc<str>,
     slots: u32,
     state: RegistrationState,
+    /// Counts the writes of one process.
+    #[serde(default)]
+    sequence: Option<u64>,
+    /// The start of the process, in milliseconds since the Unix epoch.
+    #[serde(default)]
+    born: Option<u64>,
 }
 
 #[derive(Deserialize)]
@@ -29,12 +35,13 @@
     Draining,
 }
 
-/// Decodes the registration under a key. Returns `None` if the upstream can't be used: the key has
+/// Decodes the registration under a key into the upstream and the number of its heartbeat. Returns
+/// `None` if the upstream can't be used: the key has
 /// another form, a field is missing or of another type, or the state is unknown.
-pub(crate) fn decode(key: &str, value: &[u8]) -> Option<Host> {
+pub(crate) fn decode(key: &str, value: &[u8]) -> Option<(Host, Option<u64>)> {
     let name = key.strip_prefix(PREFIX).filter(|id| !id.is_empty())?;
     let registration: Registration = serde_json::from_slice(value).ok()?;
-    Some(Host {
+    let host = Host {
         name: name.into(),
         address: registration.address,
         data_centre: registration.zone,
@@ -47,5 +54,7 @@
         slots: registration.slots,
         peer: None,
         admin: None,
-    })
+        born: registration.born,
+    };
+    Some((host, registration.sequence))
 }
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -46,12 +46,13 @@
 
 #[test]
 fn a_registration_is_decoded_into_an_upstream() {
-    let host =
+    let (host, sequence) =
         registration::decode("servers/i-7f3a91c2", REGISTRATION.as_bytes()).expect("registration");
     assert_eq!((&*host.name, host.slots, host.state), ("i-7f3a91c2", 6, State::Live));
     assert_eq!(host.service.as_deref(), Some("huvo11a"));
+    assert_eq!((host.born, sequence), (Some(1_796_342_400_000), Some(4)));
     let draining = REGISTRATION.replace("ready", "draining");
-    let host =
+    let (host, _) =
         registration::decode("servers/i-7f3a91c2", draining.as_bytes()).expect("registration");
     assert_eq!(host.state, State::Leaving);
 }
--- /dev/null
+++ b/src/registry/follower.rs
@@ -0,0 +1,467 @@
+//! Reads the registry when a read is due, and applies its changes to the node.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use tokio::sync::oneshot;
+use tokio::time::{Instant, sleep};
+
+use crate::decide::catalog::{Body, Record, RecordKind};
+use crate::decide::hosts::{Host, Role};
+use crate::decide::lapse::MissingRegistrations;
+use crate::decide::reads::AGE_FACTOR_MIN;
+use crate::decide::registered::{Reading, RegistrationVersion, Step, next_version};
+use crate::decide::upstream::State;
+use crate::event::{EventCode, Subject};
+use crate::node::{Node, Phase};
+use crate::platform::{
+    Change, Client, Consistency, Items, Revision, WatchResponse, config, registration,
+};
+use crate::settings;
+use crate::store::backoff::Backoff;
+use crate::store::call::CallError;
+use crate::time::Time;
+
+use super::{HOSTS_PREFIX, registration_key, shared_retry_delay};
+
+/// The duty of reading the registry, by which hosts are ranked.
+const READ_DUTY: &str = "registry";
+/// The time since its own last read after which a host reads the whole registry, since by then the
+/// list of changes would be the longer one.
+const CHANGES_AGE_MAX: Duration = Duration::from_secs(3);
+/// The maximum backoff of one host after a failed read. Together with a slow response it stays
+/// within 2 s. In a large fleet, [`shared_retry_delay`] may be longer.
+const RETRY_DELAY_MAX: Duration = Duration::from_millis(800);
+/// The key prefix that is read: the empty one, which covers config, upstreams and entry hosts.
+const READ_PREFIX: &str = "";
+/// The number of upstreams whose heartbeats are remembered before those that the catalog has
+/// forgotten are dropped.
+const HEARTBEATS_MAX: usize = 20_000;
+/// The time between two checks whether a starting host is ready.
+const READY_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// How long a starting host that can't read the registry retries before it becomes ready with the
+/// records of one peer.
+const PEER_FALLBACK_AFTER: Duration = Duration::from_secs(1);
+/// How long a starting host, which has read a copy of the registry that may be seconds old, waits
+/// at most for a peer to confirm it or bring it up to date, for each upstream in the copy. A large
+/// fleet has many upstreams. Its hosts draw different times when it starts as a whole, so that the
+/// first ones read for all.
+const PEER_CONFIRMATION_WAIT: Duration = Duration::from_micros(500);
+/// The maximum of that time.
+const PEER_CONFIRMATION_WAIT_MAX: Duration = Duration::from_millis(600);
+/// The random factor on that time.
+const PEER_CONFIRMATION_SPREAD: std::ops::RangeInclusive<f64> = 0.25..=1.0;
+
+/// The state of the task that reads the registry and applies its changes to the node.
+pub(super) struct Follower<'a> {
+    node: &'a Arc<Node>,
+    client: &'a Client,
+    hosts_prefix: String,
+    /// The registered entry hosts, sorted by name.
+    entry_hosts: Vec<Arc<Host>>,
+    missing_registrations: MissingRegistrations,
+    /// The newest heartbeat read of each upstream, sorted by name.
+    heartbeats: Vec<LastHeartbeat>,
+    /// Upstreams that were known before the last listing and are not in it. If that was a stale
+    /// one, the changes after it tell whether they are really missing.
+    unlisted: Vec<Arc<str>>,
+    /// Passes this host's own registration, if there is one, from the first full read to
+    /// [`super::registration::run`].
+    own_registration: Option<oneshot::Sender<Option<Change>>>,
+    own_key: String,
+    /// The random factor of the age at which this host reads for itself.
+    age_factor: f64,
+    rng: SmallRng,
+    backoff: Backoff,
+    /// The revision and the time of this host's last successful read.
+    last_read: Option<(Revision, Time)>,
+    failing_since: Option<Instant>,
+}
+
+/// The newest heartbeat of an upstream that this host has read.
+struct LastHeartbeat {
+    name: Arc<str>,
+    born: Option<u64>,
+    sequence: u64,
+}
+
+impl<'a> Follower<'a> {
+    pub(super) fn new(
+        node: &'a Arc<Node>,
+        cfg: &settings::Registry,
+        client: &'a Client,
+        own_registration: oneshot::Sender<Option<Change>>,
+    ) -> Follower<'a> {
+        Follower {
+            node,
+            client,
+            hosts_prefix: format!("{}{HOSTS_PREFIX}", cfg.prefix),
+            entry_hosts: Vec::new(),
+            missing_registrations: MissingRegistrations::default(),
+            heartbeats: Vec::new(),
+            unlisted: Vec::new(),
+            own_registration: Some(own_registration),
+            own_key: registration_key(cfg, &node.settings.host),
+            age_factor: 1.0,
+            rng: SmallRng::from_os_rng(),
+            backoff: Backoff::default(),
+            last_read: None,
+            failing_since: None,
+        }
+    }
+
+    pub(super) async fn run(&mut self) {
+        self.start().await;
+        loop {
+            self.wait_until_due().await;
+            self.age_factor = self.rng.random_range(AGE_FACTOR_MIN..=1.0);
+            let pauses = self.node.pause_detector.lock().pause_count();
+            let now = self.node.clock.now();
+            match self.read(now).await {
+                Ok(()) => self.finish_read(now, pauses),
+                Err(e) => self.handle_failure(&e).await,
+            }
+            self.check_ready(self.node.clock.now());
+        }
+    }
+
+    /// Reads a copy of the registry that may be seconds old, and gives peers the time to confirm it
+    /// or bring it up to date before this host reads for itself.
+    async fn start(&mut self) {
+        let start = self.node.clock.now();
+        if let Err(e) = self.list(Consistency::Stale, start).await {
+            return self.handle_failure(&e).await;
+        }
+        let upstreams = self.node.catalog.lock().hosts().count();
+        let wait = PEER_CONFIRMATION_WAIT * u32::try_from(upstreams).unwrap_or(u32::MAX);
+        let spread = self.rng.random_range(PEER_CONFIRMATION_SPREAD);
+        let until = start + wait.min(PEER_CONFIRMATION_WAIT_MAX).mul_f64(spread);
+        let mut freshness = self.node.registry_freshness.subscribe();
+        while self.node.registry_freshness.as_of().is_none() {
+            tokio::select! {
+                () = tokio::time::sleep_until(self.node.clock.instant(until).into()) => return,
+                _ = freshness.changed() => self.check_ready(self.node.clock.now()),
+            }
+        }
+    }
+
+    /// Waits until a read is due or the process has to resynchronise after a pause. Meanwhile,
+    /// makes a starting host ready once it can be.
+    async fn wait_until_due(&mut self) {
+        let node = self.node.clone();
+        loop {
+            let now = node.clock.now();
+            let due = self.next_read(now);
+            let is_stale = node.pause_detector.lock().is_stale(now);
+            if due <= now || is_stale {
+                return;
+            }
+            self.check_ready(now);
+            let due = match node.phase() {
+                Phase::Starting => due.min(now + READY_CHECK_INTERVAL),
+                _ => due,
+            };
+            tokio::select! {
+                () = tokio::time::sleep_until(node.clock.instant(due).into()) => {}
+                () = node.resync_needed.notified() => return,
+            }
+        }
+    }
+
+    /// Returns when this host's next read is due.
+    fn next_read(&mut self, now: Time) -> Time {
+        let freshness = &self.node.registry_freshness;
+        let Some(as_of) = freshness.as_of() else { return now };
+        let rank = self.node.members.lock().rank(READ_DUTY, now);
+        freshness.schedule.due(as_of, rank, self.age_factor)
+    }
+
+    /// Reads the changes since the last read. If that was too long ago or its history is no longer
+    /// available, lists the whole registry first.
+    async fn read(&mut self, now: Time) -> Result<(), CallError> {
+        let era = self.node.registry_freshness.era();
+        let is_recent = |(revision, at): &(Revision, Time)| {
+            revision.era == era && now.since(*at) < CHANGES_AGE_MAX
+        };
+        if self.last_read.filter(is_recent).is_none() {
+            self.list(Consistency::Stale, now).await?;
+        }
+        if let Some((revision, _)) = self.last_read {
+            match self.client.changes(READ_PREFIX, revision).await? {
+                WatchResponse::Changes(changes, revision) => {
+                    self.mark_readable(now);
+                    self.apply_changes(&changes, Reading::Written, now);
+                    self.mark_unlisted(now);
+                    self.last_read = Some((revision, now));
+                    return Ok(());
+                }
+                WatchResponse::Compacted => log::info!("registry: compacted, reading all keys"),
+            }
+        }
+        self.list(Consistency::Linearizable, now).await?;
+        self.mark_unlisted(now);
+        Ok(())
+    }
+
+    /// Lists the whole registry.
+    async fn list(&mut self, consistency: Consistency, now: Time) -> Result<(), CallError> {
+        let known: Vec<Arc<str>> =
+            self.node.catalog.lock().hosts().map(|h| h.name.clone()).collect();
+        let all = self.client.list(READ_PREFIX, consistency).await?;
+        let era = all.revision.era;
+        if self.last_read.is_some_and(|(last, _)| last.era != era) {
+            // Registrations may be missing until their owners have renewed them.
+            self.missing_registrations.record_failure();
+        }
+        self.mark_readable(now);
+        self.apply_all(&all, known, now);
+        self.last_read = Some((all.revision, now));
+        Ok(())
+    }
+
+    fn mark_readable(&mut self, now: Time) {
+        if self.missing_registrations.record_success(now) && self.failing_since.take().is_some() {
+            self.node.events.record(EventCode::PlatformUp, Subject::default(), None);
+        }
+    }
+
+    /// Finishes a successful read that began at `now`, when `pauses` pauses had been detected.
+    fn finish_read(&mut self, now: Time, pauses: u64) {
+        self.backoff.reset();
+        let expired = self.missing_registrations.take_expired(now);
+        let (hosts, upstreams): (Vec<_>, Vec<_>) =
+            expired.iter().partition(|m| m.name.starts_with(&self.hosts_prefix));
+        self.offer(upstreams.iter().filter_map(|m| self.deletion(&m.name)).collect());
+        for host in &hosts {
+            self.remove_entry_host(&host.name[self.hosts_prefix.len()..]);
+        }
+        if !hosts.is_empty() {
+            self.publish_entry_hosts();
+        }
+        self.node.registry_freshness.advance_to(now);
+        self.node.mark_resynced(pauses);
+    }
+
+    /// Handles a failed read, and waits until the next attempt.
+    async fn handle_failure(&mut self, failure: &CallError) {
+        self.missing_registrations.record_failure();
+        if self.failing_since.is_none() {
+            self.failing_since = Some(Instant::now());
+            log::warn!("registry: {failure}");
+            self.node.events.record(EventCode::PlatformDown, Subject::default(), None);
+        }
+        self.check_ready(self.node.clock.now());
+        let delay = self.backoff.next_delay(&mut self.rng).min(RETRY_DELAY_MAX);
+        let delay = delay.max(shared_retry_delay(self.node, &mut self.rng));
+        tokio::select! {
+            () = sleep(delay) => {}
+            () = self.node.resync_needed.notified() => {}
+        }
+    }
+
+    /// Applies changes of the registry.
+    fn apply_changes(&mut self, changes: &[Change], reading: Reading, now: Time) {
+        let records: Vec<Record> =
+            changes.iter().filter_map(|c| self.changed_record(c, reading, now)).collect();
+        self.offer(records);
+        let mut has_changed = false;
+        for change in changes {
+            if change.key.starts_with(&self.hosts_prefix) {
+                has_changed |= self.apply_entry_host(change, now);
+            }
+        }
+        if has_changed {
+            self.publish_entry_hosts();
+        }
+    }
+
+    /// Applies a change of an entry host's registration, and returns whether the entry hosts differ.
+    /// Registrations are not records that peers pass on, since entry hosts also learn of each other
+    /// by heartbeats.
+    fn apply_entry_host(&mut self, change: &Change, now: Time) -> bool {
+        let name = &change.key[self.hosts_prefix.len()..];
+        let Some(value) = &change.value else {
+            let key = change.key.as_str().into();
+            let is_gone = self.missing_registrations.mark_missing(&key, false, now);
+            return is_gone && self.remove_entry_host(name);
+        };
+        self.missing_registrations.mark_present(&change.key);
+        let host = match serde_json::from_slice::<Host>(value) {
+            Ok(host) if *host.name == *name && host.role == Role::Entry => host,
+            _ => {
+                log::info!("registry: {} is not a valid entry host registration", change.key);
+                return self.remove_entry_host(name);
+            }
+        };
+        match self.find_entry_host(name) {
+            Ok(at) if *self.entry_hosts[at] == host => return false,
+            Ok(at) => self.entry_hosts[at] = Arc::new(host),
+            Err(at) => self.entry_hosts.insert(at, Arc::new(host)),
+        }
+        true
+    }
+
+    /// Removes an entry host. Returns whether it was registered.
+    fn remove_entry_host(&mut self, name: &str) -> bool {
+        let found = self.find_entry_host(name);
+        found.map(|at| self.entry_hosts.remove(at)).is_ok()
+    }
+
+    fn find_entry_host(&self, name: &str) -> Result<usize, usize> {
+        self.entry_hosts.binary_search_by(|h| (*h.name).cmp(name))
+    }
+
+    fn publish_entry_hosts(&self) {
+        self.node.set_entry_hosts(self.entry_hosts.clone());
+    }
+
+    /// Applies a listing of the registry. Of the upstreams in `known`, those that it doesn't contain
+    /// may be missing.
+    fn apply_all(&mut self, all: &Items, known: Vec<Arc<str>>, now: Time) {
+        if let Some(own_registration) = self.own_registration.take() {
+            let at = all.items.binary_search_by(|i| i.key.cmp(&self.own_key));
+            // The receiver may have timed out.
+            let _ = own_registration.send(at.ok().map(|at| all.items[at].clone()));
+        }
+        self.apply_changes(&all.items, Reading::Listed, now);
+        let is_listed = |key: &str| all.items.binary_search_by(|i| i.key.as_str().cmp(key)).is_ok();
+        if self.heartbeats.len() > HEARTBEATS_MAX {
+            let catalog = self.node.catalog.lock();
+            let is_known = |name: &str| catalog.get(RecordKind::Host, name).is_some();
+            self.heartbeats.retain(|h| is_known(&h.name));
+        }
+        self.unlisted = known;
+        self.unlisted.retain(|name| !is_listed(&format!("{}{name}", registration::PREFIX)));
+        let keys = self.entry_hosts.iter().map(|h| format!("{}{}", self.hosts_prefix, h.name));
+        let missing: Vec<String> = keys.filter(|key| !is_listed(key)).collect();
+        let deletion = |key| Change { key, value: None, lease: None };
+        let deletions: Vec<Change> = missing.into_iter().map(deletion).collect();
+        self.apply_changes(&deletions, Reading::Listed, now);
+    }
+
+    /// Marks the upstreams that the last listing lacked, and that have not been written since, as
+    /// missing.
+    fn mark_unlisted(&mut self, now: Time) {
+        let unlisted = std::mem::take(&mut self.unlisted);
+        let deletions = unlisted.iter().filter_map(|name| self.mark_missing(name, now)).collect();
+        self.offer(deletions);
+    }
+
+    /// Returns the record that a change results in, if there is one to offer.
+    fn changed_record(&mut self, change: &Change, reading: Reading, now: Time) -> Option<Record> {
+        if change.key == config::KEY {
+            return self.routing_record(change);
+        }
+        let name = change.key.strip_prefix(registration::PREFIX)?;
+        let Some(value) = &change.value else { return self.mark_missing(name, now) };
+        let Some((host, sequence)) = registration::decode(&change.key, value) else {
+            // The earlier registration no longer exists, so the host is removed.
+            log::info!("registry: {} is not a valid upstream registration", change.key);
+            return self.deletion(name);
+        };
+        self.missing_registrations.mark_present(name);
+        self.unlisted.retain(|n| **n != *name);
+        if sequence.is_some_and(|s| !self.is_current_heartbeat(&host, s)) {
+            return None;
+        }
+        let catalog = self.node.catalog.lock();
+        let known = catalog.get(RecordKind::Host, name).map(|r| {
+            let in_force = match &r.body {
+                Body::Host(host) => Some(&**host),
+                _ => None,
+            };
+            (RegistrationVersion::from_number(r.version), in_force)
+        });
+        let version = next_version(known, &host, reading)?;
+        drop(catalog);
+        Some(record(name, version.number(), Body::Host(Arc::new(host))))
+    }
+
+    /// Records a heartbeat of an upstream. Returns false if a later one of the same process has been
+    /// read before: a write may take effect late.
+    fn is_current_heartbeat(&mut self, host: &Host, sequence: u64) -> bool {
+        match self.heartbeats.binary_search_by(|h| h.name.cmp(&host.name)) {
+            Ok(at) => {
+                let last = &mut self.heartbeats[at];
+                let is_same = host.born.is_some() && last.born == host.born;
+                let is_newer = !is_same || last.sequence <= sequence;
+                if is_newer {
+                    (last.born, last.sequence) = (host.born, sequence);
+                }
+                is_newer
+            }
+            Err(at) => {
+                let (name, born) = (host.name.clone(), host.born);
+                self.heartbeats.insert(at, LastHeartbeat { name, born, sequence });
+                true
+            }
+        }
+    }
+
+    /// Marks an upstream's registration as missing. Returns its deletion record if it counts as gone
+    /// at once.
+    fn mark_missing(&mut self, name: &str, now: Time) -> Option<Record> {
+        let body = self.node.catalog.lock().get(RecordKind::Host, name).map(|r| r.body.clone());
+        let Some(Body::Host(host)) = body else { return None };
+        let leaving = host.state == State::Leaving;
+        let is_gone = self.missing_registrations.mark_missing(&host.name, leaving, now);
+        is_gone.then(|| self.deletion(name)).flatten()
+    }
+
+    /// Returns the deletion record of an upstream, unless it is unknown or deleted already.
+    fn deletion(&self, name: &str) -> Option<Record> {
+        let catalog = self.node.catalog.lock();
+        let known = catalog.get(RecordKind::Host, name)?;
+        if !matches!(known.body, Body::Host(_)) {
+            return None;
+        }
+        let version = RegistrationVersion {
+            step: Step::Gone,
+            ..RegistrationVersion::from_number(known.version)
+        };
+        Some(record(name, version.number(), Body::Deleted(RecordKind::Host)))
+    }
+
+    fn routing_record(&self, change: &Change) -> Option<Record> {
+        let value = change.value.as_ref()?;
+        match config::decode(value) {
+            Ok((version, routing)) => {
+                Some(record(config::KEY, version, Body::Routing(Arc::new(routing))))
+            }
+            Err(e) => {
+                log::warn!("registry: {}: {e}; keeping the config in force", config::KEY);
+                None
+            }
+        }
+    }
+
+    fn offer(&self, records: Vec<Record>) {
+        if !records.is_empty() {
+            self.node.offer(records);
+        }
+    }
+
+    /// Makes a starting host ready once it has a routing record and its copy of the registry is
+    /// current. If the registry has been unreadable for [`PEER_FALLBACK_AFTER`], a routing record
+    /// and all records of one peer suffice.
+    fn check_ready(&self, now: Time) {
+        if self.node.phase() != Phase::Starting || self.node.catalog.lock().routing().is_none() {
+            return;
+        }
+        let may_fall_back = self.failing_since.is_some_and(|t| t.elapsed() >= PEER_FALLBACK_AFTER);
+        let has_peer_records = may_fall_back && self.node.members.lock().synced_count() > 0;
+        let freshness = &self.node.registry_freshness;
+        let age_max = freshness.schedule.age_max();
+        let is_current = freshness.as_of().is_some_and(|at| now.since(at) < age_max);
+        if is_current || has_peer_records {
+            self.node.enter(Phase::Ready);
+            self.node.events.record(EventCode::Ready, Subject::default(), None);
+        }
+    }
+}
+
+fn record(name: &str, version: u64, body: Body) -> Record {
+    Record { name: name.into(), version, change: "".into(), author: "".into(), body }
+}
--- /dev/null
+++ b/src/registry/mod.rs
@@ -0,0 +1,58 @@
+//! Keeps this host's copy of the platform's registry current, and its own registration alive. The
+//! registry holds the operator's config, the upstreams and the hosts by which the fleet is found.
+//!
+//! A few hosts poll the changes, and the others receive them in digests, see
+//! [`crate::decide::reads`]. Any host whose copy becomes too old reads for itself, whatever the
+//! reason. This bounds the age of every copy without the need to detect that a reader has failed.
+
+mod follower;
+mod freshness;
+mod registration;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::Rng;
+use rand::rngs::SmallRng;
+use tokio::sync::oneshot;
+
+use crate::node::Node;
+use crate::platform::Client;
+use crate::settings;
+
+use follower::Follower;
+pub(crate) use freshness::RegistryFreshness;
+
+/// The rate of reads per second of the whole fleet while reads fail. The first one that succeeds
+/// spreads to all hosts.
+const RETRIES_PER_SECOND: f64 = 25.0;
+/// The maximum delay after a failed read in a large fleet. A host that loses its peers in the
+/// meantime gets no updates for that long.
+const SHARED_RETRY_DELAY_MAX: Duration = Duration::from_millis(2_000);
+/// The key prefix of entry host registrations, below the prefix in the settings.
+const HOSTS_PREFIX: &str = "hosts/";
+
+/// Follows the registry and keeps this host registered until the process exits. Returns at once if
+/// the settings name no registry.
+pub(crate) async fn run(node: Arc<Node>) {
+    let Some(cfg) = node.settings.registry.clone() else { return };
+    let calls = node.metrics.call_counter();
+    let observer = node.clone();
+    let observe_era = Box::new(move |stated| observer.observe_registry_era(stated));
+    let client = Client::connect(cfg.address, cfg.calls_per_second, calls, observe_era);
+    let (own_registration, previous) = oneshot::channel();
+    let mut follower = Follower::new(&node, &cfg, &client, own_registration);
+    tokio::join!(registration::run(&node, &cfg, &client, previous), follower.run());
+}
+
+fn registration_key(cfg: &settings::Registry, host: &str) -> String {
+    format!("{}{HOSTS_PREFIX}{host}", cfg.prefix)
+}
+
+/// Returns a random delay after a failed call, at most [`SHARED_RETRY_DELAY_MAX`], by which the
+/// live hosts together keep to [`RETRIES_PER_SECOND`].
+fn shared_retry_delay(node: &Node, rng: &mut SmallRng) -> Duration {
+    let alive = node.members.lock().alive(node.clock.now()).count() + 1;
+    let delay = Duration::from_secs_f64(alive as f64 / RETRIES_PER_SECOND);
+    delay.min(SHARED_RETRY_DELAY_MAX).mul_f64(rng.random_range(0.5..=1.0))
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -152,6 +152,16 @@
     /// Maximum rate of probes that the whole fleet sends to one upstream, per second.
     #[serde(default = "default_registry_probes_per_second")]
     pub probes_per_second: f64,
+    /// Time in seconds within which a change of the registry must be in force on every host.
+    #[serde(default = "default_registry_apply_s")]
+    pub apply_s: f64,
+}
+
+/// The default of [`Registry::apply_s`].
+pub(crate) const DEFAULT_APPLY_S: f64 = 2.0;
+
+fn default_registry_apply_s() -> f64 {
+    DEFAULT_APPLY_S
 }
 
 fn default_registry_retry_share() -> f64 {
@@ -316,6 +326,7 @@
     check(is_non_negative(registry.retry_slack), "retry_slack", "must be 0 or more");
     let window = registry.retry_window_s;
     check(is_non_negative(window) && window > 0.0, "retry_window_s", "must be more than 0");
+    check((0.5..=60.0).contains(&registry.apply_s), "apply_s", "must be from 0.5 to 60");
     check(is_non_negative(registry.probes_per_second), "probes_per_second", "must be 0 or more");
     out
 }
--- a/src/store/apply.rs
+++ b/src/store/apply.rs
@@ -60,9 +60,6 @@
         peers.extend(self.settings.peers.iter().filter(|p| !listed(p)).cloned());
         self.members.lock().set_listed(&peers, now);
         let mut tables = self.tables.lock();
-        if self.settings.registry.is_some() {
-            tables.set_registered_hosts(list.entry_host_count());
-        }
         for service in catalog.all_services() {
             let complete = self.complete_service(&list, &service);
             let is_unchanged = |t: &mut _| Self::has_upstreams(t, &complete);
@@ -70,6 +67,9 @@
                 self.put_table(&mut tables, Arc::new(complete), now);
             }
             let Some(table) = tables.service(&service.name) else { continue };
+            for host in list.restarted_upstreams(&current, &service.name) {
+                table.restart(&host.name, now);
+            }
             for host in list.changed_upstreams(&current, &service.name) {
                 self.set_state(table, &host.name, host.state, now);
             }
--- a/src/store/http.rs
+++ b/src/store/http.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use http::header::CONTENT_TYPE;
-use http::{Method, Response, StatusCode};
+use http::{Method, Response};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
@@ -27,7 +27,7 @@
 /// Time after which an idle connection is closed; shorter than the usual idle timeouts of servers.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 /// Maximum size of a response body, in bytes.
-const RESPONSE_MAX_BYTES: usize = 64 << 20;
+const RESPONSE_MAX_BYTES: usize = 16 << 20;
 
 /// A callback that counts a call by its kind.
 pub(crate) type CallCounter = Box<dyn Fn(CallKind) + Send + Sync>;
@@ -169,7 +169,7 @@
         serde_json::from_slice(&text).map_err(|e| CallError::OutcomeUnknown(format!("{path}: {e}")))
     }
 
-    /// Makes one call to the current address, and returns the status and body of any response.
+    /// Makes one call to the current address, and returns any response.
     ///
     /// # Errors
     ///
@@ -179,7 +179,7 @@
         kind: CallKind,
         req: &Request<'_>,
         timeout: Duration,
-    ) -> Result<(StatusCode, Bytes), CallError> {
+    ) -> Result<Response<Bytes>, CallError> {
         self.throttle(kind).await;
         let at = self.current.load(Ordering::Relaxed);
         let response = with_timeout(timeout, self.call_buffered(at, req)).await;
@@ -191,13 +191,12 @@
         &self,
         at: usize,
         req: &Request<'_>,
-    ) -> Result<(StatusCode, Bytes), CallError> {
-        let res = self.send(at, req).await?;
-        let status = res.status();
-        let body = Limited::new(res.into_body(), RESPONSE_MAX_BYTES).collect().await;
+    ) -> Result<Response<Bytes>, CallError> {
+        let (head, body) = self.send(at, req).await?.into_parts();
+        let body = Limited::new(body, RESPONSE_MAX_BYTES).collect().await;
         let text =
             body.map_err(|e| CallError::OutcomeUnknown(format!("{}: {e}", req.path)))?.to_bytes();
-        Ok((status, text))
+        Ok(Response::from_parts(head, text))
     }
 
     /// Makes a call and checks the status: returns the body of a successful response. A client
@@ -208,7 +207,8 @@
         path: &str,
         body: Option<&Value>,
     ) -> Result<Bytes, CallError> {
-        let (status, text) = self.call_buffered(at, &Request::new(path, body)).await?;
+        let res = self.call_buffered(at, &Request::new(path, body)).await?;
+        let (status, text) = (res.status(), res.into_body());
         if status.is_success() {
             return Ok(text);
         }
--- a/src/trace/hooks.rs
+++ b/src/trace/hooks.rs
@@ -2,11 +2,12 @@
 //! of the entries that describe decisions.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use tokio::sync::mpsc::Receiver;
 
 use crate::config::Service;
-use crate::decide::admission::{Admission, Request, Ticket};
+use crate::decide::admission::{Admission, Request, Target, Ticket};
 use crate::decide::catalog::OfferOutcome;
 use crate::decide::service::{NextAttempt, ServiceTable};
 use crate::decide::tick::ServiceTables;
@@ -152,6 +153,12 @@
         }
     }
 
+    /// Returns the entry for a pause that an upstream asked for.
+    pub(crate) fn pause(table: &ServiceTable, target: &Target, pause: Duration) -> Entry {
+        let millis = u64::try_from(pause.as_millis()).unwrap_or(u64::MAX);
+        Entry::Pause { service: table.cfg().name.clone(), upstream: target.name.clone(), millis }
+    }
+
     /// Returns the entry for the end of a probe.
     pub(crate) fn probed(table: &ServiceTable, id: UpstreamId, report: &AttemptReport) -> Entry {
         let service = table.cfg().name.clone();
--- a/src/trace/mod.rs
+++ b/src/trace/mod.rs
@@ -165,6 +165,15 @@
         /// The reported occupancy.
         occupancy: Occupancy,
     },
+    /// An upstream asked to be sent nothing for some time.
+    Pause {
+        /// The service.
+        service: Arc<str>,
+        /// The upstream.
+        upstream: Arc<str>,
+        /// The time in milliseconds.
+        millis: u64,
+    },
     /// The periodic work on the tables ran.
     Tick {
         /// The probes to send as a result.
--- a/src/trace/rerun.rs
+++ b/src/trace/rerun.rs
@@ -5,6 +5,7 @@
 //! ended, with the result of the last recorded attempt or probe at that other upstream.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -110,6 +111,13 @@
                 }
             }
             Entry::LivePeers { others } => self.tables.set_live_peers(*others),
+            Entry::Pause { service, upstream, millis } => {
+                let Some(table) = self.tables.service(service) else { return };
+                let row = table.rows().iter().find(|r| r.name == *upstream);
+                if let Some(id) = row.map(|r| r.id) {
+                    table.pause(id, Duration::from_millis(*millis), at);
+                }
+            }
             Entry::Forget { host } => {
                 self.leaving.forget_peer(host);
                 self.tables.forget_peer(host);
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -421,3 +421,77 @@
     // Each upstream four times a second, for 20 s.
     assert!((100..=160).contains(&probe_count), "{probe_count} probes");
 }
+
+/// An upstream that answers 503 with `Retry-After` wants nothing from this host for that time.
+#[test]
+fn an_upstream_that_asked_for_a_pause_gets_neither_requests_nor_probes_until_its_end() {
+    let mut fixture = Fixture::new(2, 0);
+    let paused = UpstreamId::from(0);
+    fixture.table.pause(paused, ms(2_000), fixture.now);
+    fixture.table.pause(paused, ms(10), fixture.now);
+    let end = fixture.now + ms(2_000);
+    let (mut during, mut after) = (0, 0);
+    while fixture.now < end + ms(1_000) {
+        fixture.now = fixture.now + ms(20);
+        let probes = fixture.table.probe_candidates(fixture.now, &mut fixture.rng);
+        let probes = [probes, fixture.table.probes(fixture.now, |_| true)].concat();
+        fixture.report_all(FREE);
+        let req = fixture.request(1, Priority::Normal);
+        let id = fixture.admit_running(&req).id;
+        fixture.respond(id, ms(30));
+        let sent = probes.iter().filter(|t| t.id == paused).count() + usize::from(id == paused);
+        match fixture.now < end {
+            true => during += sent,
+            false => after += sent,
+        }
+    }
+    assert_eq!(during, 0);
+    assert!(after > 0, "the upstream is used again");
+}
+
+/// Guards against requests that wait until their deadline while every upstream has asked for a
+/// pause. They are refused at once, with the end of the first pause.
+#[test]
+fn while_every_upstream_pauses_requests_are_refused_at_once_with_the_end_of_the_first_pause() {
+    let mut fixture = Fixture::new(2, 0);
+    fixture.report_all(FREE);
+    for (index, pause) in [(0, 4_000), (1, 3_000)] {
+        fixture.table.pause(UpstreamId::from(index), ms(pause), fixture.now);
+    }
+    let req = fixture.request(1, Priority::Normal);
+    match fixture.admit(&req) {
+        Admission::Refuse(refusal) => {
+            assert!(refusal.retry_after >= ms(3_000), "{:?}", refusal.retry_after);
+            assert!(refusal.retry_after <= ms(3_200), "{:?}", refusal.retry_after);
+        }
+        other => panic!("{other:?}"),
+    }
+    fixture.now = fixture.now + ms(3_001);
+    fixture.report_all(FREE);
+    let req = fixture.request(1, Priority::Normal);
+    assert_eq!(fixture.admit_running(&req).id, UpstreamId::from(1));
+}
+
+/// A process that starts again under the name and address of one that was leaving or had asked for
+/// a pause is free again.
+#[test]
+fn a_new_process_of_an_upstream_takes_over_neither_its_drain_nor_its_pause() {
+    let mut fixture = Fixture::new(1, 0);
+    fixture.report_all(FREE);
+    let req = fixture.request(1, Priority::Normal);
+    let id = fixture.admit_running(&req).id;
+    let report = AttemptReport {
+        outcome: UpstreamOutcome::Answered,
+        latency: ms(30),
+        load: None,
+        draining: true,
+    };
+    fixture.table.finish_attempt(id, &report, fixture.now);
+    fixture.table.pause(id, ms(60_000), fixture.now);
+    assert!(!matches!(fixture.admit(&req), Admission::Run(_)));
+    fixture.table.restart("u0", fixture.now);
+    fixture.now = fixture.now + ms(5_000);
+    fixture.report_all(FREE);
+    let req = fixture.request(1, Priority::Normal);
+    assert_eq!(fixture.admit_running(&req).id, id);
+}
--- /dev/null
+++ b/tests/reads.rs
@@ -0,0 +1,55 @@
+//! Which hosts read the registry, and when.
+
+use std::time::Duration;
+
+use cornelferry::Time;
+use cornelferry::reads::{AGE_FACTOR_MIN, ReadSchedule};
+
+const APPLY: Duration = Duration::from_secs(3);
+
+/// Replays a fleet in which each read reaches every host after `spread`. Returns the number of reads
+/// within `span`. The first `dead` hosts by rank never read.
+fn reads(hosts: usize, dead: usize, spread: Duration, span: Duration) -> usize {
+    let schedule = ReadSchedule::new(APPLY);
+    let factor = |host: usize| {
+        let part = (host * 7_919 % 1_000) as f64 / 1_000.0;
+        AGE_FACTOR_MIN + (1.0 - AGE_FACTOR_MIN) * part
+    };
+    let mut as_of = Time::ZERO;
+    let mut count = 0;
+    while as_of < Time::ZERO + span {
+        let due = |host: usize| schedule.due(as_of, Some(host), factor(host));
+        let mut due: Vec<Time> = (dead..hosts).map(due).collect();
+        due.sort();
+        let first = due[0];
+        count += due.iter().filter(|at| **at < first + spread).count();
+        as_of = first;
+    }
+    count
+}
+
+#[test]
+fn the_number_of_reads_does_not_grow_with_the_fleet() {
+    let span = Duration::from_secs(90);
+    let spread = Duration::from_millis(150);
+    let small = reads(13, 0, spread, span);
+    assert!((90..=110).contains(&small), "{small}");
+    assert_eq!(reads(472, 0, spread, span), small);
+    assert_eq!(reads(2_358, 0, spread, span), small);
+}
+
+#[test]
+fn the_next_ranks_take_over_without_a_failure_being_detected() {
+    let span = Duration::from_secs(90);
+    let spread = Duration::from_millis(150);
+    assert!(reads(472, 3, spread, span) <= reads(472, 0, spread, span));
+}
+
+#[test]
+fn a_host_that_hears_nothing_reads_in_time() {
+    let schedule = ReadSchedule::new(APPLY);
+    for rank in [None, Some(0), Some(3), Some(4), Some(400)] {
+        let due = schedule.due(Time::ZERO, rank, 1.0);
+        assert!(due < Time::ZERO + APPLY.mul_f64(0.8), "{rank:?}: {due:?}");
+    }
+}
