--- /dev/null
+++ b/tests/rewind.rs
@@ -0,0 +1,248 @@
+//! Versions of registrations, and what hosts make of a registry that returns from an older copy:
+//! an exhaustive search over short histories of an upstream, the registry and two hosts.
+
+use std::collections::HashSet;
+
+use cornelferry::hosts::{Host, Role};
+use cornelferry::registered::{Reading, RegistrationVersion, Step, next_version};
+use cornelferry::upstream::State;
+use proptest::prelude::*;
+
+/// The number of actions in a history.
+const DEPTH: usize = 9;
+const HOSTS: usize = 2;
+
+fn host(born: u64, state: State) -> Host {
+    Host {
+        name: "u".into(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        data_centre: "a".into(),
+        role: Role::Upstream,
+        service: Some("s".into()),
+        state,
+        slots: 6,
+        peer: None,
+        admin: None,
+        born: Some(born),
+    }
+}
+
+/// What an upstream says of itself: its start, and whether it is leaving.
+type Words = (u64, State);
+
+/// A rule for the next version, see [`next_version`].
+type Rule =
+    fn(Option<(RegistrationVersion, Option<&Host>)>, &Host, Reading) -> Option<RegistrationVersion>;
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct World {
+    /// What the upstream says; `None` once it has gone.
+    upstream: Option<Words>,
+    registry: Option<Words>,
+    copy: Option<Words>,
+    /// Whether the upstream has written what the registry holds since it last returned from a copy.
+    is_written: bool,
+    /// What each host knows: the version's number, and the state unless the upstream is gone.
+    known: [Option<(u64, Option<Words>)>; HOSTS],
+    /// Whether each host has known that the first process was leaving or gone, after it said so.
+    has_known_end: [bool; HOSTS],
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Action {
+    /// The upstream announces that it is leaving.
+    Leave,
+    /// The upstream exits, and its registration is removed.
+    Exit,
+    /// The upstream starts again under its name.
+    Restart,
+    /// The upstream writes its registration again.
+    Heartbeat,
+    /// The registry is copied.
+    Copy,
+    /// The registry returns from the copy.
+    Rewind,
+    /// A host lists the registry.
+    List(usize),
+    /// A host reads a change of the registry.
+    Change(usize),
+    /// A host finds the registration missing for too long.
+    Missing(usize),
+    /// One host tells the other what it knows.
+    Tell(usize),
+}
+
+fn actions() -> Vec<Action> {
+    use Action::*;
+    let mut all = vec![Leave, Exit, Restart, Heartbeat, Copy, Rewind];
+    all.extend((0..HOSTS).flat_map(|i| [List(i), Change(i), Missing(i), Tell(i)]));
+    all
+}
+
+impl World {
+    fn new() -> World {
+        let words = Some((1, State::Live));
+        World {
+            upstream: words,
+            registry: words,
+            copy: words,
+            is_written: true,
+            known: [None; HOSTS],
+            has_known_end: [false; HOSTS],
+        }
+    }
+
+    /// Returns the world after an action, or `None` if the action is impossible or without effect.
+    fn after(&self, action: Action, rule: Rule) -> Option<World> {
+        let mut next = self.clone();
+        match action {
+            Action::Leave => next.write((self.upstream?.0, State::Leaving)),
+            Action::Exit => (next.upstream, next.registry) = (None, None),
+            Action::Restart if self.upstream.is_none() => next.write((2, State::Live)),
+            Action::Restart => return None,
+            Action::Heartbeat => next.write(self.upstream?),
+            Action::Copy => next.copy = self.registry,
+            Action::Rewind => (next.registry, next.is_written) = (self.copy, false),
+            Action::List(i) => next.read(i, Reading::Listed, rule),
+            Action::Change(i) if self.is_written => next.read(i, Reading::Written, rule),
+            Action::Change(_) => return None,
+            Action::Missing(i) => next.miss(i),
+            Action::Tell(i) => next.offer(1 - i, self.known[i]?),
+        }
+        for i in 0..HOSTS {
+            let ended = self.upstream != Some((1, State::Live));
+            let knows_end = matches!(next.known[i], Some((_, None | Some((1, State::Leaving)))));
+            next.has_known_end[i] |= ended && knows_end;
+        }
+        (next != *self).then_some(next)
+    }
+
+    fn write(&mut self, words: Words) {
+        (self.upstream, self.registry, self.is_written) = (Some(words), Some(words), true);
+    }
+
+    fn read(&mut self, i: usize, reading: Reading, rule: Rule) {
+        let Some((born, state)) = self.registry else { return };
+        let known_host = self.known[i].and_then(|(_, words)| words).map(|(b, s)| host(b, s));
+        let known = self.known[i]
+            .map(|(number, _)| (RegistrationVersion::from_number(number), known_host.as_ref()));
+        if let Some(version) = rule(known, &host(born, state), reading) {
+            self.offer(i, (version.number(), Some((born, state))));
+        }
+    }
+
+    fn miss(&mut self, i: usize) {
+        let (None, Some((number, Some(_)))) = (self.registry, self.known[i]) else { return };
+        let version = RegistrationVersion::from_number(number);
+        self.offer(i, (RegistrationVersion { step: Step::Gone, ..version }.number(), None));
+    }
+
+    fn offer(&mut self, i: usize, record: (u64, Option<Words>)) {
+        if self.known[i].is_none_or(|(number, _)| number < record.0) {
+            self.known[i] = Some(record);
+        }
+    }
+
+    /// Returns whether a host uses the first process after it has known that it was leaving.
+    fn has_breach(&self) -> bool {
+        let is_live = |i: usize| matches!(self.known[i], Some((_, Some((1, State::Live)))));
+        (0..HOSTS).any(|i| self.has_known_end[i] && is_live(i))
+    }
+
+    /// Returns whether the hosts differ once each has told the other what it knows.
+    fn has_conflict(&self) -> bool {
+        let mut calm = self.clone();
+        for i in 0..HOSTS {
+            if let Some(record) = calm.known[i] {
+                calm.offer(1 - i, record);
+            }
+        }
+        calm.known[0] != calm.known[1]
+    }
+}
+
+/// Searches all histories of up to [`DEPTH`] actions for a breach or a conflict. Returns the first
+/// world that has one, and the number of worlds visited.
+fn search(rule: Rule) -> (Option<World>, usize) {
+    let mut seen = HashSet::from([World::new()]);
+    let mut frontier = vec![World::new()];
+    for _ in 0..DEPTH {
+        let mut next = Vec::new();
+        for world in &frontier {
+            for action in actions() {
+                let Some(after) = world.after(action, rule) else { continue };
+                if after.has_breach() || after.has_conflict() {
+                    return (Some(after), seen.len());
+                }
+                if seen.insert(after.clone()) {
+                    next.push(after);
+                }
+            }
+        }
+        frontier = next;
+    }
+    (None, seen.len())
+}
+
+#[test]
+fn no_history_makes_a_host_use_an_upstream_again_that_it_knew_to_be_leaving() {
+    let (breach, worlds) = search(next_version);
+    assert!(breach.is_none(), "{breach:?}");
+    assert!(worlds > 1_000, "{worlds} worlds");
+}
+
+/// Shows that the search finds a fault: a rule that takes what an older copy has brought back for
+/// news.
+#[test]
+fn the_search_finds_a_rule_that_trusts_listings() {
+    let trusting: Rule = |known, registered, _| next_version(known, registered, Reading::Written);
+    assert!(search(trusting).0.is_some());
+}
+
+#[test]
+fn a_process_that_registers_again_after_it_counted_as_gone_is_used_again() {
+    let live = host(7, State::Live);
+    let first = next_version(None, &live, Reading::Listed).unwrap();
+    let gone = RegistrationVersion { step: Step::Gone, ..first };
+    assert_eq!(next_version(Some((gone, None)), &live, Reading::Listed), None);
+    let again = next_version(Some((gone, None)), &live, Reading::Written).unwrap();
+    assert!(again > gone);
+}
+
+#[test]
+fn an_earlier_process_never_replaces_a_later_one() {
+    let later = next_version(None, &host(8, State::Leaving), Reading::Written).unwrap();
+    let known = host(8, State::Leaving);
+    for reading in [Reading::Listed, Reading::Written] {
+        let earlier = next_version(Some((later, Some(&known))), &host(7, State::Live), reading);
+        assert_eq!(earlier, None);
+    }
+    assert!(next_version(Some((later, None)), &host(9, State::Live), Reading::Listed).is_some());
+}
+
+/// Guards against versions that differ by reader: with the registry's revisions, each host that
+/// started offered every registration anew, and the whole fleet fetched them all.
+#[test]
+fn hosts_that_read_the_same_registration_at_different_times_give_it_the_same_version() {
+    let early = next_version(None, &host(7, State::Live), Reading::Listed).unwrap();
+    let late = next_version(None, &host(7, State::Live), Reading::Written).unwrap();
+    assert_eq!(early.number(), late.number());
+    let known = host(7, State::Live);
+    assert_eq!(next_version(Some((early, Some(&known))), &known, Reading::Written), None);
+}
+
+proptest! {
+    #[test]
+    fn numbers_keep_the_order_of_versions(
+        a in (0_u64..1 << 42, 0_u64..1_000, 0_usize..3),
+        b in (0_u64..1 << 42, 0_u64..1_000, 0_usize..3),
+    ) {
+        let steps = [Step::Live, Step::Leaving, Step::Gone];
+        let version = |(born, round, step): (u64, u64, usize)| {
+            RegistrationVersion { born, round, step: steps[step] }
+        };
+        let (a, b) = (version(a), version(b));
+        prop_assert_eq!(a.cmp(&b), a.number().cmp(&b.number()));
+        prop_assert_eq!(RegistrationVersion::from_number(a.number()), a);
+    }
+}
