--- a/src/decide/reads.rs
+++ b/src/decide/reads.rs
@@ -14,7 +14,7 @@
 const READERS: usize = 3;
 /// The time between two reads by the first reader, as a part of the time in which a change must be
 /// in force everywhere.
-const INTERVAL_SHARE: f64 = 0.3;
+const INTERVAL_SHARE: f64 = 0.25;
 /// The time by which each further reader waits longer, as a part of the same time.
 const RANK_SHARE: f64 = 0.06;
 /// The age of its copy at which any other host reads at the latest, as a part of the same time. The
