--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -23,6 +23,9 @@
 /// begins with [`ENDLESS`] is repeated after its mark until the caller closes the connection.
 type Respond = fn(&str) -> String;
 
+/// The id of an upstream whose responses to probes have no end.
+const ENDLESS_HEALTH: &str = "u-endless-health";
+
 /// The mark after which the rest of a response is repeated without end.
 const ENDLESS: &str = "<endless>";
 
@@ -81,7 +84,13 @@
         let Some(end) = buf.windows(4).position(|w| w == b"\r\n\r\n") else { continue };
         let head = String::from_utf8_lossy(&buf[..end]).to_ascii_lowercase();
         buf.drain(..end + 4);
-        let res = if head.starts_with("get /health ") {
+        let res = if head.starts_with("get /health ") && id == ENDLESS_HEALTH {
+            format!(
+                "HTTP/1.1 200 OK\r\nx-instance-id: {id}\r\nx-instance-load: 0,0,6,100\r\n\r\n\
+                 {ENDLESS}{}",
+                "a".repeat(65_536)
+            )
+        } else if head.starts_with("get /health ") {
             format!(
                 "HTTP/1.1 200 OK\r\nx-instance-id: {id}\r\nx-instance-load: 0,0,6,100\r\n\
                  content-length: 0\r\n\r\n"
@@ -587,6 +596,23 @@
     }
 }
 
+/// Guards against a response to a probe without an end: it was read into memory until the probe
+/// timed out.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_endless_response_to_a_probe_costs_no_memory() {
+    let (bad, good) =
+        (SigningUpstream::start(ENDLESS_HEALTH, signed), SigningUpstream::start("u-2", signed));
+    let fleet = Fleet::start(&[(ENDLESS_HEALTH, &bad), ("u-2", &good)]).await;
+    let before = resident_bytes(&fleet);
+    let mut largest = 0;
+    let start = std::time::Instant::now();
+    while start.elapsed() < Duration::from_millis(1_200) {
+        assert_eq!(fleet.status("POST", "/book/7").await, 200);
+        largest = largest.max(resident_bytes(&fleet).saturating_sub(before));
+    }
+    assert!(largest < ENDLESS_MEMORY_MAX, "{largest} bytes more");
+}
+
 /// A complete response followed by bytes without end is returned, and its connection is not reused.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn bytes_after_a_response_reach_no_other_request() {
