Find upstreams that peers still list and the registry no longer contains

A host that started after a registration had ended learned of the upstream from peers. Its reads of the changes never showed the removal, and it called its copy current, so that the others didn't read. Change: after each read, upstreams that were known before it and that no read has shown are marked as missing. Tests: rewind::a_registration_that_was_never_read_or_has_ended_is_not_registered, and late writes.

--- a/src/decide/registered.rs
+++ b/src/decide/registered.rs
@@ -10,6 +10,8 @@
 //! - A process that says otherwise later than that, such as one that registers again after its
 //!   registration lapsed, begins a new round.
 
+use std::sync::Arc;
+
 use crate::decide::hosts::Host;
 use crate::decide::upstream::State;
 
@@ -105,3 +107,68 @@
     let is_news = reading == Reading::Written || registered.born.is_none();
     is_news.then_some(RegistrationVersion { round: version.round + 1, ..same_round })
 }
+
+/// The registrations that a host has read, sorted by name.
+#[derive(Clone, Debug, Default)]
+pub struct SeenRegistrations {
+    rows: Vec<SeenRegistration>,
+}
+
+/// What a host has read of one registration.
+#[derive(Clone, Debug)]
+struct SeenRegistration {
+    name: Arc<str>,
+    born: Option<u64>,
+    /// The number of the newest heartbeat.
+    sequence: Option<u64>,
+    /// Whether the registry contains the registration, as of the last read.
+    is_registered: bool,
+}
+
+/// The number of registrations that have ended above which they are forgotten.
+const ENDED_MAX: usize = 20_000;
+
+impl SeenRegistrations {
+    /// Begins a new listing of the registry. Registrations that it doesn't show have ended.
+    pub fn begin_listing(&mut self) {
+        if self.rows.len() > ENDED_MAX {
+            self.rows.retain(|r| r.is_registered);
+        }
+        self.rows.iter_mut().for_each(|r| r.is_registered = false);
+    }
+
+    /// Records a registration and the number of its heartbeat. Returns false if a later heartbeat of
+    /// the same process has been read before: a write may take effect late.
+    pub fn record(&mut self, name: &Arc<str>, born: Option<u64>, sequence: Option<u64>) -> bool {
+        let at = self.find(name).unwrap_or_else(|at| {
+            let name = name.clone();
+            self.rows
+                .insert(at, SeenRegistration { name, born, sequence: None, is_registered: true });
+            at
+        });
+        let row = &mut self.rows[at];
+        row.is_registered = true;
+        let is_same_process = born.is_some() && row.born == born;
+        let is_late = is_same_process && sequence.is_some() && sequence < row.sequence;
+        if !is_late {
+            (row.born, row.sequence) = (born, sequence);
+        }
+        !is_late
+    }
+
+    /// Records that a registration has ended.
+    pub fn remove(&mut self, name: &str) {
+        if let Ok(at) = self.find(name) {
+            self.rows[at].is_registered = false;
+        }
+    }
+
+    /// Returns whether the registry contains a registration, as of the last read.
+    pub fn is_registered(&self, name: &str) -> bool {
+        self.find(name).is_ok_and(|at| self.rows[at].is_registered)
+    }
+
+    fn find(&self, name: &str) -> Result<usize, usize> {
+        self.rows.binary_search_by(|r| (*r.name).cmp(name))
+    }
+}
--- a/src/registry/follower.rs
+++ b/src/registry/follower.rs
@@ -12,7 +12,9 @@
 use crate::decide::hosts::{Host, Role};
 use crate::decide::lapse::MissingRegistrations;
 use crate::decide::reads::AGE_FACTOR_MIN;
-use crate::decide::registered::{Reading, RegistrationVersion, Step, next_version};
+use crate::decide::registered::{
+    Reading, RegistrationVersion, SeenRegistrations, Step, next_version,
+};
 use crate::decide::upstream::State;
 use crate::event::{EventCode, Subject};
 use crate::node::{Node, Phase};
@@ -36,9 +38,6 @@
 const RETRY_DELAY_MAX: Duration = Duration::from_millis(800);
 /// The key prefix that is read: the empty one, which covers config, upstreams and entry hosts.
 const READ_PREFIX: &str = "";
-/// The number of upstreams whose heartbeats are remembered before those that the catalog has
-/// forgotten are dropped.
-const HEARTBEATS_MAX: usize = 20_000;
 /// The time between two checks whether a starting host is ready.
 const READY_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// How long a starting host that can't read the registry retries before it becomes ready with the
@@ -62,11 +61,7 @@
     /// The registered entry hosts, sorted by name.
     entry_hosts: Vec<Arc<Host>>,
     missing_registrations: MissingRegistrations,
-    /// The newest heartbeat read of each upstream, sorted by name.
-    heartbeats: Vec<LastHeartbeat>,
-    /// Upstreams that were known before the last listing and are not in it. If that was a stale
-    /// one, the changes after it tell whether they are really missing.
-    unlisted: Vec<Arc<str>>,
+    seen: SeenRegistrations,
     /// Passes this host's own registration, if there is one, from the first full read to
     /// [`super::registration::run`].
     own_registration: Option<oneshot::Sender<Option<Change>>>,
@@ -80,13 +75,6 @@
     failing_since: Option<Instant>,
 }
 
-/// The newest heartbeat of an upstream that this host has read.
-struct LastHeartbeat {
-    name: Arc<str>,
-    born: Option<u64>,
-    sequence: u64,
-}
-
 impl<'a> Follower<'a> {
     pub(super) fn new(
         node: &'a Arc<Node>,
@@ -100,8 +88,7 @@
             hosts_prefix: format!("{}{HOSTS_PREFIX}", cfg.prefix),
             entry_hosts: Vec::new(),
             missing_registrations: MissingRegistrations::default(),
-            heartbeats: Vec::new(),
-            unlisted: Vec::new(),
+            seen: SeenRegistrations::default(),
             own_registration: Some(own_registration),
             own_key: registration_key(cfg, &node.settings.host),
             age_factor: 1.0,
@@ -188,27 +175,42 @@
         if self.last_read.filter(is_recent).is_none() {
             self.list(Consistency::Stale, now).await?;
         }
-        if let Some((revision, _)) = self.last_read {
-            match self.client.changes(READ_PREFIX, revision).await? {
-                WatchResponse::Changes(changes, revision) => {
-                    self.mark_readable(now);
-                    self.apply_changes(&changes, Reading::Written, now);
-                    self.mark_unlisted(now);
-                    self.last_read = Some((revision, now));
-                    return Ok(());
-                }
-                WatchResponse::Compacted => log::info!("registry: compacted, reading all keys"),
+        let known = self.known_upstreams();
+        let changes = match self.last_read {
+            Some((revision, _)) => self.client.changes(READ_PREFIX, revision).await?,
+            None => WatchResponse::Compacted,
+        };
+        match changes {
+            WatchResponse::Changes(changes, revision) => {
+                self.mark_readable(now);
+                self.apply_changes(&changes, Reading::Written, now);
+                self.last_read = Some((revision, now));
+            }
+            WatchResponse::Compacted => {
+                log::info!("registry: compacted, reading all keys");
+                self.list(Consistency::Linearizable, now).await?;
             }
         }
-        self.list(Consistency::Linearizable, now).await?;
-        self.mark_unlisted(now);
+        self.mark_unregistered(&known, now);
         Ok(())
     }
 
+    fn known_upstreams(&self) -> Vec<Arc<str>> {
+        self.node.catalog.lock().hosts().map(|h| h.name.clone()).collect()
+    }
+
+    /// Marks those upstreams as missing that were known before the read that has just ended, and
+    /// that the registry doesn't contain. This host may know them from peers that have not read of
+    /// their removal, and never have read of it itself.
+    fn mark_unregistered(&mut self, known: &[Arc<str>], now: Time) {
+        let ended: Vec<&Arc<str>> =
+            known.iter().filter(|name| !self.seen.is_registered(name)).collect();
+        let deletions = ended.iter().filter_map(|name| self.mark_missing(name, now)).collect();
+        self.offer(deletions);
+    }
+
     /// Lists the whole registry.
     async fn list(&mut self, consistency: Consistency, now: Time) -> Result<(), CallError> {
-        let known: Vec<Arc<str>> =
-            self.node.catalog.lock().hosts().map(|h| h.name.clone()).collect();
         let all = self.client.list(READ_PREFIX, consistency).await?;
         let era = all.revision.era;
         if self.last_read.is_some_and(|(last, _)| last.era != era) {
@@ -216,7 +218,7 @@
             self.missing_registrations.record_failure();
         }
         self.mark_readable(now);
-        self.apply_all(&all, known, now);
+        self.apply_all(&all, now);
         self.last_read = Some((all.revision, now));
         Ok(())
     }
@@ -319,23 +321,16 @@
         self.node.set_entry_hosts(self.entry_hosts.clone());
     }
 
-    /// Applies a listing of the registry. Of the upstreams in `known`, those that it doesn't contain
-    /// may be missing.
-    fn apply_all(&mut self, all: &Items, known: Vec<Arc<str>>, now: Time) {
+    /// Applies a listing of the registry.
+    fn apply_all(&mut self, all: &Items, now: Time) {
         if let Some(own_registration) = self.own_registration.take() {
             let at = all.items.binary_search_by(|i| i.key.cmp(&self.own_key));
             // The receiver may have timed out.
             let _ = own_registration.send(at.ok().map(|at| all.items[at].clone()));
         }
+        self.seen.begin_listing();
         self.apply_changes(&all.items, Reading::Listed, now);
         let is_listed = |key: &str| all.items.binary_search_by(|i| i.key.as_str().cmp(key)).is_ok();
-        if self.heartbeats.len() > HEARTBEATS_MAX {
-            let catalog = self.node.catalog.lock();
-            let is_known = |name: &str| catalog.get(RecordKind::Host, name).is_some();
-            self.heartbeats.retain(|h| is_known(&h.name));
-        }
-        self.unlisted = known;
-        self.unlisted.retain(|name| !is_listed(&format!("{}{name}", registration::PREFIX)));
         let keys = self.entry_hosts.iter().map(|h| format!("{}{}", self.hosts_prefix, h.name));
         let missing: Vec<String> = keys.filter(|key| !is_listed(key)).collect();
         let deletion = |key| Change { key, value: None, lease: None };
@@ -343,29 +338,24 @@
         self.apply_changes(&deletions, Reading::Listed, now);
     }
 
-    /// Marks the upstreams that the last listing lacked, and that have not been written since, as
-    /// missing.
-    fn mark_unlisted(&mut self, now: Time) {
-        let unlisted = std::mem::take(&mut self.unlisted);
-        let deletions = unlisted.iter().filter_map(|name| self.mark_missing(name, now)).collect();
-        self.offer(deletions);
-    }
-
     /// Returns the record that a change results in, if there is one to offer.
     fn changed_record(&mut self, change: &Change, reading: Reading, now: Time) -> Option<Record> {
         if change.key == config::KEY {
             return self.routing_record(change);
         }
         let name = change.key.strip_prefix(registration::PREFIX)?;
-        let Some(value) = &change.value else { return self.mark_missing(name, now) };
+        let Some(value) = &change.value else {
+            self.seen.remove(name);
+            return self.mark_missing(name, now);
+        };
         let Some((host, sequence)) = registration::decode(&change.key, value) else {
+            self.seen.remove(name);
             // The earlier registration no longer exists, so the host is removed.
             log::info!("registry: {} is not a valid upstream registration", change.key);
             return self.deletion(name);
         };
         self.missing_registrations.mark_present(name);
-        self.unlisted.retain(|n| **n != *name);
-        if sequence.is_some_and(|s| !self.is_current_heartbeat(&host, s)) {
+        if !self.seen.record(&host.name, host.born, sequence) {
             return None;
         }
         let catalog = self.node.catalog.lock();
@@ -381,27 +371,6 @@
         Some(record(name, version.number(), Body::Host(Arc::new(host))))
     }
 
-    /// Records a heartbeat of an upstream. Returns false if a later one of the same process has been
-    /// read before: a write may take effect late.
-    fn is_current_heartbeat(&mut self, host: &Host, sequence: u64) -> bool {
-        match self.heartbeats.binary_search_by(|h| h.name.cmp(&host.name)) {
-            Ok(at) => {
-                let last = &mut self.heartbeats[at];
-                let is_same = host.born.is_some() && last.born == host.born;
-                let is_newer = !is_same || last.sequence <= sequence;
-                if is_newer {
-                    (last.born, last.sequence) = (host.born, sequence);
-                }
-                is_newer
-            }
-            Err(at) => {
-                let (name, born) = (host.name.clone(), host.born);
-                self.heartbeats.insert(at, LastHeartbeat { name, born, sequence });
-                true
-            }
-        }
-    }
-
     /// Marks an upstream's registration as missing. Returns its deletion record if it counts as gone
     /// at once.
     fn mark_missing(&mut self, name: &str, now: Time) -> Option<Record> {
--- a/tests/rewind.rs
+++ b/tests/rewind.rs
@@ -4,7 +4,9 @@
 use std::collections::HashSet;
 
 use cornelferry::hosts::{Host, Role};
-use cornelferry::registered::{Reading, RegistrationVersion, Step, next_version};
+use cornelferry::registered::{
+    Reading, RegistrationVersion, SeenRegistrations, Step, next_version,
+};
 use cornelferry::upstream::State;
 use proptest::prelude::*;
 
@@ -231,6 +233,36 @@
     assert_eq!(next_version(Some((early, Some(&known))), &known, Reading::Written), None);
 }
 
+/// Guards against an upstream that stays in use after it has gone: a host that had started after the
+/// removal of its registration learned of the upstream from peers, and called its copy current.
+#[test]
+fn a_registration_that_was_never_read_or_has_ended_is_not_registered() {
+    let mut seen = SeenRegistrations::default();
+    seen.begin_listing();
+    seen.record(&"kept".into(), Some(7), Some(1));
+    seen.record(&"removed".into(), Some(7), Some(1));
+    seen.remove("removed");
+    let registered = |seen: &SeenRegistrations| {
+        ["kept", "removed", "known to peers"].map(|name| seen.is_registered(name))
+    };
+    assert_eq!(registered(&seen), [true, false, false]);
+    seen.begin_listing();
+    assert_eq!(registered(&seen), [false, false, false]);
+    seen.record(&"removed".into(), Some(7), Some(2));
+    assert_eq!(registered(&seen), [false, true, false]);
+}
+
+#[test]
+fn a_write_that_takes_effect_late_is_not_taken_for_news() {
+    let mut seen = SeenRegistrations::default();
+    let name = "u".into();
+    assert!(seen.record(&name, Some(7), Some(3)));
+    assert!(seen.record(&name, Some(7), Some(3)));
+    assert!(!seen.record(&name, Some(7), Some(2)));
+    assert!(seen.record(&name, Some(8), Some(1)), "a new process counts anew");
+    assert!(seen.record(&name, None, Some(1)), "without a start, nothing tells them apart");
+}
+
 proptest! {
     #[test]
     fn numbers_keep_the_order_of_versions(
