Pass on only reads that have shown every upstream in force

Change: the age of such a copy isn't told to peers until the next read. Test: peer::tests::a_read_that_has_not_shown_an_upstream_of_a_peer_is_not_passed_on. The first load of records is one line of the log.

--- a/src/decide/catalog.rs
+++ b/src/decide/catalog.rs
@@ -116,6 +116,7 @@
     /// agree, regardless of the order in which they receive the records.
     pub fn offer(&mut self, record: Record) -> OfferOutcome {
         let (kind, name) = (record.kind(), record.name.clone());
+        let is_deletion = matches!(record.body, Body::Deleted(RecordKind::Host));
         let found = self.find(kind, &name);
         match found.map(|at| (at, record.precedence().cmp(&self.records[at].precedence()))) {
             Ok((_, Ordering::Less)) => return OfferOutcome::Older,
@@ -123,7 +124,7 @@
             Ok((at, Ordering::Greater)) => self.records[at] = record,
             Err(at) => self.records.insert(at, record),
         }
-        if kind == RecordKind::Host {
+        if is_deletion {
             self.prune_deleted_hosts();
         }
         self.forget_unreadable(kind, &name);
--- a/src/decide/lapse.rs
+++ b/src/decide/lapse.rs
@@ -80,6 +80,11 @@
         }
     }
 
+    /// Returns whether a registration is missing and its owner may register again.
+    pub fn is_pending(&self, name: &str) -> bool {
+        self.missing.binary_search_by(|m| (*m.name).cmp(name)).is_ok()
+    }
+
     /// Returns whether this host, because it has just started, withholds what its peers may know
     /// already: that the owner of a missing registration is gone. Its copy of the registry isn't
     /// current then.
--- a/src/event.rs
+++ b/src/event.rs
@@ -93,6 +93,8 @@
     RecordUnreadable = 4002, "newer record unreadable, old one stays";
     /// An older version of a record was ignored.
     StaleVersion = 4003, "older record version ignored";
+    /// The first records came into force, too many to name each.
+    RecordsLoaded = 4004, "first records in force";
     /// The platform has become unreachable.
     PlatformDown = 5001, "platform unreachable";
     /// The platform is reachable again.
@@ -136,6 +138,7 @@
             EventCode::AttemptAnswered => "took_ms",
             EventCode::UpstreamPaused => "pause_ms",
             EventCode::RegistryRewound => "era",
+            EventCode::RecordsLoaded => "records",
             EventCode::AttemptFailed | EventCode::CallerAnswered | EventCode::Rejected => "code",
             EventCode::InForce | EventCode::RecordUnreadable | EventCode::StaleVersion => "version",
             _ => "value",
--- a/src/node.rs
+++ b/src/node.rs
@@ -35,6 +35,10 @@
 use crate::trace::recorder::Recorder;
 use crate::{header, platform};
 
+/// The number of records above which the first ones that a host loads are not named one by one in
+/// its events.
+const NAMED_RECORDS_MAX: usize = 32;
+
 /// The phase of a host's life, in order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Phase {
@@ -156,8 +160,15 @@
     /// each, in order.
     pub(crate) fn offer(&self, records: Vec<Record>) -> Vec<OfferOutcome> {
         let mut catalog = self.catalog.lock();
-        let outcomes: Vec<OfferOutcome> =
-            records.iter().map(|r| self.offer_one(&mut catalog, r.clone())).collect();
+        let is_first_load = records.len() > NAMED_RECORDS_MAX && catalog.hosts().next().is_none();
+        let outcomes: Vec<OfferOutcome> = records
+            .iter()
+            .map(|r| self.offer_one(&mut catalog, r.clone(), !is_first_load))
+            .collect();
+        if is_first_load {
+            let loaded = outcomes.iter().filter(|o| **o == OfferOutcome::InForce).count() as u64;
+            self.events.record(EventCode::RecordsLoaded, Subject::default(), Some(loaded));
+        }
         if outcomes.contains(&OfferOutcome::InForce) {
             let mut routes = Routes::new(&catalog.services(), &catalog.profiles());
             if let Some(routing) = catalog.routing() {
@@ -307,16 +318,19 @@
         }
     }
 
-    fn offer_one(&self, catalog: &mut Catalog, record: Record) -> OfferOutcome {
+    /// Offers a record to the catalog, and records the event if it is to be named.
+    fn offer_one(&self, catalog: &mut Catalog, record: Record, is_named: bool) -> OfferOutcome {
         let outcome = catalog.offer(record.clone());
         let code = match outcome {
             OfferOutcome::InForce => EventCode::InForce,
             OfferOutcome::Older => EventCode::StaleVersion,
             OfferOutcome::Same | OfferOutcome::Unreadable => return outcome,
         };
-        let name = format!("{}/{}", record.kind(), record.name);
-        let subject = Subject { record: Some(name.into()), ..Subject::default() };
-        self.events.record(code, subject, Some(record.version));
+        if is_named {
+            let name = format!("{}/{}", record.kind(), record.name);
+            let subject = Subject { record: Some(name.into()), ..Subject::default() };
+            self.events.record(code, subject, Some(record.version));
+        }
         self.recorder.record(|| TraceEntry::Offer { record: record.clone(), offered: outcome });
         if outcome == OfferOutcome::InForce {
             let (kind, name) = (record.kind(), record.name.clone());
--- a/src/peer/pull.rs
+++ b/src/peer/pull.rs
@@ -8,7 +8,7 @@
 use capnp::Error;
 use tokio::task::spawn_local;
 
-use crate::decide::catalog::Record;
+use crate::decide::catalog::{Body, OfferOutcome, Record};
 use crate::decide::digest::{RecordVersion, newer_versions};
 use crate::decide::fetch;
 use crate::decide::stored::{self, StoredRecord};
@@ -167,12 +167,23 @@
         for (i, version) in batch.iter().take(count).enumerate() {
             readable.extend(parse(&session.local, version, records.get(i as u32)?));
         }
-        session.local.node.offer(readable);
+        offer(&session.local, readable);
         remaining = &remaining[count..];
     }
     Ok(())
 }
 
+/// Offers fetched records to the catalog.
+fn offer(local: &LocalState, records: Vec<Record>) {
+    let is_upstream: Vec<bool> = records.iter().map(|r| matches!(r.body, Body::Host(_))).collect();
+    let outcomes = local.node.offer(records);
+    let is_new =
+        |(o, is_upstream): (&OfferOutcome, bool)| *o == OfferOutcome::InForce && is_upstream;
+    if outcomes.iter().zip(is_upstream).any(is_new) {
+        local.node.registry_freshness.doubt_own_read();
+    }
+}
+
 /// Returns a fetched record, unless this release can't read it. An empty `json` means that the peer
 /// no longer has the record.
 fn parse(local: &LocalState, version: &RecordVersion, json: &[u8]) -> Option<Record> {
--- a/src/peer/session.rs
+++ b/src/peer/session.rs
@@ -176,7 +176,7 @@
     /// Returns whether this host's copy of the registry is at least [`REGISTRY_LEAD`] ahead of the
     /// peer's.
     pub(crate) fn is_registry_ahead(&self) -> bool {
-        let own = self.local.node.registry_freshness.as_of();
+        let own = self.local.node.registry_freshness.as_of_for_peers();
         own.is_some_and(|at| at.since(self.peer_registry_as_of.get()) >= REGISTRY_LEAD)
     }
 
@@ -191,7 +191,7 @@
             heartbeat: self.local.heartbeat_counter(now),
             left: node.phase() >= Phase::Draining,
             stale: node.pause_detector.lock().is_stale(now),
-            registry_age: node.registry_freshness.as_of().map(|at| now.since(at)),
+            registry_age: node.registry_freshness.as_of_for_peers().map(|at| now.since(at)),
             registry_era: node.registry_freshness.era(),
             summary: self.local.catalog_summary(),
             members_fingerprint: self.local.members_fingerprint(),
@@ -202,7 +202,7 @@
             ..Digest::default()
         };
         self.sent_seq.set(newest);
-        self.advance_peer_registry(node.registry_freshness.as_of());
+        self.advance_peer_registry(node.registry_freshness.as_of_for_peers());
         let mut encoder = self.encoder.borrow_mut();
         encoder.add_sender(&self.process, &mut digest);
         if self.is_superseded.get() || self.is_peer_declared_dead() {
--- a/src/peer/tests.rs
+++ b/src/peer/tests.rs
@@ -21,6 +21,7 @@
 use crate::decide::digest::{
     CatalogSummary, Digest, RecordVersion, RelayedHeartbeat, UpstreamLoad, UpstreamName,
 };
+use crate::decide::hosts::{Host as ListedHost, Role};
 use crate::decide::member::{Heartbeat, MemberState, Process};
 use crate::decide::upstream::State;
 use crate::event::EventCode;
@@ -292,6 +293,41 @@
     wait_until("current on all hosts", || hosts.iter().all(is_current));
 }
 
+/// Guards against a copy that is called current though an upstream in it has been removed: a host
+/// that had read the registry after the removal learned of the upstream from a peer.
+#[test]
+fn a_read_that_has_not_shown_an_upstream_of_a_peer_is_not_passed_on() {
+    let (hosts, _) = fleet(2);
+    wait_until("linked", || hosts.iter().all(|h| h.events(EventCode::PeerJoined) >= 1));
+    let fresh = &hosts[1].node;
+    fresh.registry_freshness.advance_by_read(fresh.clock.now(), true);
+    assert!(fresh.registry_freshness.as_of_for_peers().is_some());
+    hosts[0].node.offer(vec![upstream_record("u", 5)]);
+    let knows = |h: &Host| h.node.catalog.lock().get(RecordKind::Host, "u").is_some();
+    wait_until("known", || knows(&hosts[1]));
+    wait_until("doubtful", || fresh.registry_freshness.as_of_for_peers().is_none());
+    assert!(fresh.registry_freshness.as_of().is_some());
+    fresh.registry_freshness.advance_by_read(fresh.clock.now(), true);
+    assert!(fresh.registry_freshness.as_of_for_peers().is_some());
+}
+
+fn upstream_record(name: &str, version: u64) -> Record {
+    let host = ListedHost {
+        name: name.into(),
+        address: "127.0.0.1:9".parse().unwrap(),
+        data_centre: "dc".into(),
+        role: Role::Upstream,
+        service: Some("s".into()),
+        state: State::Live,
+        slots: 6,
+        peer: None,
+        admin: None,
+        born: Some(7),
+    };
+    let (change, author) = ("".into(), "".into());
+    Record { name: name.into(), version, change, author, body: Body::Host(Arc::new(host)) }
+}
+
 /// Forwards connections with a delay of 200 ms in each direction.
 fn run_delaying_proxy(listener: std::net::TcpListener, to: SocketAddr) {
     const DELAY: Duration = Duration::from_millis(200);
--- a/src/registry/follower.rs
+++ b/src/registry/follower.rs
@@ -242,12 +242,18 @@
         if !hosts.is_empty() {
             self.publish_entry_hosts();
         }
-        if !self.missing_registrations.is_withholding(now) {
-            self.node.registry_freshness.advance_to(now);
-        }
+        let is_confirmed = self.known_upstreams().iter().all(|n| self.is_confirmed(n, now));
+        self.node.registry_freshness.advance_by_read(now, is_confirmed);
         self.node.mark_resynced(pauses);
     }
 
+    /// Returns whether the last read has shown an upstream, or has found it missing after an outage,
+    /// after which all hosts give it the time to return.
+    fn is_confirmed(&self, name: &str, now: Time) -> bool {
+        let missing = &self.missing_registrations;
+        self.seen.is_registered(name) || missing.is_pending(name) && !missing.is_withholding(now)
+    }
+
     /// Handles a failed read, and waits until the next attempt.
     async fn handle_failure(&mut self, failure: &CallError) {
         self.missing_registrations.record_failure();
