--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -19,6 +19,7 @@
 pub mod reads;
 pub mod registered;
 pub mod service;
+pub mod startup;
 pub mod stored;
 pub mod tick;
 pub mod topology;
--- a/src/entry/handler.rs
+++ b/src/entry/handler.rs
@@ -10,6 +10,7 @@
 use xitca_web::http::WebRequest;
 
 use crate::claim;
+use crate::decide::startup;
 use crate::entry::request;
 use crate::entry::socket::{CALLER_CONNECTION, CallerConnection};
 use crate::error::{Code, Outcome};
@@ -39,7 +40,7 @@
         Err(code) => {
             node.metrics.count_request(NO_SERVICE, code);
             log_rejected(node, &id, code);
-            (ProxyResponse::local(code), has_body || request::is_end_unknown(code))
+            (refusal(node, code), has_body || request::is_end_unknown(code))
         }
     };
     let mut res = http_response(&node.header_names, &id, response);
@@ -50,6 +51,16 @@
     Ok(res)
 }
 
+/// Returns the response to a request that was rejected before it was accepted.
+fn refusal(node: &Node, code: Code) -> ProxyResponse {
+    let mut response = ProxyResponse::local(code);
+    if code == Code::NotReady {
+        let elapsed = node.clock.now().since(Time::ZERO);
+        response.retry_after = Some(startup::retry_after(elapsed, rand::random()));
+    }
+    response
+}
+
 async fn process(
     node: &Arc<Node>,
     caller: &CallerConnection,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,7 +18,8 @@
 //! - The fleet: [`member`] decides which hosts are alive and who owns a duty, [`topology`] which
 //!   hosts are neighbours, [`digest`] what they exchange, and [`pause`] whether the process was
 //!   paused. [`hosts`], [`registered`], [`lapse`] and [`leaving`] follow hosts and upstreams that
-//!   come and go, and [`reads`] decides which host reads the platform's registry.
+//!   come and go, [`reads`] decides which host reads the platform's registry, and [`startup`] what a
+//!   starting host tells callers.
 //! - Observation: [`event`], [`hlc`], [`logs`], [`status`], and [`trace`], which also checks
 //!   traces.
 //! - The programs: [`daemon`], [`tool`], [`cli`], [`settings`], [`header`] and [`error`].
@@ -73,7 +74,7 @@
 
 pub use decide::{
     admission, attempt, balancing, catalog, digest, hosts, kinds, lapse, leaving, matching, member,
-    pause, probing, reads, registered, service, stored, tick, topology, upstream,
+    pause, probing, reads, registered, service, startup, stored, tick, topology, upstream,
 };
 pub use time::{Clock, Time};
 
--- a/src/registry/follower.rs
+++ b/src/registry/follower.rs
@@ -47,9 +47,9 @@
 /// at most for a peer to confirm it or bring it up to date, for each upstream in the copy. A large
 /// fleet has many upstreams. Its hosts draw different times when it starts as a whole, so that the
 /// first ones read for all.
-const PEER_CONFIRMATION_WAIT: Duration = Duration::from_micros(500);
+const PEER_CONFIRMATION_WAIT: Duration = Duration::from_micros(200);
 /// The maximum of that time.
-const PEER_CONFIRMATION_WAIT_MAX: Duration = Duration::from_millis(600);
+const PEER_CONFIRMATION_WAIT_MAX: Duration = Duration::from_millis(300);
 /// The random factor on that time.
 const PEER_CONFIRMATION_SPREAD: std::ops::RangeInclusive<f64> = 0.25..=1.0;
 
