--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -56,6 +56,8 @@
 const FAULT_DURATION_MS: std::ops::Range<u64> = 200..2_000;
 /// Time after the last fault within which the fleet must have recovered.
 const SETTLE_TIME: Duration = Duration::from_secs(4);
+/// Time after which the operator and the upstreams write again what the registry has lost.
+const REWRITE_TIME: Duration = Duration::from_millis(500);
 /// Request timeout of callers: more than the 1500 ms deadline that they send, since a daemon may be
 /// frozen.
 const CALLER_TIMEOUT: Duration = Duration::from_secs(4);
@@ -69,6 +71,8 @@
     hosts: Vec<Mutex<Option<Daemon>>>,
     addresses: Vec<SocketAddr>,
     upstreams: Mutex<Vec<Arc<Upstream>>>,
+    /// Upstreams that have begun to drain.
+    drained: Mutex<Vec<Arc<Upstream>>>,
     version: Mutex<u64>,
 }
 
@@ -138,6 +142,7 @@
             hosts: daemons.into_iter().map(|d| Mutex::new(Some(d))).collect(),
             settings,
             upstreams: Mutex::new(upstreams),
+            drained: Mutex::default(),
             version: Mutex::new(1),
         })
     }
@@ -188,6 +193,7 @@
                 idempotent,
                 host,
                 sent,
+                received: Instant::now(),
                 route,
                 response,
             });
@@ -225,6 +231,8 @@
             // An invalid registration.
             10 => self.registry.put("servers/odd", r#"{"service": 7, "state": "resting"}"#),
             11 => self.add_upstream(&mut rng).await,
+            12 => self.rewind_registry(duration).await,
+            13 => self.announce_leaving(&mut rng).await,
             _ => self.inject_upstream_fault(duration, &mut rng).await,
         }
     }
@@ -281,6 +289,7 @@
             upstreams.remove(0)
         };
         let key = format!("servers/{}", upstream.id);
+        self.drained.lock().push(upstream.clone());
         self.registry.put(&key, &upstream.registration("draining"));
         self.observed.drained_at.lock().insert(upstream.id.clone(), Instant::now());
         tokio::time::sleep(PROPAGATION_TIME * 2).await;
@@ -301,10 +310,50 @@
         *self.version.lock() = version;
     }
 
+    /// Lets the registry return to a copy, and writes again what the operator and the upstreams had
+    /// written since.
+    async fn rewind_registry(&self, duration: Duration) {
+        self.registry.take_copy();
+        let start = Instant::now();
+        tokio::time::sleep(duration).await;
+        let keys = self.registry.keys("servers/");
+        self.registry.rewind();
+        tokio::time::sleep(REWRITE_TIME).await;
+        // Removed in the meantime: an upstream that has left doesn't write again.
+        for key in self.registry.keys("servers/").iter().filter(|k| !keys.contains(k)) {
+            self.registry.remove(key);
+        }
+        let version = *self.version.lock();
+        self.registry.put("op/config", &config(version));
+        for upstream in self.upstreams.lock().iter() {
+            let key = format!("servers/{}", upstream.id);
+            self.registry.put(&key, &upstream.registration("ready"));
+        }
+        for id in self.observed.drained_at.lock().keys() {
+            let key = format!("servers/{id}");
+            if let Some(upstream) = self.drained.lock().iter().find(|u| u.id == *id)
+                && keys.contains(&key)
+            {
+                self.registry.put(&key, &upstream.registration("draining"));
+            }
+        }
+        self.observed.registry_faults.lock().push((start, Instant::now()));
+    }
+
+    /// Lets an upstream say in its responses that it is leaving, while the registry lists it as
+    /// ready. Another one joins.
+    async fn announce_leaving(&self, rng: &mut SmallRng) {
+        let upstream = self.upstreams.lock().choose(rng).cloned();
+        if let Some(upstream) = upstream {
+            upstream.announce_leaving();
+            self.add_upstream(rng).await;
+        }
+    }
+
     async fn inject_upstream_fault(&self, duration: Duration, rng: &mut SmallRng) {
         let upstream = self.upstreams.lock().choose(rng).cloned();
         let Some(upstream) = upstream else { return };
-        match rng.random_range(0..8) {
+        match rng.random_range(0..10) {
             0 => upstream.proxy.reset(),
             1 => upstream.proxy.set_mode(Mode::DropAll),
             2 => upstream.proxy.set_mode(Mode::DropResponses),
@@ -312,6 +361,8 @@
             4 => upstream.set_fault(Fault::NoResponse),
             5 => upstream.set_fault(Fault::WrongId),
             6 => upstream.set_fault(Fault::TruncatedBody),
+            7 => upstream.set_fault(Fault::Pausing),
+            8 => upstream.set_fault(Fault::Endless),
             _ => upstream.set_fault(Fault::Slow),
         }
         tokio::time::sleep(duration).await;
@@ -322,7 +373,7 @@
 
 /// Number of fault kinds. All numbers without a kind of their own inject an upstream fault, which
 /// makes those more frequent.
-const FAULT_KINDS: u32 = 16;
+const FAULT_KINDS: u32 = 18;
 
 /// Runs one schedule. Returns the breaches and a summary of the run.
 async fn run(seed: u64, seconds: u64, hosts: usize) -> (Vec<String>, String) {
--- a/tests/soak/observed.rs
+++ b/tests/soak/observed.rs
@@ -5,6 +5,8 @@
 
 use parking_lot::Mutex;
 
+use crate::upstream::PAUSE;
+
 /// Time within which a drain, a new route or a removed one must be known to all hosts, as the
 /// users' deployments require.
 pub const PROPAGATION_TIME: Duration = Duration::from_secs(2);
@@ -19,10 +21,12 @@
 pub const RETRY_SHARE: f64 = 0.01;
 pub const RETRY_SLACK: f64 = 2.0;
 pub const RETRY_WINDOW: Duration = Duration::from_secs(10);
+/// Time after an upstream asked for a pause in which requests may still be on their way to it.
+const PAUSE_TOLERANCE: Duration = Duration::from_millis(500);
 
-/// An arrival of a request at an upstream.
+/// A request that reached an upstream.
 #[derive(Clone, Debug)]
-pub struct Arrival {
+pub struct Attempt {
     pub id: String,
     pub upstream: String,
     pub at: Instant,
@@ -35,6 +39,8 @@
     pub idempotent: bool,
     pub host: usize,
     pub sent: Instant,
+    /// When the response was received or the connection ended.
+    pub received: Instant,
     /// The config version that introduced the route of the request; 0 for a route that always
     /// exists.
     pub route: u64,
@@ -53,7 +59,12 @@
 /// Everything observed during a run.
 #[derive(Debug, Default)]
 pub struct Observed {
-    pub arrivals: Mutex<Vec<Arrival>>,
+    /// The requests that upstreams ran.
+    pub arrivals: Mutex<Vec<Attempt>>,
+    /// All requests that reached upstreams, and whether each was answered with a pause.
+    pub attempts: Mutex<Vec<(Attempt, bool)>>,
+    /// For each request answered with the announcement that an upstream is leaving, the upstream.
+    pub announcements: Mutex<BTreeMap<String, String>>,
     pub outcomes: Mutex<Vec<Outcome>>,
     /// When the registry acknowledged that an upstream is draining.
     pub drained_at: Mutex<BTreeMap<String, Instant>>,
@@ -98,6 +109,8 @@
             out.extend(self.outdated_route(outcome, response));
         }
         out.extend(self.requests_after_drain());
+        out.extend(self.requests_after_announcement());
+        out.extend(self.requests_in_pauses());
         out.extend(self.retry_budget_breach());
         let seconds = end.duration_since(start).as_secs_f64();
         for (upstream, probes) in self.probes.lock().iter() {
@@ -148,7 +161,7 @@
         let drained_at = self.drained_at.lock();
         let hosts: BTreeMap<String, usize> =
             self.outcomes.lock().iter().map(|o| (o.id.clone(), o.host)).collect();
-        let is_late = |a: &&Arrival| {
+        let is_late = |a: &&Attempt| {
             let Some(drained) = drained_at.get(&a.upstream) else { return false };
             let Some(host) = hosts.get(&a.id) else { return false };
             let is_due = a.at.saturating_duration_since(*drained) > PROPAGATION_TIME;
@@ -165,6 +178,58 @@
             .collect()
     }
 
+    /// Checks for requests that reached an upstream from a host that had passed on its announcement
+    /// to leave before the request was sent.
+    fn requests_after_announcement(&self) -> Vec<String> {
+        let outcomes = self.outcomes.lock();
+        let announcements = self.announcements.lock();
+        let announced = |o: &Outcome| {
+            let upstream = announcements.get(&o.id)?;
+            let is_passed_on = o.response.as_ref().is_some_and(|r| r.status == 200);
+            is_passed_on.then(|| (upstream.clone(), o.host, o.received))
+        };
+        let announced: Vec<(String, usize, Instant)> =
+            outcomes.iter().filter_map(announced).collect();
+        let by_id: BTreeMap<&str, &Outcome> = outcomes.iter().map(|o| (o.id.as_str(), o)).collect();
+        let is_late = |a: &&Attempt| {
+            let Some(outcome) = by_id.get(a.id.as_str()) else { return false };
+            announced.iter().any(|(upstream, host, at)| {
+                (upstream, *host) == (&a.upstream, outcome.host)
+                    && outcome.sent.saturating_duration_since(*at) > PROPAGATION_TIME
+                    && self.is_host_fault_free(*host, *at, a.at)
+            })
+        };
+        let arrivals = self.arrivals.lock();
+        let late = arrivals.iter().filter(is_late);
+        late.map(|a| format!("LEAVING: {} ran at {}", a.id, a.upstream)).collect()
+    }
+
+    /// Checks for more than two requests that reached an upstream from one host between half a
+    /// second after it asked for a pause and the end of the pause.
+    fn requests_in_pauses(&self) -> Vec<String> {
+        let hosts: BTreeMap<String, usize> =
+            self.outcomes.lock().iter().map(|o| (o.id.clone(), o.host)).collect();
+        let attempts = self.attempts.lock();
+        let mut out = Vec::new();
+        for (asked, _) in attempts.iter().filter(|(_, is_pause)| *is_pause) {
+            let Some(host) = hosts.get(&asked.id) else { continue };
+            let (from, to) = (asked.at + PAUSE_TOLERANCE, asked.at + PAUSE);
+            let is_within = |a: &Attempt| {
+                a.upstream == asked.upstream
+                    && hosts.get(&a.id) == Some(host)
+                    && (from..to).contains(&a.at)
+            };
+            let count = attempts.iter().filter(|(a, _)| is_within(a)).count();
+            if count > 2 && self.is_host_fault_free(*host, asked.at, to) {
+                out.push(format!(
+                    "PAUSE: {count} requests at {} after {}",
+                    asked.upstream, asked.id
+                ));
+            }
+        }
+        out
+    }
+
     /// Checks whether the arrivals after the first of each request exceed the retry budget in any
     /// window.
     fn retry_budget_breach(&self) -> Option<String> {
--- a/tests/soak/upstream.rs
+++ b/tests/soak/upstream.rs
@@ -3,7 +3,7 @@
 
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use parking_lot::Mutex;
@@ -11,7 +11,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
-use crate::observed::{Arrival, Observed};
+use crate::observed::{Attempt, Observed};
 use crate::proxy::Proxy;
 
 /// Number of requests that an upstream runs at the same time.
@@ -31,14 +31,25 @@
     TruncatedBody,
     /// Takes ten times as long.
     Slow,
+    /// Refuses requests and asks for a pause.
+    Pausing,
+    /// Responds with bytes without end.
+    Endless,
 }
 
+/// The pause that a pausing upstream asks for.
+pub const PAUSE: Duration = Duration::from_millis(1_500);
+/// The mark after which a response is repeated until the host closes the connection.
+const ENDLESS: &str = "<endless>";
+
 /// A running upstream behind a proxy.
 #[derive(Debug)]
 pub struct Upstream {
     pub id: String,
     pub proxy: Arc<Proxy>,
     fault: Mutex<Fault>,
+    /// Whether its responses say that it is leaving.
+    leaving: AtomicBool,
     running: AtomicU32,
     observed: Arc<Observed>,
 }
@@ -52,6 +63,7 @@
             id: id.to_owned(),
             proxy: Proxy::start(address).await,
             fault: Mutex::new(Fault::None),
+            leaving: AtomicBool::new(false),
             running: AtomicU32::new(0),
             observed: observed.clone(),
         });
@@ -74,11 +86,16 @@
         *self.fault.lock() = fault;
     }
 
+    /// Lets all responses say from now on that the upstream is leaving.
+    pub fn announce_leaving(&self) {
+        self.leaving.store(true, Ordering::SeqCst);
+    }
+
     /// Returns the upstream's entry in the registry.
     pub fn registration(&self, state: &str) -> String {
         json!({
             "service": "dispatch", "address": self.proxy.address, "zone": "a", "version": "v1",
-            "slots": SLOTS, "state": state, "coldRemainingS": 0, "sequence": 1,
+            "slots": SLOTS, "state": state, "coldRemainingS": 0, "sequence": 1, "born": 7,
         })
         .to_string()
     }
@@ -96,6 +113,12 @@
             let head = String::from_utf8_lossy(&buf[..end]).into_owned();
             buf.drain(..end + 4);
             let Some(response) = self.respond(&head).await else { return Ok(()) };
+            if let Some((once, repeated)) = response.split_once(ENDLESS) {
+                stream.write_all(once.as_bytes()).await?;
+                loop {
+                    stream.write_all(repeated.as_bytes()).await?;
+                }
+            }
             stream.write_all(response.as_bytes()).await?;
             // A truncated body is followed by the end of the connection.
             if response.ends_with("body") {
@@ -116,12 +139,22 @@
         if header_field(head, "x-expect-instance") != self.id {
             return Some("HTTP/1.1 421 Misdirected\r\ncontent-length: 0\r\n\r\n".to_owned());
         }
+        let is_pausing = *self.fault.lock() == Fault::Pausing;
+        let attempt = Attempt { id: id.clone(), upstream: self.id.clone(), at: Instant::now() };
+        self.observed.attempts.lock().push((attempt, is_pausing));
+        if is_pausing {
+            let after = PAUSE.as_secs_f64();
+            return Some(format!(
+                "HTTP/1.1 503 Pausing\r\nx-not-executed: 1\r\nretry-after: {after}\r\n\
+                 content-length: 0\r\n\r\n"
+            ));
+        }
         if self.running.fetch_add(1, Ordering::SeqCst) >= SLOTS {
             self.running.fetch_sub(1, Ordering::SeqCst);
             let refusal = "HTTP/1.1 503 Full\r\nx-not-executed: 1\r\ncontent-length: 0\r\n\r\n";
             return Some(refusal.to_owned());
         }
-        let arrival = Arrival { id: id.clone(), upstream: self.id.clone(), at: Instant::now() };
+        let arrival = Attempt { id: id.clone(), upstream: self.id.clone(), at: Instant::now() };
         self.observed.arrivals.lock().push(arrival);
         let fault = *self.fault.lock();
         tokio::time::sleep(if fault == Fault::Slow { WORK_TIME * 10 } else { WORK_TIME }).await;
@@ -131,13 +164,21 @@
             Fault::NoResponse => return None,
             Fault::WrongId => ("another", false),
             Fault::TruncatedBody => (id.as_str(), true),
-            Fault::None | Fault::Slow => (id.as_str(), false),
+            Fault::Endless => {
+                return Some(format!("HTTP/1.1 200 OK\r\nx-noise: {ENDLESS}{}", "a".repeat(4_096)));
+            }
+            Fault::None | Fault::Slow | Fault::Pausing => (id.as_str(), false),
         };
+        let leaving = self.leaving.load(Ordering::SeqCst);
+        if leaving {
+            self.observed.announcements.lock().insert(id.clone(), self.id.clone());
+        }
+        let leaving = if leaving { "server-leaving: 1\r\n" } else { "" };
         let sent = if is_truncated { "body" } else { body.as_str() };
         let (load, length) = (load(running), body.len());
         Some(format!(
             "HTTP/1.1 200 OK\r\nx-attempt-id: {echo}\r\nx-response-signature: s.{echo}\r\n{load}\r\n\
-             content-length: {length}\r\n\r\n{sent}"
+             {leaving}content-length: {length}\r\n\r\n{sent}"
         ))
     }
 }
