--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -29,8 +29,12 @@
     child: Child,
     pub caller: SocketAddr,
     pub admin: SocketAddr,
+    peer: SocketAddr,
 }
 
+/// The peer address in the settings of a daemon that is given a free one at each start attempt.
+pub const FREE_ADDRESS: &str = "free";
+
 impl Daemon {
     /// Starts a daemon with one service `s` on the given upstreams, and waits until it is ready.
     ///
@@ -81,7 +85,8 @@
         // A connection of another program may use one of the ports for a short time.
         let start = Instant::now();
         loop {
-            if let Some(daemon) = Daemon::try_start_at(settings, self.caller, self.admin) {
+            let addresses = [self.caller, self.admin, self.peer];
+            if let Some(daemon) = Daemon::try_start_at(settings, addresses) {
                 return daemon;
             }
             assert!(start.elapsed() < TIMEOUT, "the daemon's ports stay in use");
@@ -95,13 +100,17 @@
     }
 
     fn try_start(settings: &Value) -> Option<Daemon> {
-        Daemon::try_start_at(settings, free_address(), free_address())
+        Daemon::try_start_at(settings, [free_address(), free_address(), free_address()])
     }
 
-    fn try_start_at(settings: &Value, caller: SocketAddr, admin: SocketAddr) -> Option<Daemon> {
-        let ports = json!({"caller": caller, "admin": admin});
+    fn try_start_at(settings: &Value, addresses: [SocketAddr; 3]) -> Option<Daemon> {
+        let [caller, admin, peer] = addresses;
+        let mut ports = json!({"caller": caller, "admin": admin});
+        if settings["peer"] == FREE_ADDRESS {
+            ports["peer"] = json!(peer);
+        }
         let child = spawn_daemon(&merge(settings.clone(), ports));
-        let mut daemon = Daemon { child, caller, admin };
+        let mut daemon = Daemon { child, caller, admin, peer };
         let start = Instant::now();
         while daemon.readiness() != Some(200) || !daemon.is_serving() {
             assert!(start.elapsed() < TIMEOUT, "the daemon does not become ready");
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -240,7 +240,7 @@
         }
         let settings = json!({
             "host": "entry-1", "data_centre": "a",
-            "peer": TcpListener::bind(loopback).expect("port").local_addr().expect("bound"),
+            "peer": harness::FREE_ADDRESS,
             "registry": {
                 "address": registry.address, "retry_share": 0.2, "retry_slack": 56.0,
                 "probes_per_second": 60.0,
