Don't take a starting host for the whole fleet

Change: while it may have peers and knows none, it keeps the size in the settings. Test: tests/member.rs.

--- a/src/decide/member.rs
+++ b/src/decide/member.rs
@@ -216,6 +216,14 @@
         &self.members
     }
 
+    /// Returns the number of known hosts, this one included and whether alive or not. `None` while no
+    /// peer is known although there may be some: a host that took itself for the only one would use
+    /// the whole fleet's budgets.
+    pub fn known_hosts(&self, may_have_peers: bool) -> Option<usize> {
+        let is_unknown = self.members.is_empty() && may_have_peers;
+        (!is_unknown).then(|| self.members.len() + 1)
+    }
+
     /// Returns the peer with this name.
     pub fn get(&self, host: &str) -> Option<&Member> {
         self.find(host).ok().map(|at| &self.members[at])
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -167,8 +167,9 @@
             let mut tables = self.tables.lock();
             let live_peers = members.alive(now).count();
             self.set_live_peers(&mut tables, u32::try_from(live_peers).unwrap_or(u32::MAX));
-            if self.settings.registry.is_some() {
-                let known = members.members().len() + 1;
+            if self.settings.registry.is_some()
+                && let Some(known) = members.known_hosts(self.may_have_peers())
+            {
                 tables.set_known_hosts(u32::try_from(known).unwrap_or(u32::MAX));
             }
             let output = tables.tick(now, rng, is_probe_owner);
@@ -186,6 +187,12 @@
         output.probes
     }
 
+    /// Returns whether there may be other hosts though none is known: the settings name seeds, or the
+    /// registry, which lists contacts, has not been read.
+    fn may_have_peers(&self) -> bool {
+        !self.latest_settings().seeds.is_empty() || self.registry_freshness.as_of().is_none()
+    }
+
     /// Applies a change to a service's table, and delivers the admission decisions that follow from
     /// it.
     fn update(&self, service: &str, change: impl FnOnce(&mut ServiceTable, Time)) {
--- a/tests/member.rs
+++ b/tests/member.rs
@@ -210,3 +210,14 @@
     assert!(detector.tick(resumed_again) && detector.is_stale(resumed_again));
     assert!(!detector.is_stale(resumed_again + RESYNC_TIMEOUT));
 }
+
+/// Guards against a host that has just started and takes itself for the only one. In the soak (seed
+/// 116) such hosts retried more often than the fleet may.
+#[test]
+fn a_host_that_may_have_peers_does_not_know_the_size_of_the_fleet_before_it_has_heard_one() {
+    let mut members = table(0);
+    assert_eq!(members.known_hosts(true), None);
+    assert_eq!(members.known_hosts(false), Some(1));
+    members.record_heartbeat(&process(1, 1), heartbeat(1, Time::ZERO), Time::ZERO);
+    assert_eq!(members.known_hosts(true), Some(2));
+}
