Leave a slow read the time to reach all hosts before they read for themselves

Reading 1,500 heartbeats takes a small host some 0.4 s, so that its copy arrived when the others began to read (0.45 of 3 s). Change: they begin at 0.56 to 0.75 of the allowed time.

--- a/src/decide/reads.rs
+++ b/src/decide/reads.rs
@@ -19,7 +19,7 @@
 const RANK_SHARE: f64 = 0.06;
 /// The age of its copy at which any other host reads at the latest, as a part of the same time. The
 /// rest is for a registry that responds slowly.
-const AGE_MAX_SHARE: f64 = 0.6;
+const AGE_MAX_SHARE: f64 = 0.75;
 /// The lower bound of the random factor by which each host shortens that age, so that one host
 /// reads first and the others receive its result.
 pub const AGE_FACTOR_MIN: f64 = 0.75;
