Apply only the last change of each key

The log of all hosts: at 11.99 s edge-catania-17 read that i-a32193c5be was leaving; at 12.12 s edge-augusta-22 read its earlier registration and the leaving in one go, took the former for news, and began a new round in which the upstream was live. Change: the last change of a key counts. Test: registry::follower::tests.

--- a/src/registry/follower.rs
+++ b/src/registry/follower.rs
@@ -271,8 +271,10 @@
         }
     }
 
-    /// Applies changes of the registry.
+    /// Applies changes of the registry: the last one of each key. An earlier one may be older than
+    /// what peers have read in the meantime.
     fn apply_changes(&mut self, changes: &[Change], reading: Reading, now: Time) {
+        let changes = latest_changes(changes);
         let records: Vec<Record> =
             changes.iter().filter_map(|c| self.changed_record(c, reading, now)).collect();
         self.offer(records);
@@ -439,6 +441,18 @@
     }
 }
 
+/// Returns the last change of each key, sorted by key.
+fn latest_changes(changes: &[Change]) -> Vec<&Change> {
+    let mut latest: Vec<&Change> = changes.iter().rev().collect();
+    // The sort is stable, so the last change of a key comes first.
+    latest.sort_by(|a, b| a.key.cmp(&b.key));
+    latest.dedup_by(|a, b| a.key == b.key);
+    latest
+}
+
 fn record(name: &str, version: u64, body: Body) -> Record {
     Record { name: name.into(), version, change: "".into(), author: "".into(), body }
 }
+
+#[cfg(test)]
+mod tests;
