Log and count what is sent to upstreams that name a rate limit

Nothing read the limit, so the logs could not tell whether hosts ignore it, keep it each for itself, or send past it by retries. The limit is now decoded, events 3009 and 3010 record its begin, change and end, a request sent to such an upstream is logged whole, and a counter tells first attempts from repeats. No choice depends on it yet.

--- a/src/config.rs
+++ b/src/config.rs
@@ -125,6 +125,9 @@
     pub load_header: String,
     /// The response header by which an upstream announces that it is leaving; empty for none.
     pub drain_header: String,
+    /// The response header in which an upstream names the requests per second that it takes from all
+    /// hosts together, as a decimal number; empty for none.
+    pub limit_header: String,
     /// The response header to a probe that names the upstream that responds; empty for none. A
     /// response with another name comes from an upstream that has taken over the address.
     pub identity_header: String,
@@ -175,6 +178,7 @@
             refusals: Vec::new(),
             load_header: "x-load".to_owned(),
             drain_header: "x-draining".to_owned(),
+            limit_header: "x-rate-limit".to_owned(),
             identity_header: String::new(),
             measure: ProbeConfig::default(),
             body_max_bytes: 1 << 20,
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -12,6 +12,7 @@
 pub mod hosts;
 pub mod lapse;
 pub mod leaving;
+pub mod limit;
 pub mod matching;
 pub mod member;
 pub mod pause;
--- a/src/decide/service.rs
+++ b/src/decide/service.rs
@@ -20,6 +20,7 @@
 use crate::decide::concurrency::Concurrency;
 use crate::decide::health::{self, Health};
 use crate::decide::kinds::KindEstimates;
+use crate::decide::limit::{LimitChange, RateLimit};
 use crate::decide::probing::{self, ProbeBudget};
 use crate::decide::queue::Queue;
 use crate::decide::retry::{RetryBudget, RetryLimits};
@@ -353,11 +354,29 @@
         }
     }
 
+    /// Records the rate limit in the response of an upstream to a request that was sent at `sent`, or
+    /// that the response has none. An unknown `id` is ignored.
+    pub fn observe_limit(
+        &mut self,
+        id: UpstreamId,
+        per_second: Option<f64>,
+        sent: Time,
+        now: Time,
+    ) -> Option<LimitChange> {
+        upstream::find_mut(&mut self.rows, id)?.limit.observe(per_second, sent, now)
+    }
+
+    /// Returns whether an upstream has named a rate limit.
+    pub fn is_limited(&self, id: UpstreamId) -> bool {
+        upstream::find(&self.rows, id).is_some_and(|r| r.limit.per_second().is_some())
+    }
+
     /// Resets what is known of an upstream, because a new process has taken its place under the same
     /// name and address. An unknown name is ignored.
     pub fn restart(&mut self, name: &str, now: Time) {
         for row in self.rows.iter_mut().filter(|r| *r.name == *name) {
             row.health = Health::default();
+            row.limit = RateLimit::default();
             row.occupancy_reading = None;
             row.readmit(now);
             row.update_state(&mut self.changes);
--- a/src/decide/upstream.rs
+++ b/src/decide/upstream.rs
@@ -10,6 +10,7 @@
 use crate::config;
 use crate::decide::drain::Drain;
 use crate::decide::health::Health;
+use crate::decide::limit::RateLimit;
 use crate::decide::load::{AttemptInFlight, PeerLoad, PeerReport};
 use crate::event::EventCode;
 use crate::time::Time;
@@ -175,6 +176,7 @@
     /// Value of `ServiceTable::choice_count` when it was last chosen.
     pub(crate) last_chosen: u64,
     pub(crate) health: Health,
+    pub(crate) limit: RateLimit,
 }
 
 impl Row {
@@ -202,6 +204,7 @@
             last_probe: Time::ZERO,
             last_chosen: 0,
             health: Health::default(),
+            limit: RateLimit::default(),
         }
     }
 
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -10,6 +10,7 @@
 
 use crate::config::Service;
 use crate::decide::admission::{Admission, Request, Target, Ticket};
+use crate::decide::limit::LimitChange;
 use crate::decide::service::{NextAttempt, ServiceTable};
 use crate::decide::tick::TickOutput;
 use crate::decide::upstream::{AttemptReport, Occupancy, UpstreamId, UpstreamOutcome};
@@ -132,6 +133,43 @@
         self.events.record(EventCode::UpstreamPaused, subject, Some(millis));
     }
 
+    /// Records the rate limit in a response of an upstream to a request that was sent at `sent`, or
+    /// that the response has none.
+    pub(crate) fn observe_limit(
+        &self,
+        service: &str,
+        target: &Target,
+        per_second: Option<f64>,
+        sent: Time,
+    ) {
+        let now = self.clock.now();
+        let change = {
+            let mut tables = self.tables.lock();
+            let Some(table) = tables.service(service) else { return };
+            table.observe_limit(target.id, per_second, sent, now)
+        };
+        let Some(change) = change else { return };
+        let subject = Subject {
+            service: Some(service.into()),
+            upstream: Some(target.name.clone()),
+            ..Subject::default()
+        };
+        match change {
+            LimitChange::Named(rate) => {
+                let per_1000_s = Some((rate * 1_000.0) as u64);
+                self.events.record(EventCode::UpstreamLimited, subject, per_1000_s);
+            }
+            LimitChange::Ended => {
+                self.events.record(EventCode::UpstreamUnlimited, subject, None);
+            }
+        }
+    }
+
+    /// Returns whether an upstream has named a rate limit.
+    pub(crate) fn is_limited(&self, service: &str, id: UpstreamId) -> bool {
+        self.tables.lock().service(service).is_some_and(|t| t.is_limited(id))
+    }
+
     /// Returns the upstreams that the next request would probably go to and that have no fresh load
     /// report, within the probe budget.
     pub(crate) fn probe_candidates(&self, service: &str) -> Vec<Target> {
--- a/src/event.rs
+++ b/src/event.rs
@@ -87,6 +87,10 @@
     AnswerDiscarded = 3007, "answer discarded, not this request's";
     /// An upstream has asked this host to send it nothing for some time.
     UpstreamPaused = 3008, "upstream asked for a pause";
+    /// An upstream has named the requests per second that it takes from all hosts together.
+    UpstreamLimited = 3009, "upstream named a rate limit";
+    /// An upstream no longer names a rate limit.
+    UpstreamUnlimited = 3010, "upstream named no rate limit any more";
     /// A record version came into force.
     InForce = 4001, "record version in force";
     /// A newer record can't be read, so the old one stays in force.
@@ -137,6 +141,7 @@
             EventCode::Refused => "retry_after_ms",
             EventCode::AttemptAnswered => "took_ms",
             EventCode::UpstreamPaused => "pause_ms",
+            EventCode::UpstreamLimited => "per_1000_s",
             EventCode::RegistryRewound => "era",
             EventCode::RecordsLoaded => "records",
             EventCode::AttemptFailed | EventCode::CallerAnswered | EventCode::Rejected => "code",
--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -151,7 +151,7 @@
             return;
         }
         let latency = self.node.clock.now().since(self.started);
-        let LoadReport { load, draining, occupancy, pause } = self.load_report;
+        let LoadReport { load, draining, occupancy, pause, .. } = self.load_report;
         if let Some(occupancy) = occupancy {
             self.node.update_occupancy(&self.service.name, self.target.id, &occupancy);
         }
@@ -178,6 +178,15 @@
         self.node.events.record(code, subject, value);
     }
 
+    /// Records the rate limit in a response, or that it has none. A misdirected request was answered
+    /// by another upstream.
+    fn observe_limit(&self, head: &Parts) {
+        if head.status != StatusCode::MISDIRECTED_REQUEST {
+            let limit = self.load_report.limit;
+            self.node.observe_limit(&self.service.name, &self.target, limit, self.started);
+        }
+    }
+
     /// Sends the request on an idle connection, or on a new one if there is none. Tries another
     /// connection if an idle one turns out to be closed before a byte was sent.
     async fn send(
@@ -214,6 +223,10 @@
     ) -> Result<Response<Incoming>, AttemptOutcome> {
         *self.handle.gate.borrow_mut() = Some(conn.gate().clone());
         self.record(EventCode::Sent, Some(number.get().into()));
+        if self.node.is_limited(&self.service.name, self.target.id) {
+            self.log.mark_notable();
+            self.node.metrics.count_limited_attempt(&self.service.name, number.get() > 1);
+        }
         self.started = self.node.clock.now();
         let req =
             upstream_request(&self.node.header_names, request, &self.target, number, self.started);
@@ -275,6 +288,7 @@
             return (self.fail(AttemptOutcome::InvalidResponse, UpstreamOutcome::Lost), None);
         }
         self.load_report = LoadReport::new(&self.service, head.status, &head.headers);
+        self.observe_limit(&head);
         let (outcome, upstream_outcome) = classify(&self.service, &head);
         self.upstream_outcome = upstream_outcome;
         let length = body.size_hint().exact();
@@ -329,6 +343,8 @@
     pub(crate) occupancy: Option<Occupancy>,
     /// How long the upstream asks this host to send it nothing.
     pub(crate) pause: Option<Duration>,
+    /// The requests per second that the upstream takes from all hosts together.
+    pub(crate) limit: Option<f64>,
 }
 
 impl LoadReport {
@@ -350,10 +366,20 @@
             pause: (status == StatusCode::SERVICE_UNAVAILABLE)
                 .then(|| value(RETRY_AFTER.as_str()).and_then(parse_pause))
                 .flatten(),
+            limit: value(&service.limit_header).and_then(parse_limit),
         }
     }
 }
 
+/// Parses a rate limit in requests per second.
+fn parse_limit(text: &str) -> Option<f64> {
+    let limit = text.parse::<f64>().ok().filter(|l| l.is_finite() && *l >= 0.0);
+    if limit.is_none() {
+        log::debug!("ignoring the rate limit {text:?} of an upstream");
+    }
+    limit
+}
+
 /// Parses a `Retry-After` time in seconds, with or without fractions. A date is not supported, since
 /// it depends on two hosts' clocks.
 fn parse_pause(text: &str) -> Option<Duration> {
--- a/src/forward/probe.rs
+++ b/src/forward/probe.rs
@@ -40,6 +40,9 @@
             if let Some(occupancy) = &load_report.occupancy {
                 node.update_occupancy(&service.name, target.id, occupancy);
             }
+            if load_report.limit.is_some() {
+                node.observe_limit(&service.name, &target, load_report.limit, start);
+            }
             if let Some(pause) = load_report.pause {
                 node.pause_upstream(&service.name, &target, pause);
             }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -73,8 +73,8 @@
 pub mod trace;
 
 pub use decide::{
-    admission, attempt, balancing, catalog, digest, hosts, kinds, lapse, leaving, matching, member,
-    pause, probing, reads, registered, service, startup, stored, tick, topology, upstream,
+    admission, attempt, balancing, catalog, digest, hosts, kinds, lapse, leaving, limit, matching,
+    member, pause, probing, reads, registered, service, startup, stored, tick, topology, upstream,
 };
 pub use time::{Clock, Time};
 
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -33,6 +33,7 @@
     latency: HistogramVec,
     attempts: IntCounterVec,
     probes: IntCounterVec,
+    limited_attempts: IntCounterVec,
     control_bytes: IntCounterVec,
     platform_calls: IntCounterVec,
     unlogged_requests: IntCounter,
@@ -77,6 +78,11 @@
                 "Probes ended, by service and ending",
                 &["service", "ended"],
             ),
+            limited_attempts: counter(
+                "cornelferry_limited_attempts_total",
+                "Attempts sent to upstreams that had named a rate limit, by service and order",
+                &["service", "attempt"],
+            ),
             control_bytes: counter(
                 "cornelferry_control_bytes_total",
                 "Bytes exchanged with other entry hosts",
@@ -149,6 +155,12 @@
         self.attempts.with_label_values(&[&*label, result_label(outcome)]).inc();
     }
 
+    /// Counts an attempt that is sent to an upstream with a rate limit.
+    pub(crate) fn count_limited_attempt(&self, service: &str, is_repeat: bool) {
+        let order = if is_repeat { "repeat" } else { "first" };
+        self.limited_attempts.with_label_values(&[&*self.service_label(service), order]).inc();
+    }
+
     /// Counts a completed probe.
     pub(crate) fn count_probe(&self, service: &str, outcome: UpstreamOutcome) {
         let label = self.service_label(service);
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -13,6 +13,8 @@
 const UPSTREAM: &str = "x-instance-id";
 /// Set to 1 by an upstream that is leaving, on all of its responses.
 const LEAVING: &str = "server-leaving";
+/// The requests per second that the upstream takes from all hosts together, as a decimal number.
+const LIMIT: &str = "server-limit";
 /// The upstream's load: requests running, requests waiting, slots, and the current service time in
 /// percent of the usual one.
 const LOAD: &str = "x-instance-load";
@@ -41,6 +43,7 @@
     service.load_header = LOAD.to_owned();
     service.load_format = LoadFormat::Occupancy;
     service.drain_header = LEAVING.to_owned();
+    service.limit_header = LIMIT.to_owned();
     service.identity_header = UPSTREAM.to_owned();
     service.signature_header = SIGNATURE.to_owned();
     service.echo_header = REQUEST_ID.to_owned();
--- a/src/request_log.rs
+++ b/src/request_log.rs
@@ -69,6 +69,11 @@
 }
 
 impl RequestLog {
+    /// Causes the request to be logged, whatever the response.
+    pub(crate) fn mark_notable(&self) {
+        self.is_notable.set(true);
+    }
+
     /// Adds an entry, unless the log is full.
     pub(crate) fn add(&self, entry: LogEntry) {
         let is_ordinary = matches!(
