--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test program uses a part of the harness")]
 
+pub mod signing;
+
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::Path;
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -5,10 +5,8 @@
 #[path = "../examples/standin/mod.rs"]
 mod standin;
 
-use std::io::{Read, Write};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -16,119 +14,10 @@
 use http_body_util::Full;
 use serde_json::{Value, json};
 
+use harness::signing::{ENDLESS, ENDLESS_HEALTH, SigningUpstream, config, field, signed};
 use harness::{Caller, Daemon, wait_until};
 use standin::registry::Registry;
 
-/// Returns an upstream's response to the head of a request that is not a probe. A response that
-/// begins with [`ENDLESS`] is repeated after its mark until the caller closes the connection.
-type Respond = fn(&str) -> String;
-
-/// The id of an upstream whose responses to probes have no end.
-const ENDLESS_HEALTH: &str = "u-endless-health";
-
-/// The mark after which the rest of a response is repeated without end.
-const ENDLESS: &str = "<endless>";
-
-/// An upstream that signs its responses and reports its load.
-struct SigningUpstream {
-    address: SocketAddr,
-    /// The number of requests that it has executed.
-    runs: Arc<AtomicUsize>,
-}
-
-impl SigningUpstream {
-    fn start(id: &'static str, respond: Respond) -> SigningUpstream {
-        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("bind");
-        let address = listener.local_addr().expect("bound");
-        let runs = Arc::new(AtomicUsize::new(0));
-        let run_counter = runs.clone();
-        std::thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let runs = run_counter.clone();
-                std::thread::spawn(move || serve(stream, id, respond, &runs));
-            }
-        });
-        SigningUpstream { address, runs }
-    }
-
-    fn runs(&self) -> usize {
-        self.runs.load(Ordering::SeqCst)
-    }
-
-    /// Returns its registration.
-    fn registration(&self, state: &str) -> String {
-        json!({
-            "service": "dispatch", "address": self.address, "zone": "a", "version": "v1",
-            "slots": 6, "state": state, "coldRemainingS": 0, "sequence": 4,
-        })
-        .to_string()
-    }
-
-    /// Returns its registration with the start of its process and the number of its heartbeat.
-    fn heartbeat(&self, state: &str, born: u64, sequence: u64) -> String {
-        let mut registration: Value =
-            serde_json::from_str(&self.registration(state)).expect("registration");
-        registration["born"] = born.into();
-        registration["sequence"] = sequence.into();
-        registration.to_string()
-    }
-}
-
-/// Serves the requests of a connection. The requests have no bodies.
-fn serve(mut stream: TcpStream, id: &str, respond: Respond, runs: &AtomicUsize) {
-    let mut buf = Vec::new();
-    let mut chunk = [0; 4096];
-    loop {
-        let Ok(read @ 1..) = stream.read(&mut chunk) else { return };
-        buf.extend_from_slice(&chunk[..read]);
-        let Some(end) = buf.windows(4).position(|w| w == b"\r\n\r\n") else { continue };
-        let head = String::from_utf8_lossy(&buf[..end]).to_ascii_lowercase();
-        buf.drain(..end + 4);
-        let res = if head.starts_with("get /health ") && id == ENDLESS_HEALTH {
-            format!(
-                "HTTP/1.1 200 OK\r\nx-instance-id: {id}\r\nx-instance-load: 0,0,6,100\r\n\r\n\
-                 {ENDLESS}{}",
-                "a".repeat(65_536)
-            )
-        } else if head.starts_with("get /health ") {
-            format!(
-                "HTTP/1.1 200 OK\r\nx-instance-id: {id}\r\nx-instance-load: 0,0,6,100\r\n\
-                 content-length: 0\r\n\r\n"
-            )
-        } else if field(&head, "x-expect-instance") != id {
-            "HTTP/1.1 421 Misdirected Request\r\nx-instance-id: other\r\n\
-             content-length: 0\r\n\r\n"
-                .to_owned()
-        } else {
-            runs.fetch_add(1, Ordering::SeqCst);
-            respond(&head)
-        };
-        let (once, repeated) = res.split_once(ENDLESS).unwrap_or((&res, ""));
-        if res.is_empty() || stream.write_all(once.as_bytes()).is_err() {
-            return;
-        }
-        while !repeated.is_empty() {
-            if stream.write_all(repeated.as_bytes()).is_err() {
-                return;
-            }
-        }
-    }
-}
-
-/// Returns the value of a header field, or an empty string.
-fn field<'a>(head: &'a str, name: &str) -> &'a str {
-    let line = head.lines().find_map(|l| l.strip_prefix(name)?.strip_prefix(':'));
-    line.map_or("", str::trim)
-}
-
-fn signed(head: &str) -> String {
-    let id = field(head, "x-attempt-id");
-    format!(
-        "HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\nx-response-signature: s.{id}\r\n\
-         x-instance-load: 1,0,6,100\r\ncontent-length: 4\r\n\r\nbody"
-    )
-}
-
 fn for_another_request(_: &str) -> String {
     "HTTP/1.1 200 OK\r\nx-attempt-id: another\r\nx-response-signature: s.another\r\n\
      content-length: 4\r\n\r\nbody"
@@ -197,31 +86,8 @@
     "HTTP/1.1 503 Service Unavailable\r\nx-not-executed: 1\r\ncontent-length: 0\r\n\r\n".to_owned()
 }
 
-fn config(version: u64, prefix: &str) -> String {
-    let rule = |name: &str, kind: &str, prefix: &str| {
-        json!({
-            "name": name, "kind": kind, "latencyGoalS": 0.3, "priority": 1,
-            "match": {"pathPrefix": prefix},
-            "action": {"service": "dispatch", "timeoutS": 0.8, "maxAttempts": 2},
-        })
-    };
-    json!({
-        "version": version,
-        "limits": {
-            "maxHeaderBytes": 16384, "maxBodyBytes": 65536, "headerTimeoutS": 3,
-            "idleTimeoutS": 15,
-        },
-        "listeners": [{"host": "port.example", "rules": [
-            rule("write", "non_idempotent", prefix),
-            rule("read", "idempotent", &format!("{prefix}read/")),
-        ]}],
-        "clusters": [{
-            "name": "dispatch", "healthPath": "/health", "maxConnections": 220,
-            "protocol": "h1", "tls": false,
-        }],
-    })
-    .to_string()
-}
+/// Returns an upstream's response to the head of a request.
+type Respond = fn(&str) -> String;
 
 /// A registry and a daemon that follows it.
 struct Fleet {
