Keep within the rate limit of an upstream across all hosts

What was seen: upstreams that name a limit got requests as before, 18 and 25 in 4 s where 16 and 22 are allowed, from hosts that they had told.

Cause: no host read the limit. A limit for all hosts together also can't be kept by each host alone, nor in one path to a send only.

Change: the limit of an upstream is divided among 4 hosts plus one for each full request a second, chosen by rendezvous hashing among the live ones; the others send it nothing, probes included. An owner has a token bucket that begins empty and saves up one request, so that the owners' savings stay within what a window allows. Every choice of an upstream (first attempt, queue, retry, hedge, probe, both load formats) passes over a closed limit, and a request that no limit leaves room for is refused at once. Hosts tell each other of limits and their ends, by changes on each connection; a limit that nobody sees confirmed is forgotten after 30 s or the time of three requests.

--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -23,6 +23,7 @@
   registryAge @13 :UInt16;       # Age in ms of the newest read of the platform's store that the sender heard of.
   members @14 :UInt64;           # Hash over the processes that the sender knows, its own included.
   registryEra @15 :UInt32;       # Newest era of the platform's store that the sender knows of.
+  limits @16 :List(Limit);       # Rate limits that upstreams have named or no longer name.
 }
 
 # One run of the daemon on an entry host.
@@ -59,6 +60,12 @@
   age @1 :UInt8;                 # In units of 20 ms.
 }
 
+struct Limit {
+  upstream @0 :UInt16;
+  perSecond @1 :Float64;         # Requests per second from all hosts together; negative if it has ended.
+  ageMs @2 :UInt32;              # Time since any host saw this in a response.
+}
+
 enum Kind {
   profile @0;
   service @1;
--- a/src/decide/balancing.rs
+++ b/src/decide/balancing.rs
@@ -211,7 +211,7 @@
         len => std::array::from_fn(|_| rng.random_range(0..len as u32)),
     };
     let is_available =
-        |r: &Row| r.state == State::Live && !r.health.is_refusing(now) && !tried.contains(&r.id);
+        |r: &Row| r.state == State::Live && !r.is_closed(now) && !tried.contains(&r.id);
     let mut is_usable = |index: u32| {
         let row = &rows[index as usize];
         is_available(row) && !row.health.is_ejected(now) && {
--- a/src/decide/bucket.rs
+++ b/src/decide/bucket.rs
@@ -21,6 +21,24 @@
         TokenBucket { per_second, burst, tokens: burst, last_refill: now }
     }
 
+    /// Creates an empty bucket that gains `per_second` tokens a second, up to `burst`.
+    pub(crate) fn empty(per_second: f64, burst: f64, now: Time) -> TokenBucket {
+        TokenBucket { per_second, burst, tokens: 0.0, last_refill: now }
+    }
+
+    /// Changes the rate and the capacity. Tokens that exceed the new capacity are lost.
+    pub(crate) fn set_rate(&mut self, per_second: f64, burst: f64, now: Time) {
+        self.refill(now);
+        (self.per_second, self.burst) = (per_second, burst);
+        self.tokens = self.tokens.min(burst);
+    }
+
+    /// Returns when the next token is available, which may be a past time. `None` if it never is.
+    pub(crate) fn available_at(&self) -> Option<Time> {
+        let missing = (1.0 - self.tokens).max(0.0) / self.per_second;
+        Duration::try_from_secs_f64(missing).ok().map(|wait| self.last_refill + wait)
+    }
+
     /// Takes one token if available. Returns whether it did.
     pub(crate) fn try_take(&mut self, now: Time) -> bool {
         self.try_take_many(1.0, now)
--- a/src/decide/digest.rs
+++ b/src/decide/digest.rs
@@ -15,6 +15,7 @@
 
 use crate::decide::catalog::{Catalog, Record, RecordKind};
 use crate::decide::leaving::LeavingObservation;
+use crate::decide::limit::LimitObservation;
 use crate::decide::member::{Heartbeat, Member, Process};
 use crate::decide::upstream::UpstreamSummary;
 use crate::hlc::Timestamp;
@@ -32,6 +33,12 @@
 /// The number of upstreams that may be named on a connection.
 const UPSTREAMS_MAX: usize = u16::MAX as usize;
 
+/// The number of rate limits that a digest may hold.
+const LIMITS_MAX: usize = 64;
+
+/// The time after which an unchanged rate limit is sent again if it has been seen since.
+const LIMIT_RESEND_AFTER: Duration = Duration::from_secs(10);
+
 /// The time after which an unchanged load reading is sent again if the upstream has confirmed it
 /// since.
 const RESEND_AFTER: Duration = Duration::from_millis(1_000);
@@ -130,9 +137,20 @@
     pub age: Duration,
 }
 
+/// The rate limit of an upstream.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct UpstreamLimit {
+    /// The index of the upstream among those named on the connection.
+    pub upstream: u16,
+    /// Requests per second from all hosts together; `None` if the limit has ended.
+    pub per_second: Option<f64>,
+    /// The time since a host saw this in a response.
+    pub age: Duration,
+}
+
 /// The message that one host sends a peer in one exchange: its own state and the leaving upstreams
 /// in full, everything else as the changes since the last digest on the connection.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Digest {
     /// The sender's hybrid logical clock.
     pub stamp: Timestamp,
@@ -161,6 +179,8 @@
     pub loads: Vec<UpstreamLoad>,
     /// Upstreams that some host has observed to be leaving.
     pub leaving_upstreams: Vec<LeavingUpstream>,
+    /// Upstreams whose rate limit is new to the receiver or was seen again.
+    pub limits: Vec<UpstreamLimit>,
     /// Records that have recently come into force.
     pub recent: Vec<RecordVersion>,
 }
@@ -174,6 +194,8 @@
     upstreams: Vec<Sent<UpstreamSummary>>,
     /// Indices into `upstreams`, sorted by service and name.
     sorted: Vec<u16>,
+    /// The rate limits last sent, with the time of sending, sorted by the index of the upstream.
+    limits: Vec<(u16, LimitObservation, Time)>,
     /// When the first digest was built.
     opened: Option<Time>,
 }
@@ -322,6 +344,53 @@
         }
     }
 
+    /// Adds the rate limits that are new to the receiver, and those seen again a while after they
+    /// were last sent, up to a limit.
+    pub fn add_limits(
+        &mut self,
+        observations: &[(UpstreamName, LimitObservation)],
+        now: Time,
+        digest: &mut Digest,
+    ) {
+        for (name, observation) in observations {
+            if digest.limits.len() == LIMITS_MAX {
+                return;
+            }
+            let summary = UpstreamSummary {
+                service: name.service.clone(),
+                upstream: name.name.clone(),
+                in_flight: 0,
+                load: None,
+                leaving: false,
+            };
+            let Some(at) = self.upstream_index(&summary, now, digest) else { continue };
+            if self.is_limit_due(at as u16, observation, now) {
+                digest.limits.push(UpstreamLimit {
+                    upstream: at as u16,
+                    per_second: observation.per_second,
+                    age: now.since(observation.at),
+                });
+            }
+        }
+    }
+
+    /// Returns whether a rate limit is to be sent, and then counts it as sent.
+    fn is_limit_due(&mut self, upstream: u16, observation: &LimitObservation, now: Time) -> bool {
+        let found = self.limits.binary_search_by_key(&upstream, |(at, ..)| *at);
+        let is_due = found.is_err()
+            || found.is_ok_and(|i| {
+                let (_, sent, at) = &self.limits[i];
+                let is_confirmed = observation.at > sent.at && now.since(*at) >= LIMIT_RESEND_AFTER;
+                observation.differs_from(sent) || is_confirmed
+            });
+        match found {
+            _ if !is_due => {}
+            Ok(i) => self.limits[i] = (upstream, *observation, now),
+            Err(i) => self.limits.insert(i, (upstream, *observation, now)),
+        }
+        is_due
+    }
+
     fn add_load(&mut self, summary: &UpstreamSummary, now: Time, digest: &mut Digest) {
         let Some(at) = self.upstream_index(summary, now, digest) else { return };
         self.upstreams[at].item = summary.clone();
@@ -424,6 +493,8 @@
     pub loads: Vec<UpstreamSummary>,
     /// Upstreams that some host has observed to be leaving.
     pub leaving_upstreams: Vec<LeavingObservation>,
+    /// Rate limits of upstreams.
+    pub limits: Vec<(UpstreamName, LimitObservation)>,
 }
 
 impl DeltaDecoder {
@@ -480,7 +551,14 @@
         let loads = digest.loads.iter().filter_map(|l| self.load(l)).collect();
         let leaving_upstreams =
             digest.leaving_upstreams.iter().filter_map(|l| self.observation(l, now)).collect();
-        Some(DecodedDigest { sender, heartbeats, loads, leaving_upstreams })
+        let limits = digest.limits.iter().filter_map(|l| self.limit(l, now)).collect();
+        Some(DecodedDigest { sender, heartbeats, loads, leaving_upstreams, limits })
+    }
+
+    fn limit(&self, limit: &UpstreamLimit, now: Time) -> Option<(UpstreamName, LimitObservation)> {
+        let name = self.upstreams.get(usize::from(limit.upstream))?.clone();
+        let at = before(now, limit.age);
+        Some((name, LimitObservation { per_second: limit.per_second, at }))
     }
 
     fn observation(&self, leaving: &LeavingUpstream, now: Time) -> Option<LeavingObservation> {
--- a/src/decide/member.rs
+++ b/src/decide/member.rs
@@ -427,6 +427,12 @@
         self.owner(duty, now) == &*self.host
     }
 
+    /// Returns whether this host is one of the `count` owners of `duty`; false while this host's view
+    /// is incomplete, and if it is shutting down.
+    pub fn is_among_owners(&self, duty: &str, count: usize, now: Time) -> bool {
+        self.is_view_complete(now) && self.rank(duty, now).is_some_and(|rank| rank < count)
+    }
+
     /// Returns whether this host is one of the `count` owners of `duty` in its data centre; false
     /// if it is shutting down. Always true while this host's view is incomplete, since doing such a
     /// duty twice is harmless.
--- a/src/decide/probing.rs
+++ b/src/decide/probing.rs
@@ -80,7 +80,9 @@
         now.since(last_update(r)) >= FRESH_AGE_MAX
             || now.since(r.last_probe) >= HEALTH_PROBE_INTERVAL
     };
-    let is_resting = |r: &Row| r.health.is_ejected(now) || now < r.health.paused_until();
+    let is_resting = |r: &Row| {
+        r.health.is_ejected(now) || now < r.health.paused_until() || r.limit.is_closed(now)
+    };
     let is_due = |r: &&Row| is_probeable(r) && !is_resting(r) && is_stale(r);
     rows.iter().filter(is_due).filter(|r| owned(r)).min_by_key(|r| r.last_probe)
 }
--- a/src/decide/service.rs
+++ b/src/decide/service.rs
@@ -20,7 +20,7 @@
 use crate::decide::concurrency::Concurrency;
 use crate::decide::health::{self, Health};
 use crate::decide::kinds::KindEstimates;
-use crate::decide::limit::{LimitChange, RateLimit};
+use crate::decide::limit::{LimitChange, LimitObservation};
 use crate::decide::probing::{self, ProbeBudget};
 use crate::decide::queue::Queue;
 use crate::decide::retry::{RetryBudget, RetryLimits};
@@ -81,6 +81,7 @@
     /// When upstreams are next probed for a free slot while requests are queued.
     next_candidate_probe_at: Time,
     retry_budget: RetryBudget,
+    next_limit_update_at: Time,
     /// Row indices of the upstreams open to the current request; kept to reuse its allocation.
     candidates: Vec<u32>,
     changes: Vec<UpstreamChange>,
@@ -94,6 +95,8 @@
 /// Number of upstreams whose reports a host keeps recent. At four probes a second each, they take a
 /// quarter of the probe budget that the largest known deployment leaves to one host.
 const WATCHED_UPSTREAMS: usize = 2;
+/// Time between two updates of the rate limits that this host owns.
+const LIMIT_UPDATE_INTERVAL: Duration = Duration::from_millis(250);
 /// Time without requests after which a service counts as quiet.
 const QUIET_AFTER: Duration = Duration::from_secs(5);
 /// Number of pending changes to which [`ServiceTable::finish_attempt`] truncates the list, dropping
@@ -129,6 +132,7 @@
             next_probe_at: now,
             next_candidate_probe_at: now,
             retry_budget: RetryBudget::new(),
+            next_limit_update_at: now,
             candidates: Vec::new(),
             changes: Vec::new(),
         };
@@ -366,6 +370,45 @@
         upstream::find_mut(&mut self.rows, id)?.limit.observe(per_second, sent, now)
     }
 
+    /// Records what a peer has told of an upstream's rate limit. Upstreams that are not configured are
+    /// ignored.
+    pub fn import_limit(
+        &mut self,
+        name: &str,
+        observation: &LimitObservation,
+    ) -> Option<LimitChange> {
+        let row = self.rows.iter_mut().find(|r| r.configured && *r.name == *name)?;
+        row.limit.observe_relayed(observation)
+    }
+
+    /// Returns what to tell peers of rate limits, each with its upstream's name.
+    pub fn limits(&self, now: Time) -> impl Iterator<Item = (&Arc<str>, LimitObservation)> {
+        self.rows.iter().filter_map(move |r| Some((&r.name, r.limit.observation(now)?)))
+    }
+
+    /// Forgets outdated rate limits, and updates which of them this host owns. `is_owner` returns
+    /// whether it is one of a number of owners of an upstream's limit among `live_hosts` hosts, this
+    /// one included.
+    pub fn update_limits(
+        &mut self,
+        live_hosts: usize,
+        now: Time,
+        is_owner: impl Fn(&str, usize) -> bool,
+    ) {
+        if now < self.next_limit_update_at {
+            return;
+        }
+        self.next_limit_update_at = now + LIMIT_UPDATE_INTERVAL;
+        for row in self.rows.iter_mut().filter(|r| r.limit.per_second().is_some()) {
+            if row.limit.expire(now) {
+                self.changes.push(row.change(EventCode::UpstreamUnlimited));
+                continue;
+            }
+            let owners = row.limit.owners(live_hosts);
+            row.limit.set_owned(is_owner(&row.name, owners), owners, now);
+        }
+    }
+
     /// Returns whether an upstream has named a rate limit.
     pub fn is_limited(&self, id: UpstreamId) -> bool {
         upstream::find(&self.rows, id).is_some_and(|r| r.limit.per_second().is_some())
@@ -376,7 +419,7 @@
     pub fn restart(&mut self, name: &str, now: Time) {
         for row in self.rows.iter_mut().filter(|r| *r.name == *name) {
             row.health = Health::default();
-            row.limit = RateLimit::default();
+            row.limit.reset(now);
             row.occupancy_reading = None;
             row.readmit(now);
             row.update_state(&mut self.changes);
--- a/src/decide/service/admission.rs
+++ b/src/decide/service/admission.rs
@@ -256,6 +256,7 @@
         self.in_flight += 1;
         let row = upstream::find_mut(&mut self.rows, id)?;
         row.last_chosen = self.choice_count;
+        row.limit.take(now);
         row.begin_attempt(now);
         Some(target(row))
     }
--- a/src/decide/service/placement.rs
+++ b/src/decide/service/placement.rs
@@ -144,7 +144,7 @@
         rng: &mut impl Rng,
     ) -> Admission {
         let estimate = self.estimate_request(req, now);
-        if self.opens_at(now) + estimate.work >= req.deadline {
+        if self.opens_at(now).is_none_or(|at| at + estimate.work >= req.deadline) {
             return Admission::Refuse(self.refusal_by_occupancy(Code::DeadlineTooClose, now, rng));
         }
         if !self.is_outranked(req, estimate, now)
@@ -263,6 +263,7 @@
         let report_age = row.occupancy_age(now);
         let fresh = row.has_fresh_report(now);
         row.last_chosen = self.choice_count;
+        row.limit.take(now);
         row.begin_attempt(now);
         if let Some(attempt) = row.attempts.last_mut() {
             attempt.estimate = Some(AttemptEstimate {
@@ -331,9 +332,8 @@
     /// they leave no upstream.
     fn eligible_rows(&self, tried: &[UpstreamId], now: Time, rng: &mut dyn RngCore) -> Vec<&Row> {
         let cold_start = Duration::from_millis(self.cfg.cold_start_ms);
-        let is_usable = |r: &&Row| {
-            r.state == State::Live && !r.health.is_refusing(now) && !tried.contains(&r.id)
-        };
+        let is_usable =
+            |r: &&Row| r.state == State::Live && !r.is_closed(now) && !tried.contains(&r.id);
         let usable: Vec<&Row> = self.rows.iter().filter(is_usable).collect();
         let eligible: Vec<&Row> =
             usable.iter().copied().filter(|r| is_eligible(r, cold_start, now, rng)).collect();
@@ -383,7 +383,7 @@
         let mut requests = self.queued_requests(now);
         let opens_at = self.opens_at(now);
         let misses_deadline = |q: &QueuedRequest, estimate: &RequestEstimate| {
-            opens_at + estimate.work >= q.req.deadline
+            opens_at.is_none_or(|at| at + estimate.work >= q.req.deadline)
         };
         let has_feasible =
             requests.iter().any(|(q, e)| !misses_deadline(q, e) && !e.misses_objective(now));
@@ -400,9 +400,16 @@
         }
     }
 
-    /// Returns when an upstream may next be sent a request: now, unless all that take requests have
-    /// asked for a pause.
-    fn opens_at(&self, now: Time) -> Time {
+    /// Returns when this host may next send an upstream a request: now, unless all that take requests
+    /// have asked for a pause or leave it no room in their rate limits. `None` if it may send none.
+    fn opens_at(&self, now: Time) -> Option<Time> {
+        let live = self.rows.iter().filter(|r| r.state == State::Live);
+        live.filter_map(|r| r.opens_at(now)).min().map(|at| at.max(now))
+    }
+
+    /// Returns when the first upstream ends its pause: now, unless all have asked for one. Other
+    /// hosts may have room in rate limits, so those don't count.
+    fn resumes_at(&self, now: Time) -> Time {
         let live = self.rows.iter().filter(|r| r.state == State::Live);
         live.map(|r| r.health.paused_until()).min().map_or(now, |until| until.max(now))
     }
@@ -416,7 +423,7 @@
             self.work_rate.time_to_start(work, now).unwrap_or(*RETRY_AFTER_RANGE.end());
         let after = drain_time.clamp(*RETRY_AFTER_RANGE.start(), *RETRY_AFTER_RANGE.end());
         let spread = rng.random_range(RETRY_AFTER_SPREAD);
-        Refusal { code, retry_after: now.until(self.opens_at(now)) + after.mul_f32(spread) }
+        Refusal { code, retry_after: now.until(self.resumes_at(now)) + after.mul_f32(spread) }
     }
 }
 
--- a/src/decide/service/reports.rs
+++ b/src/decide/service/reports.rs
@@ -36,10 +36,7 @@
     pub fn probe_candidates(&mut self, now: Time, rng: &mut impl Rng) -> Vec<Target> {
         let mut best: Vec<(f32, usize)> = Vec::with_capacity(self.rows.len());
         for (index, row) in self.rows.iter().enumerate() {
-            if row.state == State::Live
-                && !row.health.is_ejected(now)
-                && !row.health.is_refusing(now)
-            {
+            if row.state == State::Live && !row.health.is_ejected(now) && !row.is_closed(now) {
                 let cost = self.placement_cost(row, now);
                 best.push((cost + rng.random::<f32>() * CANDIDATE_SPREAD, index));
             }
--- a/src/decide/tick.rs
+++ b/src/decide/tick.rs
@@ -113,6 +113,18 @@
         }
     }
 
+    /// Updates which rate limits this host owns. `is_owner` returns whether it is one of a number of
+    /// owners of the limit of an upstream, which is given by its service and its name.
+    pub fn update_limits(&mut self, now: Time, is_owner: impl Fn(&str, &str, usize) -> bool) {
+        let live_hosts = self.live_peers as usize + 1;
+        for table in &mut self.services {
+            let service = table.cfg().name.clone();
+            table.update_limits(live_hosts, now, |upstream, owners| {
+                is_owner(&service, upstream, owners)
+            });
+        }
+    }
+
     /// Forgets the reports of a peer that died.
     pub fn forget_peer(&mut self, host: &str) {
         self.services.iter_mut().for_each(|s| s.forget_peer(host));
--- a/src/decide/upstream.rs
+++ b/src/decide/upstream.rs
@@ -214,6 +214,18 @@
         self.drain.is_set() || self.listed_leaving || !self.configured
     }
 
+    /// Returns whether the upstream is to be sent nothing now: it has refused a request just now or
+    /// asked for a pause, or its rate limit leaves no room.
+    pub(crate) fn is_closed(&self, now: Time) -> bool {
+        self.health.is_refusing(now) || self.limit.is_closed(now)
+    }
+
+    /// Returns when the upstream may next be sent a request as far as pauses and its rate limit are
+    /// concerned, which may be a past time. `None` if this host may send it nothing.
+    pub(crate) fn opens_at(&self, now: Time) -> Option<Time> {
+        Some(self.limit.opens_at(now)?.max(self.health.paused_until()))
+    }
+
     /// Updates the state from what is known, and adds a change of it to `changes`.
     pub(crate) fn update_state(&mut self, changes: &mut Vec<UpstreamChange>) {
         let is_leaving =
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -10,7 +10,8 @@
 
 use crate::config::Service;
 use crate::decide::admission::{Admission, Request, Target, Ticket};
-use crate::decide::limit::LimitChange;
+use crate::decide::digest::UpstreamName;
+use crate::decide::limit::{LimitChange, LimitObservation};
 use crate::decide::service::{NextAttempt, ServiceTable};
 use crate::decide::tick::TickOutput;
 use crate::decide::upstream::{AttemptReport, Occupancy, UpstreamId, UpstreamOutcome};
@@ -148,10 +149,28 @@
             let Some(table) = tables.service(service) else { return };
             table.observe_limit(target.id, per_second, sent, now)
         };
-        let Some(change) = change else { return };
+        if let Some(change) = change {
+            self.record_limit_change(service, &target.name, change);
+        }
+    }
+
+    /// Records what a peer has told of an upstream's rate limit.
+    pub(crate) fn import_limit(&self, name: &UpstreamName, observation: &LimitObservation) {
+        let change = {
+            let mut tables = self.tables.lock();
+            let Some(table) = tables.service(&name.service) else { return };
+            table.import_limit(&name.name, observation)
+        };
+        if let Some(change) = change {
+            self.record_limit_change(&name.service, &name.name, change);
+        }
+    }
+
+    /// Records a change of a rate limit as an event, and tells the peers.
+    fn record_limit_change(&self, service: &str, upstream: &Arc<str>, change: LimitChange) {
         let subject = Subject {
             service: Some(service.into()),
-            upstream: Some(target.name.clone()),
+            upstream: Some(upstream.clone()),
             ..Subject::default()
         };
         match change {
@@ -163,6 +182,7 @@
                 self.events.record(EventCode::UpstreamUnlimited, subject, None);
             }
         }
+        self.change_feed.notify();
     }
 
     /// Returns whether an upstream has named a rate limit.
@@ -214,6 +234,9 @@
             {
                 tables.set_known_hosts(u32::try_from(known).unwrap_or(u32::MAX));
             }
+            tables.update_limits(now, |service, upstream, owners| {
+                members.is_among_owners(&format!("limit/{service}/{upstream}"), owners, now)
+            });
             let output = tables.tick(now, rng, is_probe_owner);
             self.record_tick(&output, now);
             output
--- a/src/peer/codec.rs
+++ b/src/peer/codec.rs
@@ -7,8 +7,8 @@
 
 use crate::decide::catalog::RecordKind;
 use crate::decide::digest::{
-    CatalogSummary, Digest, LeavingUpstream, RecordVersion, RelayedHeartbeat, UpstreamLoad,
-    UpstreamName,
+    CatalogSummary, Digest, LeavingUpstream, RecordVersion, RelayedHeartbeat, UpstreamLimit,
+    UpstreamLoad, UpstreamName,
 };
 use crate::decide::member::Process;
 use crate::hlc::Timestamp;
@@ -27,6 +27,9 @@
 /// The value that stands for a missing load reading.
 const NO_LOAD: u16 = u16::MAX;
 
+/// The rate that stands for a limit that has ended.
+const NO_LIMIT: f64 = -1.0;
+
 /// Writes a digest into a message.
 pub(crate) fn write(digest: &Digest, mut out: wire::digest::Builder<'_>) {
     out.set_millis(digest.stamp.millis);
@@ -44,6 +47,7 @@
     write_upstreams(&digest.upstreams, &mut out);
     write_loads(&digest.loads, &mut out);
     write_leaving_upstreams(&digest.leaving_upstreams, &mut out);
+    write_limits(&digest.limits, &mut out);
     if !digest.recent.is_empty() {
         write_versions(&digest.recent, out.init_recent(digest.recent.len() as u32));
     }
@@ -72,6 +76,7 @@
         upstreams: digest.get_upstreams()?.iter().map(read_upstream).collect::<Result<_, _>>()?,
         loads: digest.get_loads()?.iter().map(read_load).collect(),
         leaving_upstreams: digest.get_leaves()?.iter().map(read_leaving_upstream).collect(),
+        limits: digest.get_limits()?.iter().map(read_limit).collect(),
         recent: read_versions(digest.get_recent()?)?,
     })
 }
@@ -245,6 +250,30 @@
     }
 }
 
+fn write_limits(limits: &[UpstreamLimit], out: &mut wire::digest::Builder<'_>) {
+    if limits.is_empty() {
+        return;
+    }
+    let mut rows = out.reborrow().init_limits(limits.len() as u32);
+    for (i, limit) in limits.iter().enumerate() {
+        let mut row = rows.reborrow().get(i as u32);
+        row.set_upstream(limit.upstream);
+        row.set_per_second(limit.per_second.unwrap_or(NO_LIMIT));
+        let millis = limit.age.as_micros().div_ceil(1_000);
+        row.set_age_ms(u32::try_from(millis).unwrap_or(u32::MAX));
+    }
+}
+
+/// Reads a rate limit. Anything but a finite number that is not negative stands for none.
+fn read_limit(row: wire::limit::Reader<'_>) -> UpstreamLimit {
+    let rate = row.get_per_second();
+    UpstreamLimit {
+        upstream: row.get_upstream(),
+        per_second: (rate.is_finite() && rate >= 0.0).then_some(rate),
+        age: Duration::from_millis(row.get_age_ms().into()),
+    }
+}
+
 /// Converts an age to whole units, rounded up so that an age never shrinks from relay to relay. An
 /// age too large for the field becomes the largest value.
 fn age_units(age: Duration, unit: Duration) -> u8 {
--- a/src/peer/local.rs
+++ b/src/peer/local.rs
@@ -11,7 +11,9 @@
 use crate::decide::digest::{CatalogSummary, RecordVersion, UpstreamName};
 use crate::decide::fetch::PendingFetches;
 use crate::decide::leaving::{LeavingObservation, LeavingObservations, OBSERVATION_AGE_MAX};
+use crate::decide::limit::LimitObservation;
 use crate::decide::member::{Process, process_fingerprint};
+use crate::decide::service::ServiceTable;
 use crate::decide::upstream::UpstreamSummary;
 use crate::node::{Node, Phase};
 use crate::peer::traffic::TrafficBudget;
@@ -153,6 +155,18 @@
         }
     }
 
+    /// Returns what to tell peers of the rate limits of upstreams.
+    pub(crate) fn limits(&self, now: Time) -> Vec<(UpstreamName, LimitObservation)> {
+        let tables = self.node.tables.lock();
+        let of_service = |table: &ServiceTable| {
+            let service = table.cfg().name.clone();
+            let name =
+                |name: &Arc<str>| UpstreamName { service: service.clone(), name: name.clone() };
+            table.limits(now).map(|(n, limit)| (name(n), limit)).collect::<Vec<_>>()
+        };
+        tables.services().iter().flat_map(of_service).collect()
+    }
+
     /// Records which upstreams this host observes to be leaving. Withdraws the relayed observations
     /// of upstreams that no host has observed to be leaving for [`OBSERVATION_AGE_MAX`].
     pub(crate) fn update_observations(&self, now: Time) {
--- a/src/peer/tests.rs
+++ b/src/peer/tests.rs
@@ -19,7 +19,8 @@
 use crate::config::{Profile, Service, Treatment, Upstream};
 use crate::decide::catalog::{Body, Record, RecordKind};
 use crate::decide::digest::{
-    CatalogSummary, Digest, RecordVersion, RelayedHeartbeat, UpstreamLoad, UpstreamName,
+    CatalogSummary, Digest, RecordVersion, RelayedHeartbeat, UpstreamLimit, UpstreamLoad,
+    UpstreamName,
 };
 use crate::decide::hosts::{Host as ListedHost, Role};
 use crate::decide::member::{Heartbeat, MemberState, Process};
@@ -423,7 +424,12 @@
     });
     let head = (any::<u64>(), any::<u32>(), any::<u32>(), any::<bool>(), any::<u64>());
     let lists = (vec(process, 0..4), vec(heartbeat, 0..4), vec(upstream, 0..4), vec(load, 0..4));
-    (head, lists, vec(recent, 0..4)).prop_map(|(head, lists, recent)| Digest {
+    let rate = proptest::option::of(0.0..1e9);
+    let limit = (any::<u16>(), rate, any::<u32>()).prop_map(|(upstream, per_second, age)| {
+        UpstreamLimit { upstream, per_second, age: Duration::from_millis(age.into()) }
+    });
+    let tail = (vec(recent, 0..4), vec(limit, 0..4));
+    (head, lists, tail).prop_map(|(head, lists, (recent, limits))| Digest {
         stamp: Timestamp { millis: head.0, count: head.1 },
         heartbeat: head.2,
         left: head.3,
@@ -437,6 +443,7 @@
         heartbeats: lists.1,
         upstreams: lists.2,
         loads: lists.3,
+        limits,
         recent,
     })
 }
--- a/tests/limit.rs
+++ b/tests/limit.rs
@@ -8,8 +8,19 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use cornelferry::Time;
+use cornelferry::admission::{Admission, Request as AdmissionRequest};
+use cornelferry::balancing::Policy;
+use cornelferry::config::{LoadFormat, Priority, Service, Upstream};
+use cornelferry::digest::{DeltaDecoder, DeltaEncoder, Digest, UpstreamName};
+use cornelferry::limit::{LimitChange, LimitObservation, RateLimit};
+use cornelferry::member::{Heartbeat, Members, Process};
+use cornelferry::service::{HostInfo, NextAttempt, ServiceTable};
+use cornelferry::upstream::{AttemptReport, Occupancy, UpstreamOutcome};
 use http::Request;
 use http_body_util::Full;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 use serde_json::{Value, json};
 
 use harness::signing::{SigningUpstream, config, field, signed};
@@ -123,3 +134,226 @@
     let most = arrivals.most_in_window();
     assert!(most as f64 <= allowed, "{most} requests in 4 s; {allowed} are allowed");
 }
+
+const MS: Duration = Duration::from_millis(1);
+
+/// The hosts of a fleet that know each other, without their network.
+struct SimulatedFleet {
+    hosts: Vec<(Members, ServiceTable)>,
+    rng: SmallRng,
+    now: Time,
+    /// When requests reached the limited upstream, `u-0`.
+    arrivals: Vec<Time>,
+}
+
+impl SimulatedFleet {
+    /// Creates a fleet with `upstreams` upstreams, of which `u-0` has named a limit to all hosts.
+    fn new(hosts: usize, upstreams: u16, limit: f64, format: LoadFormat) -> SimulatedFleet {
+        let upstream = |i: u16| Upstream {
+            name: format!("u-{i}").into(),
+            address: SocketAddr::from((Ipv4Addr::LOCALHOST, 9_000 + i)),
+            data_centre: "a".into(),
+        };
+        let cfg = Arc::new(Service {
+            name: "s".into(),
+            upstreams: (0..upstreams).map(upstream).collect(),
+            load_format: format,
+            ..Service::default()
+        });
+        let now = Time::from_millis(60_000);
+        let name = |i: usize| -> Arc<str> { format!("entry-{i}").into() };
+        let host = |i: usize| {
+            let info = HostInfo {
+                host: name(i),
+                data_centre: "a".into(),
+                fleet_size_max: hosts as u32,
+                policy: Policy::default(),
+                waiting_max: 1_000,
+            };
+            let mut table = ServiceTable::new(cfg.clone(), info, now);
+            let id = table.rows()[0].id;
+            table.observe_limit(id, Some(limit), now, now);
+            (Members::new(name(i), "a".into()), table)
+        };
+        let mut fleet = SimulatedFleet {
+            hosts: (0..hosts).map(host).collect(),
+            rng: SmallRng::seed_from_u64(23),
+            now,
+            arrivals: Vec::new(),
+        };
+        fleet.hear_heartbeats(1);
+        fleet
+    }
+
+    fn hear_heartbeats(&mut self, counter: u32) {
+        let now = self.now;
+        let count = self.hosts.len();
+        for (i, (members, _)) in self.hosts.iter_mut().enumerate() {
+            for j in (0..count).filter(|j| *j != i) {
+                let process = Process {
+                    host: format!("entry-{j}").into(),
+                    data_centre: "a".into(),
+                    address: SocketAddr::from((Ipv4Addr::LOCALHOST, 8_000)),
+                    incarnation: 1,
+                };
+                let heartbeat = Heartbeat { counter, at: now, left: false, dead: false };
+                members.record_heartbeat(&process, heartbeat, now);
+            }
+            members.tick(now);
+        }
+    }
+
+    /// Runs one request on the host with this index, to its end.
+    fn request(&mut self, index: usize) {
+        let (now, live) = (self.now, self.hosts.len());
+        let (members, table) = &mut self.hosts[index];
+        let duty = |upstream: &str| format!("limit/s/{upstream}");
+        table.update_limits(live, now, |u, owners| members.is_among_owners(&duty(u), owners, now));
+        for row in table.rows().iter().map(|r| r.id).collect::<Vec<_>>() {
+            let occupancy = Occupancy { running: 0, waiting: 0, slots: 6, slowdown: 1.0 };
+            table.update_occupancy(row, &occupancy, now);
+        }
+        let req = AdmissionRequest::new(Priority::Normal, now + MS * 700, now);
+        let (first, retry) = match table.admit(&req, now, &mut self.rng) {
+            Admission::Run(target) => {
+                let retry = table.next_attempt_for(
+                    &req,
+                    NextAttempt::Retry,
+                    &[target.id],
+                    now,
+                    &mut self.rng,
+                );
+                (Some(target), retry)
+            }
+            Admission::Wait(ticket) => {
+                table.abandon_request(ticket);
+                (None, None)
+            }
+            Admission::Refuse(_) => (None, None),
+        };
+        for target in first.into_iter().chain(retry) {
+            if &*target.name == "u-0" {
+                self.arrivals.push(now);
+            }
+            let outcome = UpstreamOutcome::Answered;
+            let report = AttemptReport { outcome, latency: MS, load: None, draining: false };
+            table.finish_attempt(target.id, &report, now);
+            table.release(now, &mut self.rng);
+        }
+    }
+
+    /// Sends a request every `interval` to a random host, until `time` is over.
+    fn run(&mut self, interval: Duration, time: Duration) {
+        let end = self.now + time;
+        let mut counter = 1;
+        let mut heard = self.now;
+        while self.now < end {
+            self.now = self.now + interval;
+            if self.now.since(heard) >= MS * 100 {
+                heard = self.now;
+                counter += 1;
+                self.hear_heartbeats(counter);
+            }
+            let index = self.rng.random_range(0..self.hosts.len());
+            self.request(index);
+        }
+    }
+
+    fn most_in_window(&self) -> usize {
+        let in_window = |end: &Time| {
+            self.arrivals.iter().filter(|at| **at <= *end && end.since(**at) < WINDOW).count()
+        };
+        self.arrivals.iter().map(in_window).max().unwrap_or(0)
+    }
+}
+
+#[test]
+fn hosts_together_keep_within_a_limit_and_use_it() {
+    for (hosts, limit) in [(1, 2.0), (3, 0.3), (13, 2.0), (18, 3.1), (18, 40.0), (100, 1.9)] {
+        for (upstreams, format) in
+            [(1, LoadFormat::Occupancy), (4, LoadFormat::Occupancy), (4, LoadFormat::InFlight)]
+        {
+            let mut fleet = SimulatedFleet::new(hosts, upstreams, limit, format);
+            let seconds = 20.0;
+            fleet.run(MS * 5, Duration::from_secs_f64(seconds));
+            let case = format!("{hosts} hosts, limit {limit}, {upstreams} upstreams, {format:?}");
+            let most = fleet.most_in_window() as f64;
+            let allowed = 1.5 * limit * WINDOW.as_secs_f64() + 5.0;
+            assert!(most <= allowed, "{case}: {most} requests in 4 s; {allowed} are allowed");
+            let total = fleet.arrivals.len() as f64;
+            if upstreams == 1 {
+                assert!(total >= limit * seconds * 0.5, "{case}: only {total} in {seconds} s");
+            }
+        }
+    }
+}
+
+#[test]
+fn a_request_that_no_limit_leaves_room_for_is_refused_at_once() {
+    let mut fleet = SimulatedFleet::new(3, 1, 0.0, LoadFormat::Occupancy);
+    let (_, table) = &mut fleet.hosts[0];
+    let now = fleet.now + MS * 500;
+    table.update_limits(3, now, |_, _| true);
+    let req = AdmissionRequest::new(Priority::Normal, now + MS * 700, now + MS * 700);
+    let admission = table.admit(&req, now, &mut fleet.rng);
+    let Admission::Refuse(refusal) = admission else { panic!("{admission:?}") };
+    assert!(refusal.retry_after <= Duration::from_secs(4), "{refusal:?}");
+}
+
+#[test]
+fn a_limit_ends_with_a_response_to_a_request_sent_after_it_was_seen() {
+    let at = Time::from_millis;
+    let mut limit = RateLimit::default();
+    assert_eq!(limit.observe(None, at(1), at(2)), None);
+    assert_eq!(limit.observe(Some(2.0), at(1), at(10)), Some(LimitChange::Named(2.0)));
+    assert_eq!(limit.observe(Some(2.1), at(9), at(11)), None);
+    assert_eq!(limit.observe(None, at(5), at(12)), None);
+    assert!(limit.is_closed(at(12)));
+    assert_eq!(limit.observe(None, at(13), at(14)), Some(LimitChange::Ended));
+    assert!(!limit.is_closed(at(14)));
+    let old = LimitObservation { per_second: Some(2.0), at: at(11) };
+    assert_eq!(limit.observe_relayed(&old), None);
+    limit.reset(at(30));
+    let of_earlier_process = LimitObservation { per_second: Some(2.0), at: at(29) };
+    assert_eq!(limit.observe_relayed(&of_earlier_process), None);
+    assert!(!limit.is_closed(at(31)));
+}
+
+#[test]
+fn a_limit_that_nobody_sees_confirmed_is_forgotten_in_the_end() {
+    let at = Time::from_millis;
+    let mut limit = RateLimit::default();
+    limit.observe(Some(0.02), at(0), at(1));
+    assert!(!limit.expire(at(149_000)));
+    assert!(limit.expire(at(150_002)));
+    assert!(!limit.is_closed(at(150_002)));
+}
+
+#[test]
+fn peers_learn_of_a_limit_and_of_its_end_once() {
+    let at = Time::from_millis;
+    let name = UpstreamName { service: "s".into(), name: "u-0".into() };
+    let sender = Process {
+        host: "entry-1".into(),
+        data_centre: "a".into(),
+        address: SocketAddr::from((Ipv4Addr::LOCALHOST, 8_000)),
+        incarnation: 1,
+    };
+    let (mut encoder, mut decoder) = (DeltaEncoder::default(), DeltaDecoder::default());
+    let mut send = |per_second: Option<f64>, seen: Time, now: Time| {
+        let mut digest = Digest::default();
+        encoder.add_sender(&sender, &mut digest);
+        let observation = LimitObservation { per_second, at: seen };
+        encoder.add_limits(&[(name.clone(), observation)], now, &mut digest);
+        decoder.decode(&digest, now).expect("sender").limits
+    };
+    let limits = send(Some(2.0), at(900), at(1_000));
+    assert_eq!(limits, [(name.clone(), LimitObservation { per_second: Some(2.0), at: at(900) })]);
+    assert!(send(Some(2.0), at(1_900), at(2_000)).is_empty());
+    assert!(send(Some(2.1), at(2_900), at(3_000)).is_empty());
+    assert_eq!(send(Some(4.0), at(3_900), at(4_000)).len(), 1);
+    assert_eq!(send(Some(4.0), at(15_000), at(15_000)).len(), 1);
+    let [(_, ended)] = &send(None, at(16_000), at(16_000))[..] else { panic!("one") };
+    assert_eq!(ended.per_second, None);
+    assert!(send(None, at(16_000), at(17_000)).is_empty());
+}
