Log a fingerprint of each request, and whether its upstream ended

Copies of a request could not be recognised in the logs, since each has an id of its own; and a connection lost with its upstream looked like one lost to a healthy upstream. The line of a request's acceptance now has a fingerprint over caller, method, host, path and body, and after a lost connection the upstream is checked: event 3011 if it accepts no connection. No choice depends on it yet.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -22,6 +22,7 @@
 pub mod service;
 pub mod startup;
 pub mod stored;
+pub mod suspect;
 pub mod tick;
 pub mod topology;
 pub mod upstream;
--- a/src/entry/handler.rs
+++ b/src/entry/handler.rs
@@ -73,7 +73,11 @@
     };
     let start = node.clock.now();
     let time_left = u64::try_from(start.until(request.deadline).as_millis()).ok();
-    request.log.add(LogEntry { value: time_left, ..LogEntry::new(start, EventCode::Accepted) });
+    request.log.add(LogEntry {
+        value: time_left,
+        fingerprint: Some(request.fingerprint),
+        ..LogEntry::new(start, EventCode::Accepted)
+    });
     node.events.record(EventCode::Accepted, subject.clone(), time_left);
     let response =
         claim::run_claimed(node, request, driver::run(node, request, caller.disconnected())).await;
--- a/src/event.rs
+++ b/src/event.rs
@@ -91,6 +91,8 @@
     UpstreamLimited = 3009, "upstream named a rate limit";
     /// An upstream no longer names a rate limit.
     UpstreamUnlimited = 3010, "upstream named no rate limit any more";
+    /// An upstream's process has ended with a request in flight.
+    UpstreamCrashed = 3011, "upstream ended under a request";
     /// A record version came into force.
     InForce = 4001, "record version in force";
     /// A newer record can't be read, so the old one stays in force.
--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -11,6 +11,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::{Body, Incoming};
+use tokio::task::spawn_local;
 
 use crate::config::{DeclaredRefusal, LoadFormat, Service};
 use crate::decide::admission::Target;
@@ -19,6 +20,7 @@
 use crate::event::{EventCode, Subject};
 use crate::forward::BufferedRequest;
 use crate::forward::connection::{ConnectError, Connection};
+use crate::forward::crash::{self, Crash};
 use crate::forward::gate::SendGate;
 use crate::forward::response::{self, Buffered, ProxyBody, ProxyResponse};
 use crate::header::{self, FieldNames};
@@ -160,6 +162,19 @@
         }
         let report = AttemptReport { outcome: upstream_outcome, latency, load, draining };
         self.node.finish_attempt(&self.service.name, self.target.id, &report);
+        if upstream_outcome == UpstreamOutcome::Lost {
+            self.check_upstream();
+        }
+    }
+
+    /// Checks whether the upstream has ended under the request, whose connection was lost.
+    fn check_upstream(&self) {
+        let crash = Crash {
+            service: self.service.clone(),
+            target: self.target.clone(),
+            request_id: self.request_id.clone(),
+        };
+        spawn_local(crash::check(self.node.clone(), crash));
     }
 
     fn record(&self, code: EventCode, value: Option<u64>) {
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod attempt;
 pub(crate) mod connection;
+pub(crate) mod crash;
 pub(crate) mod driver;
 pub(crate) mod gate;
 pub(crate) mod memory;
@@ -19,6 +20,7 @@
 use crate::config::{Service, Treatment};
 use crate::decide::admission;
 use crate::decide::kinds::LatencyGoal;
+use crate::decide::suspect::Fingerprint;
 use crate::forward::memory::Reservation;
 use crate::request_log::RequestLog;
 use crate::time::Time;
@@ -36,6 +38,7 @@
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    pub(crate) fingerprint: Fingerprint,
     /// The log of the decisions on this request.
     pub(crate) log: Rc<RequestLog>,
     /// The memory reserved for the body.
--- a/src/request_log.rs
+++ b/src/request_log.rs
@@ -16,6 +16,7 @@
 
 use crate::decide::admission::PlacementEstimate;
 use crate::decide::bucket::TokenBucket;
+use crate::decide::suspect::Fingerprint;
 use crate::event::{self, EventCode};
 use crate::logs;
 use crate::time::Time;
@@ -40,12 +41,22 @@
     pub(crate) estimate: Option<PlacementEstimate>,
     /// The slowdown that the upstream reported in its response, where 1 is its usual speed.
     pub(crate) slowdown: Option<f32>,
+    /// The request's fingerprint, on the entry of its acceptance.
+    pub(crate) fingerprint: Option<Fingerprint>,
 }
 
 impl LogEntry {
     /// Creates an entry without details.
     pub(crate) fn new(at: Time, code: EventCode) -> LogEntry {
-        LogEntry { at, code, upstream: None, value: None, estimate: None, slowdown: None }
+        LogEntry {
+            at,
+            code,
+            upstream: None,
+            value: None,
+            estimate: None,
+            slowdown: None,
+            fingerprint: None,
+        }
     }
 }
 
@@ -134,6 +145,9 @@
     if let Some(upstream) = &entry.upstream {
         set("upstream", json!(upstream));
     }
+    if let Some(fingerprint) = entry.fingerprint {
+        set("fingerprint", json!(fingerprint.to_string()));
+    }
     if let Some(slowdown) = entry.slowdown {
         set("slowdown", json!(round_to_hundredths(slowdown)));
     }
