--- /dev/null
+++ b/tests/crash.rs
@@ -0,0 +1,175 @@
+//! Requests that end the upstreams that run them.
+
+mod harness;
+#[path = "../examples/standin/mod.rs"]
+mod standin;
+
+use std::io::{Read, Write};
+use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use http::Request;
+use http_body_util::Full;
+use serde_json::{Value, json};
+
+use harness::signing::{config, field, signed};
+use harness::{Caller, Daemon, live_peers, wait_until};
+use standin::registry::Registry;
+
+/// The path of the request that ends upstreams.
+const POISON: &str = "/book/read/poison";
+/// The time for which an upstream that has ended accepts no connections.
+const DOWN: Duration = Duration::from_millis(600);
+/// The time after the third upstream has ended from which hosts must no longer send the request.
+const CONTACT: Duration = Duration::from_secs(3);
+/// How often the request may still be sent after that time.
+const LATE_MAX: usize = 3;
+
+/// When the poisonous request reached upstreams.
+type Crashes = Arc<Mutex<Vec<Instant>>>;
+
+/// An upstream that ends when it gets a poisonous request, and is back after [`DOWN`].
+struct FragileUpstream {
+    address: SocketAddr,
+}
+
+impl FragileUpstream {
+    fn start(id: &'static str, crashes: &Crashes) -> FragileUpstream {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("bind");
+        let address = listener.local_addr().expect("bound");
+        let crashes = crashes.clone();
+        std::thread::spawn(move || {
+            let mut listener = Some(listener);
+            loop {
+                let open = listener.take().or_else(|| TcpListener::bind(address).ok());
+                match open {
+                    Some(listener) => run_process(listener, id, &crashes),
+                    None => std::thread::sleep(Duration::from_millis(20)),
+                }
+            }
+        });
+        FragileUpstream { address }
+    }
+
+    fn registration(&self) -> String {
+        json!({
+            "service": "dispatch", "address": self.address, "zone": "a", "version": "v1",
+            "slots": 6, "state": "ready", "coldRemainingS": 0, "sequence": 4,
+        })
+        .to_string()
+    }
+}
+
+/// Serves connections until a poisonous request ends the process, and waits until it may be back.
+fn run_process(listener: TcpListener, id: &'static str, crashes: &Crashes) {
+    listener.set_nonblocking(true).expect("nonblocking");
+    let has_ended = Arc::new(Mutex::new(false));
+    let mut connections = Vec::new();
+    while !*has_ended.lock().expect("state") {
+        let Ok((stream, _)) = listener.accept() else {
+            std::thread::sleep(Duration::from_millis(1));
+            continue;
+        };
+        stream.set_nonblocking(false).expect("blocking");
+        connections.push(stream.try_clone().expect("clone"));
+        let (has_ended, crashes) = (has_ended.clone(), crashes.clone());
+        std::thread::spawn(move || serve(stream, id, &has_ended, &crashes));
+    }
+    drop(listener);
+    connections.iter().for_each(|c| {
+        let _ = c.shutdown(Shutdown::Both);
+    });
+    std::thread::sleep(DOWN);
+}
+
+fn serve(mut stream: TcpStream, id: &str, has_ended: &Mutex<bool>, crashes: &Crashes) {
+    let mut buf = Vec::new();
+    let mut chunk = [0; 4096];
+    loop {
+        let Ok(read @ 1..) = stream.read(&mut chunk) else { return };
+        buf.extend_from_slice(&chunk[..read]);
+        let Some(end) = buf.windows(4).position(|w| w == b"\r\n\r\n") else { continue };
+        let head = String::from_utf8_lossy(&buf[..end]).to_ascii_lowercase();
+        buf.drain(..end + 4);
+        let res = if head.starts_with("get /health ") {
+            format!(
+                "HTTP/1.1 200 OK\r\nx-instance-id: {id}\r\nx-instance-load: 0,0,6,100\r\n\
+                 content-length: 0\r\n\r\n"
+            )
+        } else if field(&head, "x-expect-instance") != id {
+            "HTTP/1.1 421 Misdirected\r\nx-instance-id: other\r\ncontent-length: 0\r\n\r\n"
+                .to_owned()
+        } else if head.contains(POISON) {
+            crashes.lock().expect("crashes").push(Instant::now());
+            *has_ended.lock().expect("state") = true;
+            return;
+        } else {
+            signed(&head)
+        };
+        if stream.write_all(res.as_bytes()).is_err() {
+            return;
+        }
+    }
+}
+
+fn settings(host: usize, registry: &Registry) -> Value {
+    json!({
+        "host": format!("entry-{host}"), "data_centre": "a", "peer": harness::FREE_ADDRESS,
+        "registry": {
+            "address": registry.address, "retry_share": 0.2, "retry_slack": 56.0,
+            "probes_per_second": 60.0,
+        },
+    })
+}
+
+/// Sends one request, and returns the status and the code of the response.
+async fn send(daemon: &Daemon, path: &str, id: &str) -> (u16, u16) {
+    let Ok(mut caller) = Caller::connect(daemon.caller).await else { return (0, 0) };
+    let req = Request::builder().method("GET").uri(path).header("host", "port.example");
+    let req = req.header("x-attempt-id", id).header("x-deadline-ms", "700");
+    let Ok(res) = caller.send(req.body(Full::default()).expect("request")).await else {
+        return (0, 0);
+    };
+    (res.status().as_u16(), harness::code(&res))
+}
+
+/// Sends the poisonous request to one host after another for some time.
+async fn send_poison(daemons: &[Daemon], time: Duration) {
+    let end = Instant::now() + time;
+    for (number, daemon) in daemons.iter().cycle().enumerate() {
+        if Instant::now() >= end {
+            return;
+        }
+        send(daemon, POISON, &format!("p-{number}")).await;
+        tokio::time::sleep(Duration::from_millis(40)).await;
+    }
+}
+
+/// Returns how often the request was sent later than [`CONTACT`] after the third upstream ended.
+fn late(crashes: &Crashes) -> usize {
+    let all = crashes.lock().expect("crashes");
+    let Some(third) = all.get(2) else { return 0 };
+    all.iter().filter(|at| **at > *third + CONTACT).count()
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_request_that_ends_upstreams_is_no_longer_sent_by_any_host() {
+    let crashes = Crashes::default();
+    let registry = Registry::start(SocketAddr::from((Ipv4Addr::LOCALHOST, 0))).await;
+    registry.put("op/config", &config(3, "/book/"));
+    for id in ["u-1", "u-2", "u-3", "u-4", "u-5", "u-6", "u-7", "u-8"] {
+        let upstream = FragileUpstream::start(id, &crashes);
+        registry.put(&format!("servers/{id}"), &upstream.registration());
+    }
+    let daemons: Vec<Daemon> = (1..=3).map(|i| Daemon::run(&settings(i, &registry))).collect();
+    wait_until("the hosts know each other", || daemons.iter().all(|d| live_peers(d) == 2));
+    send_poison(&daemons, CONTACT + Duration::from_secs(3)).await;
+    assert!(crashes.lock().expect("crashes").len() >= 3, "no upstream ended");
+    let late = late(&crashes);
+    assert!(late <= LATE_MAX, "sent {late} times after three upstreams had ended and 3 s");
+    for daemon in &daemons {
+        let (status, _) = send(daemon, "/book/read/harmless", "h-1").await;
+        assert_eq!(status, 200, "other requests of the caller are served");
+    }
+}
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -293,3 +293,13 @@
     let value = res.headers().get("x-cornelferry-code").expect("code");
     value.to_str().expect("text").parse().expect("number")
 }
+
+/// Returns the number of peers that a daemon takes for alive.
+pub fn live_peers(daemon: &Daemon) -> usize {
+    let req = b"GET /status HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n";
+    let res = send_raw(daemon.admin, req).expect("status");
+    let (_, body) = res.split_once("\r\n\r\n").expect("body");
+    let status: Value = serde_json::from_str(body).unwrap_or_default();
+    let members = status["members"].as_array().cloned().unwrap_or_default();
+    members.iter().filter(|m| m["standing"] == "alive").count()
+}
--- a/tests/limit.rs
+++ b/tests/limit.rs
@@ -21,10 +21,10 @@
 use http_body_util::Full;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use serde_json::{Value, json};
+use serde_json::json;
 
 use harness::signing::{SigningUpstream, config, field, signed};
-use harness::{Caller, Daemon, send_raw, wait_until};
+use harness::{Caller, Daemon, live_peers, wait_until};
 use standin::registry::Registry;
 
 /// The limit that the upstream names, in requests per second.
@@ -63,19 +63,6 @@
     }
 }
 
-fn status(daemon: &Daemon) -> Value {
-    let req = b"GET /status HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n";
-    let res = send_raw(daemon.admin, req).expect("status");
-    let (_, body) = res.split_once("\r\n\r\n").expect("body");
-    serde_json::from_str(body).unwrap_or_default()
-}
-
-fn live_peers(daemon: &Daemon) -> usize {
-    let status = status(daemon);
-    let members = status["members"].as_array().cloned().unwrap_or_default();
-    members.iter().filter(|m| m["standing"] == "alive").count()
-}
-
 /// Sends requests one after another until the time is over. Their ids begin with the host's name.
 async fn send_until(daemon: SocketAddr, host: String, end: Instant) {
     let mut caller = Caller::connect(daemon).await.expect("connect");
