--- a/src/decide/digest.rs
+++ b/src/decide/digest.rs
@@ -17,6 +17,7 @@
 use crate::decide::leaving::LeavingObservation;
 use crate::decide::limit::LimitObservation;
 use crate::decide::member::{Heartbeat, Member, Process};
+use crate::decide::suspect::{Evidence, Fingerprint, Sighting, Suspects};
 use crate::decide::upstream::UpstreamSummary;
 use crate::hlc::Timestamp;
 use crate::time::Time;
@@ -36,6 +37,9 @@
 /// The number of rate limits that a digest may hold.
 const LIMITS_MAX: usize = 64;
 
+/// The number of pieces of evidence that a digest may hold.
+const EVIDENCE_MAX: usize = 32;
+
 /// The time after which an unchanged rate limit is sent again if it has been seen since.
 const LIMIT_RESEND_AFTER: Duration = Duration::from_secs(10);
 
@@ -148,6 +152,17 @@
     pub age: Duration,
 }
 
+/// Evidence on a request under which upstreams have ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SharedEvidence {
+    /// The request.
+    pub fingerprint: Fingerprint,
+    /// What a host has seen of it.
+    pub sighting: Sighting,
+    /// The time since then.
+    pub age: Duration,
+}
+
 /// The message that one host sends a peer in one exchange: its own state and the leaving upstreams
 /// in full, everything else as the changes since the last digest on the connection.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -181,6 +196,8 @@
     pub leaving_upstreams: Vec<LeavingUpstream>,
     /// Upstreams whose rate limit is new to the receiver or was seen again.
     pub limits: Vec<UpstreamLimit>,
+    /// Evidence that is new to the receiver.
+    pub evidence: Vec<SharedEvidence>,
     /// Records that have recently come into force.
     pub recent: Vec<RecordVersion>,
 }
@@ -196,6 +213,10 @@
     sorted: Vec<u16>,
     /// The rate limits last sent, with the time of sending, sorted by the index of the upstream.
     limits: Vec<(u16, LimitObservation, Time)>,
+    /// The numbers of the evidence that was sent, sorted.
+    evidence: Vec<u64>,
+    /// The number up to which all evidence was sent.
+    evidence_up_to: u64,
     /// When the first digest was built.
     opened: Option<Time>,
 }
@@ -391,6 +412,28 @@
         is_due
     }
 
+    /// Adds the evidence that was not sent before, up to a limit.
+    pub fn add_evidence(&mut self, suspects: &Suspects, now: Time, digest: &mut Digest) {
+        if self.evidence_up_to == suspects.newest() {
+            return;
+        }
+        let all = suspects.evidence();
+        self.evidence.retain(|sent| all.iter().any(|(number, _)| number == sent));
+        for (number, evidence) in all {
+            let Err(at) = self.evidence.binary_search(&number) else { continue };
+            if digest.evidence.len() == EVIDENCE_MAX {
+                return;
+            }
+            self.evidence.insert(at, number);
+            digest.evidence.push(SharedEvidence {
+                fingerprint: evidence.fingerprint,
+                sighting: evidence.sighting,
+                age: now.since(evidence.at),
+            });
+        }
+        self.evidence_up_to = suspects.newest();
+    }
+
     fn add_load(&mut self, summary: &UpstreamSummary, now: Time, digest: &mut Digest) {
         let Some(at) = self.upstream_index(summary, now, digest) else { return };
         self.upstreams[at].item = summary.clone();
@@ -495,6 +538,8 @@
     pub leaving_upstreams: Vec<LeavingObservation>,
     /// Rate limits of upstreams.
     pub limits: Vec<(UpstreamName, LimitObservation)>,
+    /// Evidence on requests under which upstreams have ended.
+    pub evidence: Vec<Evidence>,
 }
 
 impl DeltaDecoder {
@@ -552,7 +597,13 @@
         let leaving_upstreams =
             digest.leaving_upstreams.iter().filter_map(|l| self.observation(l, now)).collect();
         let limits = digest.limits.iter().filter_map(|l| self.limit(l, now)).collect();
-        Some(DecodedDigest { sender, heartbeats, loads, leaving_upstreams, limits })
+        let evidence = |e: &SharedEvidence| Evidence {
+            fingerprint: e.fingerprint,
+            sighting: e.sighting,
+            at: before(now, e.age),
+        };
+        let evidence = digest.evidence.iter().map(evidence).collect();
+        Some(DecodedDigest { sender, heartbeats, loads, leaving_upstreams, limits, evidence })
     }
 
     fn limit(&self, limit: &UpstreamLimit, now: Time) -> Option<(UpstreamName, LimitObservation)> {
--- a/src/decide/suspect.rs
+++ b/src/decide/suspect.rs
@@ -1,14 +1,29 @@
-//! Requests under which upstreams have ended.
+//! Requests under which upstreams have ended, and which are blocked.
+//!
+//! A request that ends each upstream that runs it comes again and again, at any host. What hosts see
+//! is shared, so that its upstreams are counted across the fleet. Harmless requests are lost with
+//! the upstreams too; an answer to a copy shows that the request was not the cause.
 
 use std::hash::Hasher;
 use std::net::IpAddr;
+use std::time::Duration;
 
 use derive_more::Display;
 use twox_hash::XxHash64;
 
+use crate::time::Time;
+
+/// The number of upstreams that must have ended under a request before it is blocked.
+const CRASHES_MAX: usize = 3;
+/// The time after which an upstream's end no longer counts, and for which a request is blocked after
+/// it last came.
+pub const SUSPICION_PERIOD: Duration = Duration::from_secs(600);
+/// The number of suspects that are kept.
+const SUSPECTS_MAX: usize = 512;
+
 /// A hash by which copies of a request are recognised: over its caller, method, host, path with
 /// query, and body.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Display, Default, PartialEq, Eq, PartialOrd, Ord)]
 #[display("{_0:016x}")]
 pub struct Fingerprint(pub u64);
 
@@ -28,3 +43,204 @@
         Fingerprint(hasher.finish())
     }
 }
+
+/// What a host has seen of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Sighting {
+    /// An upstream, given by a hash of its name, has ended under it.
+    Crash(u64),
+    /// An upstream has answered it.
+    Answer,
+}
+
+/// A [`Sighting`] with its request and its time, as hosts tell each other.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Evidence {
+    /// The request.
+    pub fingerprint: Fingerprint,
+    /// What was seen of it.
+    pub sighting: Sighting,
+    /// When a host saw it.
+    pub at: Time,
+}
+
+/// The end of an upstream under a request.
+#[derive(Clone, Copy, Debug)]
+struct Crash {
+    /// A hash of the upstream's name.
+    upstream: u64,
+    at: Time,
+    /// The number of the evidence.
+    number: u64,
+}
+
+/// A request under which upstreams have ended.
+#[derive(Clone, Debug)]
+struct Suspect {
+    fingerprint: Fingerprint,
+    /// The upstreams that have ended, at most [`CRASHES_MAX`].
+    crashes: Vec<Crash>,
+    /// When an upstream last answered it, with the number of the evidence.
+    answered: Option<(Time, u64)>,
+    /// When the registry first showed that it is blocked.
+    listed: Option<Time>,
+    /// When it last came to this host while it was blocked.
+    refused: Option<Time>,
+}
+
+impl Suspect {
+    fn is_convicted(&self) -> bool {
+        self.listed.is_some() || self.crashes.len() >= CRASHES_MAX
+    }
+
+    /// Returns the time of the newest sighting; zero if there is none.
+    fn last_seen(&self) -> Time {
+        let crash = self.crashes.iter().map(|c| c.at).max();
+        let answer = self.answered.map(|(at, _)| at);
+        crash.max(answer).max(self.listed).max(self.refused).unwrap_or_default()
+    }
+
+    fn is_blocked(&self, now: Time) -> bool {
+        self.is_convicted() && now.since(self.last_seen()) < SUSPICION_PERIOD
+    }
+}
+
+/// The requests under which upstreams have ended, sorted by fingerprint.
+#[derive(Clone, Debug, Default)]
+pub struct Suspects {
+    rows: Vec<Suspect>,
+    /// The number of the newest piece of evidence.
+    newest: u64,
+}
+
+impl Suspects {
+    /// Records evidence, of this host or a peer. Returns whether it is news.
+    ///
+    /// An answer clears a request of everything that was seen of it before. One to a request that is
+    /// not a suspect is no news.
+    pub fn record(&mut self, evidence: &Evidence, now: Time) -> bool {
+        let &Evidence { fingerprint, sighting, at } = evidence;
+        if now.since(at) >= SUSPICION_PERIOD {
+            return false;
+        }
+        let number = self.newest + 1;
+        let is_news = match (sighting, self.find(fingerprint)) {
+            (Sighting::Answer, Err(_)) => false,
+            (Sighting::Answer, Ok(i)) => {
+                let suspect = &mut self.rows[i];
+                let is_news = suspect.answered.is_none_or(|(last, _)| last < at);
+                if is_news {
+                    suspect.answered = Some((at, number));
+                    suspect.crashes.retain(|c| c.at > at);
+                    suspect.listed = suspect.listed.filter(|listed| *listed > at);
+                }
+                is_news
+            }
+            (Sighting::Crash(upstream), _) => {
+                let suspect = self.suspect(fingerprint);
+                let is_news = suspect.crashes.len() < CRASHES_MAX
+                    && suspect.answered.is_none_or(|(last, _)| last < at)
+                    && suspect.crashes.iter().all(|c| c.upstream != upstream);
+                if is_news {
+                    suspect.crashes.push(Crash { upstream, at, number });
+                }
+                is_news
+            }
+        };
+        self.newest += u64::from(is_news);
+        is_news
+    }
+
+    /// Records that the registry lists a request as blocked. Ignored if an upstream has answered it,
+    /// since the entry is older.
+    pub fn block(&mut self, fingerprint: Fingerprint, now: Time) {
+        let suspect = self.suspect(fingerprint);
+        if suspect.answered.is_none() {
+            suspect.listed.get_or_insert(now);
+        }
+    }
+
+    /// Returns whether a request is blocked. One that comes while it is blocked stays so for longer.
+    pub fn refuse(&mut self, fingerprint: Fingerprint, now: Time) -> bool {
+        let Ok(i) = self.find(fingerprint) else { return false };
+        let is_blocked = self.rows[i].is_blocked(now);
+        if is_blocked {
+            self.rows[i].refused = Some(now);
+        }
+        is_blocked
+    }
+
+    /// Returns whether a request is blocked.
+    pub fn is_blocked(&self, fingerprint: Fingerprint, now: Time) -> bool {
+        self.find(fingerprint).is_ok_and(|i| self.rows[i].is_blocked(now))
+    }
+
+    /// Returns whether a request is a suspect, blocked or not.
+    pub fn contains(&self, fingerprint: Fingerprint) -> bool {
+        self.find(fingerprint).is_ok()
+    }
+
+    /// Returns the blocked requests.
+    pub fn blocked(&self, now: Time) -> impl Iterator<Item = Fingerprint> {
+        self.rows.iter().filter(move |s| s.is_blocked(now)).map(|s| s.fingerprint)
+    }
+
+    /// Returns all evidence with its numbers, which increase with each new piece: that of the
+    /// requests under which the most upstreams have ended comes first.
+    pub fn evidence(&self) -> Vec<(u64, Evidence)> {
+        let mut rows: Vec<&Suspect> = self.rows.iter().collect();
+        rows.sort_by_key(|s| std::cmp::Reverse(s.crashes.len()));
+        let of_suspect = |s: &Suspect| {
+            let evidence = |sighting, at| Evidence { fingerprint: s.fingerprint, sighting, at };
+            let crashes = s.crashes.iter();
+            let crashes = crashes.map(|c| (c.number, evidence(Sighting::Crash(c.upstream), c.at)));
+            let answer = s.answered.map(|(at, n)| (n, evidence(Sighting::Answer, at)));
+            crashes.chain(answer).collect::<Vec<_>>()
+        };
+        rows.into_iter().flat_map(of_suspect).collect()
+    }
+
+    /// Returns the number of the newest piece of evidence; 0 before the first.
+    pub fn newest(&self) -> u64 {
+        self.newest
+    }
+
+    /// Forgets evidence that no longer counts, and if there are too many suspects, those under which
+    /// the fewest upstreams have ended, the oldest ones first.
+    pub fn expire(&mut self, now: Time) {
+        for suspect in self.rows.iter_mut().filter(|s| !s.is_convicted()) {
+            suspect.crashes.retain(|c| now.since(c.at) < SUSPICION_PERIOD);
+        }
+        self.rows.retain(|s| now.since(s.last_seen()) < SUSPICION_PERIOD);
+        while self.rows.len() > SUSPECTS_MAX {
+            let order = |s: &Suspect| (s.is_convicted(), s.crashes.len(), s.last_seen());
+            let least = (0..self.rows.len()).min_by_key(|&i| order(&self.rows[i]));
+            self.rows.remove(least.unwrap_or(0));
+        }
+    }
+
+    /// Returns the row of a request, and adds one if there is none.
+    fn suspect(&mut self, fingerprint: Fingerprint) -> &mut Suspect {
+        let i = self.find(fingerprint).unwrap_or_else(|i| {
+            let row = Suspect {
+                fingerprint,
+                crashes: Vec::new(),
+                answered: None,
+                listed: None,
+                refused: None,
+            };
+            self.rows.insert(i, row);
+            i
+        });
+        &mut self.rows[i]
+    }
+
+    fn find(&self, fingerprint: Fingerprint) -> Result<usize, usize> {
+        self.rows.binary_search_by_key(&fingerprint, |s| s.fingerprint)
+    }
+}
+
+/// Returns the hash by which evidence names an upstream.
+pub fn upstream_hash(service: &str, upstream: &str) -> u64 {
+    XxHash64::oneshot(XxHash64::oneshot(0, service.as_bytes()), upstream.as_bytes())
+}
--- a/src/error.rs
+++ b/src/error.rs
@@ -88,6 +88,8 @@
     BodyCut = 2017, 400, NotRun, "the request body ended early";
     /// No known route matches, and the known routes may be outdated.
     RoutesOutdated = 2018, 503, NotRun, "no known route matches and the known ones may be outdated";
+    /// Upstreams have ended under copies of the request, so it is no longer sent to any.
+    Blocked = 2019, 503, NotRun, "upstreams have ended under copies of the request";
     /// The deadline passed after the request was sent.
     DeadlineAfterSend = 3001, 504, Unknown, "the deadline passed after the request was sent";
     /// The connection failed after a byte was sent.
--- a/src/event.rs
+++ b/src/event.rs
@@ -93,6 +93,10 @@
     UpstreamUnlimited = 3010, "upstream named no rate limit any more";
     /// An upstream's process has ended with a request in flight.
     UpstreamCrashed = 3011, "upstream ended under a request";
+    /// A request is blocked, because upstreams have ended under it.
+    RequestBlocked = 3012, "request blocked, upstreams end under it";
+    /// A request is no longer blocked, because an upstream has answered it.
+    RequestUnblocked = 3013, "request no longer blocked";
     /// A record version came into force.
     InForce = 4001, "record version in force";
     /// A newer record can't be read, so the old one stays in force.
@@ -165,8 +169,9 @@
 /// The objects that an event concerns. Fields that don't apply are `None`.
 #[derive(Clone, Debug, Default, Display, PartialEq, Eq, Serialize, Deserialize)]
 #[display(
-    "{}{}{}{}{}",
+    "{}{}{}{}{}{}",
     field("request", request),
+    field("fingerprint", fingerprint),
     field("service", service),
     field("upstream", upstream),
     field("record", record),
@@ -177,6 +182,9 @@
     /// The request id.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub request: Option<Arc<str>>,
+    /// The fingerprint of the request, by which its copies are recognised.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub fingerprint: Option<Arc<str>>,
     /// The service name.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub service: Option<Arc<str>>,
--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -16,6 +16,7 @@
 use crate::config::{DeclaredRefusal, LoadFormat, Service};
 use crate::decide::admission::Target;
 use crate::decide::attempt::{AttemptNumber, AttemptOutcome};
+use crate::decide::suspect::Fingerprint;
 use crate::decide::upstream::{AttemptReport, Occupancy, UpstreamOutcome};
 use crate::event::{EventCode, Subject};
 use crate::forward::BufferedRequest;
@@ -69,6 +70,7 @@
     node: Arc<Node>,
     service: Arc<Service>,
     request_id: Arc<str>,
+    fingerprint: Fingerprint,
     log: Rc<RequestLog>,
     target: Target,
     started: Time,
@@ -92,6 +94,7 @@
             node: node.clone(),
             service: request.service.clone(),
             request_id: request.id.clone(),
+            fingerprint: request.fingerprint,
             log: request.log.clone(),
             target,
             started: node.clock.now(),
@@ -162,8 +165,10 @@
         }
         let report = AttemptReport { outcome: upstream_outcome, latency, load, draining };
         self.node.finish_attempt(&self.service.name, self.target.id, &report);
-        if upstream_outcome == UpstreamOutcome::Lost {
-            self.check_upstream();
+        match upstream_outcome {
+            UpstreamOutcome::Answered => self.node.record_answer(self.fingerprint),
+            UpstreamOutcome::Lost => self.check_upstream(),
+            _ => {}
         }
     }
 
@@ -173,6 +178,7 @@
             service: self.service.clone(),
             target: self.target.clone(),
             request_id: self.request_id.clone(),
+            fingerprint: self.fingerprint,
         };
         spawn_local(crash::check(self.node.clone(), crash));
     }
--- a/src/forward/crash.rs
+++ b/src/forward/crash.rs
@@ -5,6 +5,7 @@
 
 use crate::config::Service;
 use crate::decide::admission::Target;
+use crate::decide::suspect::{Evidence, Fingerprint, Sighting, upstream_hash};
 use crate::event::{EventCode, Subject};
 use crate::forward::connection::{ConnectError, Connection};
 use crate::node::Node;
@@ -19,6 +20,7 @@
     pub(crate) service: Arc<Service>,
     pub(crate) target: Target,
     pub(crate) request_id: Arc<str>,
+    pub(crate) fingerprint: Fingerprint,
 }
 
 /// Opens a connection to the upstream. If it accepts none, it has ended under the request.
@@ -41,9 +43,55 @@
 fn record(node: &Node, crash: &Crash) {
     let subject = Subject {
         request: Some(crash.request_id.clone()),
+        fingerprint: Some(crash.fingerprint.to_string().into()),
         service: Some(crash.service.name.clone()),
         upstream: Some(crash.target.name.clone()),
         ..Subject::default()
     };
     node.events.record(EventCode::UpstreamCrashed, subject, None);
+    let upstream = upstream_hash(&crash.service.name, &crash.target.name);
+    node.record_evidence(&Evidence {
+        fingerprint: crash.fingerprint,
+        sighting: Sighting::Crash(upstream),
+        at: node.clock.now(),
+    });
+}
+
+impl Node {
+    /// Records evidence on a request under which upstreams have ended, of this host or a peer.
+    pub(crate) fn record_evidence(&self, evidence: &Evidence) {
+        let now = self.clock.now();
+        let fingerprint = evidence.fingerprint;
+        let (is_news, was_blocked, is_blocked) = {
+            let mut suspects = self.suspects.lock();
+            let was_blocked = suspects.is_blocked(fingerprint, now);
+            let is_news = suspects.record(evidence, now);
+            (is_news, was_blocked, suspects.is_blocked(fingerprint, now))
+        };
+        if is_news {
+            self.change_feed.notify();
+        }
+        if was_blocked != is_blocked {
+            let code = match is_blocked {
+                true => EventCode::RequestBlocked,
+                false => EventCode::RequestUnblocked,
+            };
+            let fingerprint = Some(fingerprint.to_string().into());
+            self.events.record(code, Subject { fingerprint, ..Subject::default() }, None);
+        }
+    }
+
+    /// Records that an upstream has answered a request. This matters only for suspects.
+    pub(crate) fn record_answer(&self, fingerprint: Fingerprint) {
+        let is_suspect = self.suspects.lock().contains(fingerprint);
+        if is_suspect {
+            let at = self.clock.now();
+            self.record_evidence(&Evidence { fingerprint, sighting: Sighting::Answer, at });
+        }
+    }
+
+    /// Returns whether a request that has come is blocked.
+    pub(crate) fn refuse_blocked(&self, fingerprint: Fingerprint) -> bool {
+        self.suspects.lock().refuse(fingerprint, self.clock.now())
+    }
 }
--- a/src/forward/driver.rs
+++ b/src/forward/driver.rs
@@ -13,6 +13,7 @@
 use crate::decide::admission::{Admission, Refusal, Target};
 use crate::decide::attempt::{AttemptLimits, AttemptNumber, Attempts, Event, RequestResult, Step};
 use crate::decide::service::NextAttempt;
+use crate::decide::suspect::SUSPICION_PERIOD;
 use crate::decide::upstream::UpstreamId;
 use crate::dispatch::Dispatch;
 use crate::entry::waiting::Waiter;
@@ -46,10 +47,18 @@
     disconnected: impl Future<Output = ()>,
 ) -> ProxyResponse {
     let mut disconnected = pin!(disconnected);
+    if node.refuse_blocked(request.fingerprint) {
+        return *blocked_response(node, request);
+    }
     if request.service.probe_before_send {
         probe::refresh_loads(node, request).await;
     }
     match admit(node, request, disconnected.as_mut()).await {
+        // It may have been blocked while it waited.
+        Ok(target) if node.refuse_blocked(request.fingerprint) => {
+            node.cancel_attempt(&request.service.name, &target);
+            *blocked_response(node, request)
+        }
         Ok(target) => RequestDriver::new(node, request).run(target, disconnected).await,
         Err(response) => *response,
     }
@@ -93,6 +102,12 @@
     }
 }
 
+/// Returns the response to a request that is blocked. It stays so for as long as it keeps coming.
+fn blocked_response(node: &Node, request: &BufferedRequest) -> Box<ProxyResponse> {
+    let refusal = Refusal { code: Code::Blocked, retry_after: SUSPICION_PERIOD };
+    refusal_response(node, request, &refusal)
+}
+
 fn refusal_response(
     node: &Node,
     request: &BufferedRequest,
@@ -193,6 +208,9 @@
             Step::Retry => (NextAttempt::Retry, EventCode::Retried),
             Step::Hedge => (NextAttempt::Hedge, EventCode::Hedged),
         };
+        if self.node.refuse_blocked(self.request.fingerprint) {
+            return self.finish_with(Event::NoTarget);
+        }
         let target = match reason {
             NextAttempt::Retry => self.retry_target().await,
             NextAttempt::Hedge => self.next_target(reason).await,
--- a/src/node.rs
+++ b/src/node.rs
@@ -18,6 +18,7 @@
 use crate::decide::pause::{PauseDetector, RESYNC_TIMEOUT};
 use crate::decide::reads::ReadSchedule;
 use crate::decide::service::HostInfo;
+use crate::decide::suspect::Suspects;
 use crate::decide::tick::ServiceTables;
 use crate::entry::waiting::WaitingRequests;
 use crate::event::{EventCode, RingBuffer, Subject};
@@ -82,6 +83,8 @@
     pub(crate) resync_needed: Arc<Notify>,
     pub(crate) pool: Pool,
     pub(crate) memory: MemoryBudget,
+    /// Requests under which upstreams have ended.
+    pub(crate) suspects: Mutex<Suspects>,
     pub(crate) pause_detector: Mutex<PauseDetector>,
     /// The age of this host's copy of the registry.
     pub(crate) registry_freshness: RegistryFreshness,
@@ -137,6 +140,7 @@
             resync_needed: Arc::default(),
             pool: Pool::default(),
             memory: MemoryBudget::new(settings.limits.body_bytes),
+            suspects: Mutex::default(),
             pause_detector: Mutex::default(),
             registry_freshness: RegistryFreshness::new(ReadSchedule::new(apply_time(&settings))),
             header_names: match settings.registry {
--- a/src/peer/codec.rs
+++ b/src/peer/codec.rs
@@ -7,10 +7,11 @@
 
 use crate::decide::catalog::RecordKind;
 use crate::decide::digest::{
-    CatalogSummary, Digest, LeavingUpstream, RecordVersion, RelayedHeartbeat, UpstreamLimit,
-    UpstreamLoad, UpstreamName,
+    CatalogSummary, Digest, LeavingUpstream, RecordVersion, RelayedHeartbeat, SharedEvidence,
+    UpstreamLimit, UpstreamLoad, UpstreamName,
 };
 use crate::decide::member::Process;
+use crate::decide::suspect::{Fingerprint, Sighting};
 use crate::hlc::Timestamp;
 use crate::peer::peer_capnp as wire;
 
@@ -30,6 +31,9 @@
 /// The rate that stands for a limit that has ended.
 const NO_LIMIT: f64 = -1.0;
 
+/// The hash that stands for an answer, in place of that of an upstream that has ended.
+const ANSWERED: u64 = 0;
+
 /// Writes a digest into a message.
 pub(crate) fn write(digest: &Digest, mut out: wire::digest::Builder<'_>) {
     out.set_millis(digest.stamp.millis);
@@ -48,6 +52,7 @@
     write_loads(&digest.loads, &mut out);
     write_leaving_upstreams(&digest.leaving_upstreams, &mut out);
     write_limits(&digest.limits, &mut out);
+    write_evidence(&digest.evidence, &mut out);
     if !digest.recent.is_empty() {
         write_versions(&digest.recent, out.init_recent(digest.recent.len() as u32));
     }
@@ -77,6 +82,7 @@
         loads: digest.get_loads()?.iter().map(read_load).collect(),
         leaving_upstreams: digest.get_leaves()?.iter().map(read_leaving_upstream).collect(),
         limits: digest.get_limits()?.iter().map(read_limit).collect(),
+        evidence: digest.get_evidence()?.iter().map(read_evidence).collect(),
         recent: read_versions(digest.get_recent()?)?,
     })
 }
@@ -259,8 +265,7 @@
         let mut row = rows.reborrow().get(i as u32);
         row.set_upstream(limit.upstream);
         row.set_per_second(limit.per_second.unwrap_or(NO_LIMIT));
-        let millis = limit.age.as_micros().div_ceil(1_000);
-        row.set_age_ms(u32::try_from(millis).unwrap_or(u32::MAX));
+        row.set_age_ms(age_millis(limit.age));
     }
 }
 
@@ -274,6 +279,39 @@
     }
 }
 
+fn write_evidence(evidence: &[SharedEvidence], out: &mut wire::digest::Builder<'_>) {
+    if evidence.is_empty() {
+        return;
+    }
+    let mut rows = out.reborrow().init_evidence(evidence.len() as u32);
+    for (i, evidence) in evidence.iter().enumerate() {
+        let mut row = rows.reborrow().get(i as u32);
+        row.set_fingerprint(evidence.fingerprint.0);
+        row.set_upstream(match evidence.sighting {
+            Sighting::Crash(upstream) => upstream,
+            Sighting::Answer => ANSWERED,
+        });
+        row.set_age_ms(age_millis(evidence.age));
+    }
+}
+
+fn read_evidence(row: wire::evidence::Reader<'_>) -> SharedEvidence {
+    SharedEvidence {
+        fingerprint: Fingerprint(row.get_fingerprint()),
+        sighting: match row.get_upstream() {
+            ANSWERED => Sighting::Answer,
+            upstream => Sighting::Crash(upstream),
+        },
+        age: Duration::from_millis(row.get_age_ms().into()),
+    }
+}
+
+/// Converts an age to milliseconds, rounded up. An age too large for the field becomes the largest
+/// value.
+fn age_millis(age: Duration) -> u32 {
+    u32::try_from(age.as_micros().div_ceil(1_000)).unwrap_or(u32::MAX)
+}
+
 /// Converts an age to whole units, rounded up so that an age never shrinks from relay to relay. An
 /// age too large for the field becomes the largest value.
 fn age_units(age: Duration, unit: Duration) -> u8 {
--- a/src/peer/peer_capnp.rs
+++ b/src/peer/peer_capnp.rs
@@ -162,11 +162,19 @@
         pub fn has_limits(&self) -> bool {
             !self.reader.get_pointer_field(6).is_null()
         }
+        #[inline]
+        pub fn get_evidence(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer::peer_capnp::evidence::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(7), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_evidence(&self) -> bool {
+            !self.reader.get_pointer_field(7).is_null()
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 6, pointers: 7 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 6, pointers: 8 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -408,6 +416,22 @@
         pub fn has_limits(&self) -> bool {
             !self.builder.is_pointer_field_null(6)
         }
+        #[inline]
+        pub fn get_evidence(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer::peer_capnp::evidence::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(7), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_evidence(&mut self, value: ::capnp::struct_list::Reader<'_,crate::peer::peer_capnp::evidence::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(7), value, false)
+        }
+        #[inline]
+        pub fn init_evidence(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::peer::peer_capnp::evidence::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(7), size)
+        }
+        #[inline]
+        pub fn has_evidence(&self) -> bool {
+            !self.builder.is_pointer_field_null(7)
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -419,143 +443,150 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 306] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 326] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(75, 129, 217, 106, 37, 199, 47, 173),
             ::capnp::word(11, 0, 0, 0, 1, 0, 6, 0),
             ::capnp::word(39, 82, 161, 156, 57, 191, 28, 128),
-            ::capnp::word(7, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 191, 3, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 247, 3, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 68, 105, 103, 101, 115),
             ::capnp::word(116, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(68, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(72, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(205, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(233, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(200, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(212, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(228, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(240, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(237, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(232, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(213, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(241, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(208, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(220, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(236, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(217, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(245, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(216, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(228, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(244, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(0, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(225, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(253, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(224, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(236, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(252, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 0, 1, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(233, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(5, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(228, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(240, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(0, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(9, 2, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(236, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(8, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(36, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(5, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(33, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(28, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(28, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 2, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(53, 2, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(24, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(52, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(49, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(77, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(44, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(72, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(72, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(100, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(97, 2, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(92, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(92, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 1, 1, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(89, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(117, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(84, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(96, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(112, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(124, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(93, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(121, 2, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(88, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(116, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(13, 0, 0, 0, 17, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(113, 2, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(141, 2, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(124, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(140, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(14, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(121, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(149, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(128, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(144, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(15, 0, 0, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 2, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(153, 2, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(152, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(16, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(133, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(161, 2, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(128, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(156, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(156, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(17, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 17, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(181, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(180, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(208, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(109, 105, 108, 108, 105, 115, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -726,6 +757,19 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 118, 105, 100, 101, 110, 99, 101),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(52, 104, 229, 12, 83, 151, 119, 245),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -746,6 +790,7 @@
                 14 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 15 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 16 => <::capnp::struct_list::Owned<crate::peer::peer_capnp::limit::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                17 => <::capnp::struct_list::Owned<crate::peer::peer_capnp::evidence::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -759,9 +804,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,7,1,3,12,5,16,9,14,0,6,10,13,15,11,8,4];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,7,1,17,3,12,5,16,9,14,0,6,10,13,15,11,8,4];
         pub(crate) const TYPE_ID: u64 = 0xad2f_c725_6ad9_814b;
     }
 }
@@ -2421,6 +2466,259 @@
     }
 }
 
+pub mod evidence {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <> Reader<'_,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_fingerprint(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_upstream(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn get_age_ms(self) -> u32 {
+            self.reader.get_data_field::<u32>(4)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 0 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_fingerprint(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_fingerprint(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_upstream(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_upstream(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+        #[inline]
+        pub fn get_age_ms(self) -> u32 {
+            self.builder.get_data_field::<u32>(4)
+        }
+        #[inline]
+        pub fn set_age_ms(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(4, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 64] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(52, 104, 229, 12, 83, 151, 119, 245),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(39, 82, 161, 156, 57, 191, 28, 128),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 162, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 69, 118, 105, 100, 101),
+            ::capnp::word(110, 99, 101, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(77, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(85, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(80, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(102, 105, 110, 103, 101, 114, 112, 114),
+            ::capnp::word(105, 110, 116, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(117, 112, 115, 116, 114, 101, 97, 109),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 103, 101, 77, 115, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,0,1];
+        pub(crate) const TYPE_ID: u64 = 0xf577_9753_0ce5_6834;
+    }
+}
+
 #[repr(u16)]
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Kind {
--- a/tests/crash.rs
+++ b/tests/crash.rs
@@ -5,10 +5,14 @@
 mod standin;
 
 use std::io::{Read, Write};
-use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{IpAddr, Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use cornelferry::Time;
+use cornelferry::digest::{DeltaDecoder, DeltaEncoder, Digest};
+use cornelferry::member::Process;
+use cornelferry::suspect::{Evidence, Fingerprint, SUSPICION_PERIOD, Sighting, Suspects};
 use http::Request;
 use http_body_util::Full;
 use serde_json::{Value, json};
@@ -173,3 +177,114 @@
         assert_eq!(status, 200, "other requests of the caller are served");
     }
 }
+
+fn evidence(request: u64, sighting: Sighting, millis: u64) -> Evidence {
+    Evidence { fingerprint: Fingerprint(request), sighting, at: Time::from_millis(millis) }
+}
+
+#[test]
+fn a_request_is_blocked_once_three_different_upstreams_have_ended_under_it() {
+    let (mut suspects, now) = (Suspects::default(), Time::from_millis(1_000));
+    let blocked = |s: &Suspects| s.is_blocked(Fingerprint(7), now);
+    for (upstream, is_news) in [(1, true), (2, true), (1, false)] {
+        let seen = evidence(7, Sighting::Crash(upstream), 900);
+        assert_eq!((suspects.record(&seen, now), blocked(&suspects)), (is_news, false));
+    }
+    suspects.record(&evidence(8, Sighting::Crash(3), 900), now);
+    assert!(!blocked(&suspects));
+    suspects.record(&evidence(7, Sighting::Crash(3), 900), now);
+    assert!(blocked(&suspects) && !suspects.is_blocked(Fingerprint(8), now));
+}
+
+#[test]
+fn an_answer_clears_a_request_whose_upstreams_ended_for_another_reason() {
+    let (mut suspects, now) = (Suspects::default(), Time::from_millis(1_000));
+    assert!(!suspects.record(&evidence(7, Sighting::Answer, 100), now));
+    for upstream in 1..=3 {
+        suspects.record(&evidence(7, Sighting::Crash(upstream), 900), now);
+    }
+    assert!(suspects.is_blocked(Fingerprint(7), now));
+    assert!(suspects.record(&evidence(7, Sighting::Answer, 950), now));
+    assert!(!suspects.is_blocked(Fingerprint(7), now));
+    // A peer still tells what was seen before the answer.
+    assert!(!suspects.record(&evidence(7, Sighting::Crash(4), 940), now));
+    assert!(suspects.record(&evidence(7, Sighting::Crash(5), 960), now));
+}
+
+#[test]
+fn a_blocked_request_stays_blocked_for_as_long_as_it_comes() {
+    let mut suspects = Suspects::default();
+    for upstream in 1..=3 {
+        suspects.record(&evidence(7, Sighting::Crash(upstream), 0), Time::ZERO);
+    }
+    let mut now = Time::ZERO;
+    for _ in 0..4 {
+        now = now + SUSPICION_PERIOD / 2;
+        suspects.expire(now);
+        assert!(suspects.refuse(Fingerprint(7), now));
+    }
+    now = now + SUSPICION_PERIOD;
+    assert!(!suspects.refuse(Fingerprint(7), now));
+    suspects.expire(now);
+    assert!(!suspects.contains(Fingerprint(7)));
+}
+
+#[test]
+fn the_suspects_kept_are_limited_and_blocked_ones_stay() {
+    let (mut suspects, now) = (Suspects::default(), Time::from_millis(10_000));
+    for upstream in 1..=3 {
+        suspects.record(&evidence(7, Sighting::Crash(upstream), 1), now);
+    }
+    for request in 100..5_000 {
+        suspects.record(&evidence(request, Sighting::Crash(1), 2 + request), now);
+    }
+    suspects.expire(now);
+    assert!(suspects.is_blocked(Fingerprint(7), now));
+    assert!(suspects.evidence().len() < 600);
+    assert!(suspects.contains(Fingerprint(4_999)) && !suspects.contains(Fingerprint(100)));
+}
+
+#[test]
+fn copies_of_a_request_have_one_fingerprint_and_others_do_not() {
+    let [a, b] = [1, 2].map(|last| IpAddr::from([10, 0, 0, last]));
+    let of = |caller, path, body: &[u8]| Fingerprint::new(caller, "PUT", "h", path, body);
+    let request = of(a, "/a", b"b");
+    assert_eq!(request, of(a, "/a", b"b"));
+    for other in [of(b, "/a", b"b"), of(a, "/a?b", b"b"), of(a, "/a", b"c"), of(a, "/ab", b"")] {
+        assert_ne!(request, other);
+    }
+}
+
+#[test]
+fn a_new_connection_carries_all_evidence_and_then_only_news() {
+    let (mut suspects, now) = (Suspects::default(), Time::from_millis(10_000));
+    for request in 0..40 {
+        suspects.record(&evidence(request, Sighting::Crash(1), 5_000), now);
+    }
+    for upstream in 1..=3 {
+        suspects.record(&evidence(99, Sighting::Crash(upstream), 5_000), now);
+    }
+    let sender = Process {
+        host: "entry-1".into(),
+        data_centre: "a".into(),
+        address: SocketAddr::from((Ipv4Addr::LOCALHOST, 8_000)),
+        incarnation: 1,
+    };
+    let (mut encoder, mut decoder) = (DeltaEncoder::default(), DeltaDecoder::default());
+    let mut received = Suspects::default();
+    let mut exchange = |suspects: &Suspects| {
+        let mut digest = Digest::default();
+        encoder.add_sender(&sender, &mut digest);
+        encoder.add_evidence(suspects, now, &mut digest);
+        let decoded = decoder.decode(&digest, now).expect("sender");
+        decoded.evidence.iter().for_each(|e| {
+            received.record(e, now);
+        });
+        (digest.evidence.len(), received.is_blocked(Fingerprint(99), now))
+    };
+    assert_eq!(exchange(&suspects), (32, true));
+    assert_eq!(exchange(&suspects), (11, true));
+    assert_eq!(exchange(&suspects), (0, true));
+    suspects.record(&evidence(99, Sighting::Answer, 6_000), now);
+    assert_eq!(exchange(&suspects), (1, false));
+}
