Recognise copies of a request whoever sends them, and try a blocked one again

With copies from changing addresses the socket test failed on as before the fix (34 sends late).

Change: the fingerprint leaves the caller out. A second one leaves out the query. As more requests now share a fingerprint, such as a page that everybody reads, many upstreams ending at once could block them all: a copy of a blocked request is sent on trial 10 s after the last end of an upstream, and another 60 s after that, by the host that owns the duty; an answer frees the request.

Evidence: tests for the trial, for a request lost with 20 upstreams at once, and the socket test from 200 addresses pass.

--- a/src/decide/suspect.rs
+++ b/src/decide/suspect.rs
@@ -1,14 +1,17 @@
 //! Requests under which upstreams have ended, and which are blocked.
 //!
 //! A request that ends each upstream that runs it comes again and again, at any host. What hosts see
-//! is shared, so that its upstreams are counted across the fleet. Harmless requests are lost with
-//! the upstreams too; an answer to a copy shows that the request was not the cause.
+//! is shared, so that its upstreams are counted across the fleet.
+//!
+//! Harmless requests are lost with the upstreams too, all at once if many end for another reason. An
+//! answer to a copy shows that the request was not the cause. So that a blocked request can be
+//! answered, a copy is sent on trial twice, after increasing times.
 
 use std::hash::Hasher;
-use std::net::IpAddr;
 use std::time::Duration;
 
 use derive_more::Display;
+use http::uri::PathAndQuery;
 use twox_hash::XxHash64;
 
 use crate::time::Time;
@@ -18,29 +21,52 @@
 /// The time after which an upstream's end no longer counts, and for which a request is blocked after
 /// it last came.
 pub const SUSPICION_PERIOD: Duration = Duration::from_secs(600);
+/// The ends of upstreams that are remembered for a request.
+const CRASHES_KEPT: usize = 8;
+/// The shortest time between the ends of two upstreams that count as two episodes.
+const EPISODE_GAP: Duration = Duration::from_secs(5);
+/// The time after the last episode at which a copy of a blocked request is sent on trial, by the
+/// number of episodes. There is no trial after more.
+const TRIAL_DELAYS: [Duration; 2] = [Duration::from_secs(10), Duration::from_secs(60)];
 /// The number of suspects that are kept.
 const SUSPECTS_MAX: usize = 512;
 
-/// A hash by which copies of a request are recognised: over its caller, method, host, path with
-/// query, and body.
+/// A hash by which copies of a request are recognised.
 #[derive(Clone, Copy, Debug, Display, Default, PartialEq, Eq, PartialOrd, Ord)]
 #[display("{_0:016x}")]
 pub struct Fingerprint(pub u64);
 
-impl Fingerprint {
-    /// Returns the fingerprint of a request. The port of the caller is left out, since each
-    /// connection has its own.
-    pub fn new(caller: IpAddr, method: &str, host: &str, path: &str, body: &[u8]) -> Fingerprint {
-        let mut hasher = XxHash64::default();
-        match caller {
-            IpAddr::V4(ip) => hasher.write(&ip.octets()),
-            IpAddr::V6(ip) => hasher.write(&ip.octets()),
-        }
-        for part in [method.as_bytes(), host.as_bytes(), path.as_bytes(), body] {
-            hasher.write(&part.len().to_le_bytes());
-            hasher.write(part);
-        }
-        Fingerprint(hasher.finish())
+/// The fingerprints of a request: with the query of its path and without it, as the copies of a
+/// request may differ there. Callers are not told apart: the same request ends upstreams whoever
+/// sends it, and one caller may come from several addresses.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Fingerprints {
+    /// Over method, host, path with query, and body.
+    pub with_query: Fingerprint,
+    /// The same without the query. Equal to `with_query` if there is none.
+    pub without_query: Fingerprint,
+}
+
+impl Fingerprints {
+    /// Returns the fingerprints of a request.
+    pub fn new(method: &str, host: &str, path: &PathAndQuery, body: &[u8]) -> Fingerprints {
+        let of = |path: &str| {
+            let mut hasher = XxHash64::default();
+            for part in [method.as_bytes(), host.as_bytes(), path.as_bytes(), body] {
+                hasher.write(&part.len().to_le_bytes());
+                hasher.write(part);
+            }
+            Fingerprint(hasher.finish())
+        };
+        let without_query = of(path.path());
+        let with_query = path.query().map_or(without_query, |_| of(path.as_str()));
+        Fingerprints { with_query, without_query }
+    }
+
+    /// Returns the different ones.
+    pub fn iter(self) -> impl Iterator<Item = Fingerprint> {
+        let other = (self.with_query != self.without_query).then_some(self.with_query);
+        std::iter::once(self.without_query).chain(other)
     }
 }
 
@@ -64,6 +90,17 @@
     pub at: Time,
 }
 
+/// The decision on a request that has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// It is not blocked.
+    Free,
+    /// It is blocked, and is not sent.
+    Blocked,
+    /// It is blocked, and is sent once to see whether it is answered.
+    OnTrial,
+}
+
 /// The end of an upstream under a request.
 #[derive(Clone, Copy, Debug)]
 struct Crash {
@@ -78,7 +115,7 @@
 #[derive(Clone, Debug)]
 struct Suspect {
     fingerprint: Fingerprint,
-    /// The upstreams that have ended, at most [`CRASHES_MAX`].
+    /// The upstreams that have ended, at most [`CRASHES_KEPT`].
     crashes: Vec<Crash>,
     /// When an upstream last answered it, with the number of the evidence.
     answered: Option<(Time, u64)>,
@@ -86,6 +123,8 @@
     listed: Option<Time>,
     /// When it last came to this host while it was blocked.
     refused: Option<Time>,
+    /// When this host last sent a copy on trial.
+    tried: Option<Time>,
 }
 
 impl Suspect {
@@ -100,6 +139,18 @@
         crash.max(answer).max(self.listed).max(self.refused).unwrap_or_default()
     }
 
+    /// Returns whether a copy of a blocked request is to be sent on trial.
+    fn is_trial_due(&self, now: Time) -> bool {
+        let mut times: Vec<Time> = self.crashes.iter().map(|c| c.at).collect();
+        times.sort_unstable();
+        let gaps = times.windows(2).filter(|w| w[1].since(w[0]) >= EPISODE_GAP).count();
+        let last = times.last().copied().max(self.tried);
+        match (TRIAL_DELAYS.get(gaps), last) {
+            (Some(delay), Some(last)) => now.since(last) >= *delay,
+            _ => false,
+        }
+    }
+
     fn is_blocked(&self, now: Time) -> bool {
         self.is_convicted() && now.since(self.last_seen()) < SUSPICION_PERIOD
     }
@@ -138,7 +189,7 @@
             }
             (Sighting::Crash(upstream), _) => {
                 let suspect = self.suspect(fingerprint);
-                let is_news = suspect.crashes.len() < CRASHES_MAX
+                let is_news = suspect.crashes.len() < CRASHES_KEPT
                     && suspect.answered.is_none_or(|(last, _)| last < at)
                     && suspect.crashes.iter().all(|c| c.upstream != upstream);
                 if is_news {
@@ -160,17 +211,28 @@
         }
     }
 
-    /// Returns whether a request is blocked. One that comes while it is blocked stays so for longer.
-    pub fn refuse(&mut self, fingerprint: Fingerprint, now: Time) -> bool {
-        let Ok(i) = self.find(fingerprint) else { return false };
-        let is_blocked = self.rows[i].is_blocked(now);
-        if is_blocked {
-            self.rows[i].refused = Some(now);
+    /// Decides on a request that has come. One that comes while it is blocked stays so for longer.
+    /// `is_tester` returns whether this host is the one to send a copy on trial.
+    pub fn verdict(
+        &mut self,
+        fingerprints: Fingerprints,
+        now: Time,
+        is_tester: impl FnOnce() -> bool,
+    ) -> Verdict {
+        let rows: Vec<usize> = fingerprints.iter().filter_map(|f| self.find(f).ok()).collect();
+        let rows: Vec<usize> = rows.into_iter().filter(|&i| self.rows[i].is_blocked(now)).collect();
+        if rows.is_empty() {
+            return Verdict::Free;
+        }
+        rows.iter().for_each(|&i| self.rows[i].refused = Some(now));
+        if rows.iter().any(|&i| !self.rows[i].is_trial_due(now)) || !is_tester() {
+            return Verdict::Blocked;
         }
-        is_blocked
+        rows.iter().for_each(|&i| self.rows[i].tried = Some(now));
+        Verdict::OnTrial
     }
 
-    /// Returns whether a request is blocked.
+    /// Returns whether the request with a fingerprint is blocked.
     pub fn is_blocked(&self, fingerprint: Fingerprint, now: Time) -> bool {
         self.find(fingerprint).is_ok_and(|i| self.rows[i].is_blocked(now))
     }
@@ -228,6 +290,7 @@
                 answered: None,
                 listed: None,
                 refused: None,
+                tried: None,
             };
             self.rows.insert(i, row);
             i
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -16,7 +16,7 @@
 use crate::config::Service;
 use crate::decide::kinds::LatencyGoal;
 use crate::decide::matching::Match;
-use crate::decide::suspect::Fingerprint;
+use crate::decide::suspect::Fingerprints;
 use crate::entry::socket::CallerConnection;
 use crate::error::Code;
 use crate::forward::BufferedRequest;
@@ -72,7 +72,6 @@
         let stopping = node.phase() >= Phase::Draining;
         return Err(if stopping { Code::Stopping } else { Code::BadRequest });
     }
-    let caller_ip = req.body().socket_addr().ip();
     let (parts, ext) = req.into_parts();
     let routes = node.routes();
     check_head(&parts, &node.settings.limits, routes.head_max_bytes())?;
@@ -102,11 +101,10 @@
     if caller.is_read_closed() {
         return Err(Code::BodyCut);
     }
-    let path = target.path.as_str();
-    let fingerprint = Fingerprint::new(caller_ip, parts.method.as_str(), &target.host, path, &body);
+    let fingerprints = Fingerprints::new(parts.method.as_str(), &target.host, &target.path, &body);
     Ok(BufferedRequest {
         id: id.clone(),
-        fingerprint,
+        fingerprints,
         service,
         treatment,
         deadline,
--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -16,7 +16,7 @@
 use crate::config::{DeclaredRefusal, LoadFormat, Service};
 use crate::decide::admission::Target;
 use crate::decide::attempt::{AttemptNumber, AttemptOutcome};
-use crate::decide::suspect::Fingerprint;
+use crate::decide::suspect::Fingerprints;
 use crate::decide::upstream::{AttemptReport, Occupancy, UpstreamOutcome};
 use crate::event::{EventCode, Subject};
 use crate::forward::BufferedRequest;
@@ -70,7 +70,7 @@
     node: Arc<Node>,
     service: Arc<Service>,
     request_id: Arc<str>,
-    fingerprint: Fingerprint,
+    fingerprints: Fingerprints,
     log: Rc<RequestLog>,
     target: Target,
     started: Time,
@@ -94,7 +94,7 @@
             node: node.clone(),
             service: request.service.clone(),
             request_id: request.id.clone(),
-            fingerprint: request.fingerprint,
+            fingerprints: request.fingerprints,
             log: request.log.clone(),
             target,
             started: node.clock.now(),
@@ -166,7 +166,7 @@
         let report = AttemptReport { outcome: upstream_outcome, latency, load, draining };
         self.node.finish_attempt(&self.service.name, self.target.id, &report);
         match upstream_outcome {
-            UpstreamOutcome::Answered => self.node.record_answer(self.fingerprint),
+            UpstreamOutcome::Answered => self.node.record_answer(self.fingerprints),
             UpstreamOutcome::Lost => self.check_upstream(),
             _ => {}
         }
@@ -178,7 +178,7 @@
             service: self.service.clone(),
             target: self.target.clone(),
             request_id: self.request_id.clone(),
-            fingerprint: self.fingerprint,
+            fingerprints: self.fingerprints,
         };
         spawn_local(crash::check(self.node.clone(), crash));
     }
--- a/src/forward/crash.rs
+++ b/src/forward/crash.rs
@@ -5,7 +5,7 @@
 
 use crate::config::Service;
 use crate::decide::admission::Target;
-use crate::decide::suspect::{Evidence, Fingerprint, Sighting, upstream_hash};
+use crate::decide::suspect::{Evidence, Fingerprints, Sighting, Verdict, upstream_hash};
 use crate::event::{EventCode, Subject};
 use crate::forward::connection::{ConnectError, Connection};
 use crate::node::Node;
@@ -20,7 +20,7 @@
     pub(crate) service: Arc<Service>,
     pub(crate) target: Target,
     pub(crate) request_id: Arc<str>,
-    pub(crate) fingerprint: Fingerprint,
+    pub(crate) fingerprints: Fingerprints,
 }
 
 /// Opens a connection to the upstream. If it accepts none, it has ended under the request.
@@ -43,18 +43,17 @@
 fn record(node: &Node, crash: &Crash) {
     let subject = Subject {
         request: Some(crash.request_id.clone()),
-        fingerprint: Some(crash.fingerprint.to_string().into()),
+        fingerprint: Some(crash.fingerprints.with_query.to_string().into()),
         service: Some(crash.service.name.clone()),
         upstream: Some(crash.target.name.clone()),
         ..Subject::default()
     };
     node.events.record(EventCode::UpstreamCrashed, subject, None);
-    let upstream = upstream_hash(&crash.service.name, &crash.target.name);
-    node.record_evidence(&Evidence {
-        fingerprint: crash.fingerprint,
-        sighting: Sighting::Crash(upstream),
-        at: node.clock.now(),
-    });
+    let sighting = Sighting::Crash(upstream_hash(&crash.service.name, &crash.target.name));
+    let at = node.clock.now();
+    for fingerprint in crash.fingerprints.iter() {
+        node.record_evidence(&Evidence { fingerprint, sighting, at });
+    }
 }
 
 impl Node {
@@ -82,16 +81,27 @@
     }
 
     /// Records that an upstream has answered a request. This matters only for suspects.
-    pub(crate) fn record_answer(&self, fingerprint: Fingerprint) {
-        let is_suspect = self.suspects.lock().contains(fingerprint);
-        if is_suspect {
-            let at = self.clock.now();
-            self.record_evidence(&Evidence { fingerprint, sighting: Sighting::Answer, at });
+    pub(crate) fn record_answer(&self, fingerprints: Fingerprints) {
+        for fingerprint in fingerprints.iter() {
+            if self.suspects.lock().contains(fingerprint) {
+                let at = self.clock.now();
+                self.record_evidence(&Evidence { fingerprint, sighting: Sighting::Answer, at });
+            }
         }
     }
 
-    /// Returns whether a request that has come is blocked.
-    pub(crate) fn refuse_blocked(&self, fingerprint: Fingerprint) -> bool {
-        self.suspects.lock().refuse(fingerprint, self.clock.now())
+    /// Decides whether a request that has come may be sent to an upstream.
+    pub(crate) fn verdict(&self, fingerprints: Fingerprints) -> Verdict {
+        let now = self.clock.now();
+        let duty = || format!("trial/{}", fingerprints.without_query);
+        let is_tester = || self.members.lock().owns(&duty(), now);
+        self.suspects.lock().verdict(fingerprints, now, is_tester)
+    }
+
+    /// Returns whether a request is blocked, on trial or not.
+    pub(crate) fn is_blocked(&self, fingerprints: Fingerprints) -> bool {
+        let now = self.clock.now();
+        let suspects = self.suspects.lock();
+        fingerprints.iter().any(|f| suspects.is_blocked(f, now))
     }
 }
--- a/src/forward/driver.rs
+++ b/src/forward/driver.rs
@@ -13,7 +13,7 @@
 use crate::decide::admission::{Admission, Refusal, Target};
 use crate::decide::attempt::{AttemptLimits, AttemptNumber, Attempts, Event, RequestResult, Step};
 use crate::decide::service::NextAttempt;
-use crate::decide::suspect::SUSPICION_PERIOD;
+use crate::decide::suspect::Verdict;
 use crate::decide::upstream::UpstreamId;
 use crate::dispatch::Dispatch;
 use crate::entry::waiting::Waiter;
@@ -39,6 +39,9 @@
 /// A hedge that found no target is tried again after the latency objective divided by this number.
 const HEDGE_RECHECK_DIVISOR: u64 = 8;
 
+/// The `Retry-After` time of a blocked request: the time until a copy is sent on trial.
+const BLOCKED_RETRY_AFTER: Duration = Duration::from_secs(10);
+
 /// Drives a request to its final response. `disconnected` completes when the caller closes its
 /// connection.
 pub(crate) async fn run(
@@ -47,7 +50,8 @@
     disconnected: impl Future<Output = ()>,
 ) -> ProxyResponse {
     let mut disconnected = pin!(disconnected);
-    if node.refuse_blocked(request.fingerprint) {
+    let verdict = node.verdict(request.fingerprints);
+    if verdict == Verdict::Blocked {
         return *blocked_response(node, request);
     }
     if request.service.probe_before_send {
@@ -55,7 +59,7 @@
     }
     match admit(node, request, disconnected.as_mut()).await {
         // It may have been blocked while it waited.
-        Ok(target) if node.refuse_blocked(request.fingerprint) => {
+        Ok(target) if verdict == Verdict::Free && node.is_blocked(request.fingerprints) => {
             node.cancel_attempt(&request.service.name, &target);
             *blocked_response(node, request)
         }
@@ -102,9 +106,9 @@
     }
 }
 
-/// Returns the response to a request that is blocked. It stays so for as long as it keeps coming.
+/// Returns the response to a request that is blocked.
 fn blocked_response(node: &Node, request: &BufferedRequest) -> Box<ProxyResponse> {
-    let refusal = Refusal { code: Code::Blocked, retry_after: SUSPICION_PERIOD };
+    let refusal = Refusal { code: Code::Blocked, retry_after: BLOCKED_RETRY_AFTER };
     refusal_response(node, request, &refusal)
 }
 
@@ -208,7 +212,7 @@
             Step::Retry => (NextAttempt::Retry, EventCode::Retried),
             Step::Hedge => (NextAttempt::Hedge, EventCode::Hedged),
         };
-        if self.node.refuse_blocked(self.request.fingerprint) {
+        if self.node.is_blocked(self.request.fingerprints) {
             return self.finish_with(Event::NoTarget);
         }
         let target = match reason {
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -20,7 +20,7 @@
 use crate::config::{Service, Treatment};
 use crate::decide::admission;
 use crate::decide::kinds::LatencyGoal;
-use crate::decide::suspect::Fingerprint;
+use crate::decide::suspect::Fingerprints;
 use crate::forward::memory::Reservation;
 use crate::request_log::RequestLog;
 use crate::time::Time;
@@ -38,7 +38,7 @@
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
-    pub(crate) fingerprint: Fingerprint,
+    pub(crate) fingerprints: Fingerprints,
     /// The log of the decisions on this request.
     pub(crate) log: Rc<RequestLog>,
     /// The memory reserved for the body.
--- a/tests/crash.rs
+++ b/tests/crash.rs
@@ -5,14 +5,16 @@
 mod standin;
 
 use std::io::{Read, Write};
-use std::net::{IpAddr, Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use cornelferry::Time;
 use cornelferry::digest::{DeltaDecoder, DeltaEncoder, Digest};
 use cornelferry::member::Process;
-use cornelferry::suspect::{Evidence, Fingerprint, SUSPICION_PERIOD, Sighting, Suspects};
+use cornelferry::suspect::{
+    Evidence, Fingerprint, Fingerprints, SUSPICION_PERIOD, Sighting, Suspects, Verdict,
+};
 use http::Request;
 use http_body_util::Full;
 use serde_json::{Value, json};
@@ -23,6 +25,8 @@
 
 /// The path of the request that ends upstreams.
 const POISON: &str = "/book/read/poison";
+/// The number of addresses from which copies of the request come.
+const CALLER_ADDRESSES: usize = 200;
 /// The time for which an upstream that has ended accepts no connections.
 const DOWN: Duration = Duration::from_millis(600);
 /// The time after the third upstream has ended from which hosts must no longer send the request.
@@ -128,8 +132,11 @@
 }
 
 /// Sends one request, and returns the status and the code of the response.
-async fn send(daemon: &Daemon, path: &str, id: &str) -> (u16, u16) {
-    let Ok(mut caller) = Caller::connect(daemon.caller).await else { return (0, 0) };
+async fn send(daemon: &Daemon, path: &str, number: usize) -> (u16, u16) {
+    let from = Ipv4Addr::new(127, 0, 0, (number % CALLER_ADDRESSES) as u8 + 1);
+    let connected = Caller::connect_from(from, daemon.caller).await;
+    let Ok(mut caller) = connected else { return (0, 0) };
+    let id = format!("r-{number}");
     let req = Request::builder().method("GET").uri(path).header("host", "port.example");
     let req = req.header("x-attempt-id", id).header("x-deadline-ms", "700");
     let Ok(res) = caller.send(req.body(Full::default()).expect("request")).await else {
@@ -145,7 +152,7 @@
         if Instant::now() >= end {
             return;
         }
-        send(daemon, POISON, &format!("p-{number}")).await;
+        send(daemon, POISON, number).await;
         tokio::time::sleep(Duration::from_millis(40)).await;
     }
 }
@@ -173,7 +180,7 @@
     let late = late(&crashes);
     assert!(late <= LATE_MAX, "sent {late} times after three upstreams had ended and 3 s");
     for daemon in &daemons {
-        let (status, _) = send(daemon, "/book/read/harmless", "h-1").await;
+        let (status, _) = send(daemon, "/book/read/harmless", 0).await;
         assert_eq!(status, 200, "other requests of the caller are served");
     }
 }
@@ -211,6 +218,10 @@
     assert!(suspects.record(&evidence(7, Sighting::Crash(5), 960), now));
 }
 
+fn only(request: u64) -> Fingerprints {
+    Fingerprints { with_query: Fingerprint(request), without_query: Fingerprint(request) }
+}
+
 #[test]
 fn a_blocked_request_stays_blocked_for_as_long_as_it_comes() {
     let mut suspects = Suspects::default();
@@ -221,14 +232,46 @@
     for _ in 0..4 {
         now = now + SUSPICION_PERIOD / 2;
         suspects.expire(now);
-        assert!(suspects.refuse(Fingerprint(7), now));
+        assert_eq!(suspects.verdict(only(7), now, || false), Verdict::Blocked);
     }
     now = now + SUSPICION_PERIOD;
-    assert!(!suspects.refuse(Fingerprint(7), now));
+    assert_eq!(suspects.verdict(only(7), now, || false), Verdict::Free);
     suspects.expire(now);
     assert!(!suspects.contains(Fingerprint(7)));
 }
 
+#[test]
+fn a_blocked_request_is_sent_on_trial_twice_at_most() {
+    let mut suspects = Suspects::default();
+    // More upstreams end before the fleet has learned of the first three.
+    for upstream in 1..=6 {
+        suspects.record(&evidence(7, Sighting::Crash(upstream), 100 * upstream), Time::ZERO);
+    }
+    let mut trials = Vec::new();
+    for second in 1..=500 {
+        let now = Time::from_millis(second * 1_000);
+        if suspects.verdict(only(7), now, || true) == Verdict::OnTrial {
+            trials.push(second);
+            let crash = Sighting::Crash(100 + second);
+            suspects.record(&evidence(7, crash, second * 1_000), now);
+        }
+    }
+    assert_eq!(trials, [11, 71]);
+}
+
+#[test]
+fn a_request_that_was_lost_with_many_upstreams_at_once_is_free_after_a_trial() {
+    let mut suspects = Suspects::default();
+    for upstream in 1..=20 {
+        suspects.record(&evidence(7, Sighting::Crash(upstream), 0), Time::ZERO);
+    }
+    let now = Time::from_millis(10_000);
+    assert_eq!(suspects.verdict(only(7), now, || true), Verdict::OnTrial);
+    assert_eq!(suspects.verdict(only(7), now, || true), Verdict::Blocked);
+    suspects.record(&evidence(7, Sighting::Answer, 10_050), now);
+    assert_eq!(suspects.verdict(only(7), now, || true), Verdict::Free);
+}
+
 #[test]
 fn the_suspects_kept_are_limited_and_blocked_ones_stay() {
     let (mut suspects, now) = (Suspects::default(), Time::from_millis(10_000));
@@ -246,12 +289,15 @@
 
 #[test]
 fn copies_of_a_request_have_one_fingerprint_and_others_do_not() {
-    let [a, b] = [1, 2].map(|last| IpAddr::from([10, 0, 0, last]));
-    let of = |caller, path, body: &[u8]| Fingerprint::new(caller, "PUT", "h", path, body);
-    let request = of(a, "/a", b"b");
-    assert_eq!(request, of(a, "/a", b"b"));
-    for other in [of(b, "/a", b"b"), of(a, "/a?b", b"b"), of(a, "/a", b"c"), of(a, "/ab", b"")] {
-        assert_ne!(request, other);
+    let of =
+        |path: &str, body: &[u8]| Fingerprints::new("PUT", "h", &path.parse().expect("path"), body);
+    let request = of("/a?n=1", b"b");
+    assert_eq!(request, of("/a?n=1", b"b"));
+    assert_eq!(request.without_query, of("/a?n=2", b"b").without_query);
+    assert_eq!(request.iter().count(), 2);
+    assert_eq!(of("/a", b"b").iter().count(), 1);
+    for other in [of("/a?n=2", b"b"), of("/a?n=1", b"c"), of("/an=1", b"b"), of("/ab", b"")] {
+        assert_ne!(request.with_query, other.with_query);
     }
 }
 
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -250,7 +250,18 @@
     ///
     /// Returns an error if the connection can't be opened.
     pub async fn connect(address: SocketAddr) -> std::io::Result<Caller> {
-        let stream = tokio::net::TcpStream::connect(address).await?;
+        Caller::connect_from(Ipv4Addr::LOCALHOST, address).await
+    }
+
+    /// Connects to a daemon from a loopback address.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection can't be opened.
+    pub async fn connect_from(from: Ipv4Addr, address: SocketAddr) -> std::io::Result<Caller> {
+        let socket = tokio::net::TcpSocket::new_v4()?;
+        socket.bind((from, 0).into())?;
+        let stream = socket.connect(address).await?;
         let (tx, conn) = handshake(TokioIo::new(stream)).await.expect("handshake");
         tokio::spawn(conn);
         Ok(Caller { tx })
