Keep blocked requests in the registry, for hosts that start

After all hosts had been restarted at once, nobody knew of a blocked request, and three more upstreams would have ended under it. The test restarts the whole fleet: the request is still refused and no upstream ends.

--- a/examples/standin/registry.rs
+++ b/examples/standin/registry.rs
@@ -173,6 +173,13 @@
         self.history.push((key.to_owned(), self.revision, value));
     }
 
+    /// Removes the keys that are attached to a lease.
+    fn end_lease(&mut self, lease: u64) {
+        let attached = self.items.iter().filter(|(_, item)| item.lease == lease && lease > 0);
+        let keys: Vec<String> = attached.map(|(key, _)| key.clone()).collect();
+        keys.iter().for_each(|key| self.change(key, None, 0));
+    }
+
     /// Returns the keys that begin with `prefix` and come after `after`.
     fn range(&self, prefix: &str, after: &str) -> Value {
         let matches = |k: &&String| k.starts_with(prefix) && k.as_str() > after;
@@ -247,6 +254,11 @@
             }
             response(StatusCode::OK, &json!({"revision": state.revision}))
         }
+        (&Method::DELETE, _) if path.starts_with("/api/kv-lease-end/") => {
+            let lease = path.rsplit('/').next().and_then(|id| id.parse().ok()).unwrap_or(0);
+            state.end_lease(lease);
+            response(StatusCode::OK, &json!({}))
+        }
         (&Method::POST, _) if path.starts_with("/api/kv-keep/") => {
             state.renewed += 1;
             response(StatusCode::OK, &json!({"ttlS_time": 30}))
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -217,6 +217,17 @@
         has_lease(&path, &res)
     }
 
+    /// Ends a lease, with which its keys are removed. One that has expired counts as ended.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`CallError`] if the call fails.
+    pub(crate) async fn revoke(&self, lease: LeaseId) -> Result<(), CallError> {
+        let path = format!("/api/kv-lease-end/{}", lease.0);
+        let res = self.call(CallKind::Lease, Method::DELETE, &path, None).await?;
+        has_lease(&path, &res).map(drop)
+    }
+
     /// Stores a value under a lease. Returns false if the lease has expired.
     ///
     /// # Errors
--- a/src/registry/follower.rs
+++ b/src/registry/follower.rs
@@ -26,7 +26,7 @@
 use crate::store::call::CallError;
 use crate::time::Time;
 
-use super::{HOSTS_PREFIX, registration_key, shared_retry_delay};
+use super::{HOSTS_PREFIX, blocked, registration_key, shared_retry_delay};
 
 /// The duty of reading the registry, by which hosts are ranked.
 const READ_DUTY: &str = "registry";
@@ -57,6 +57,7 @@
 pub(super) struct Follower<'a> {
     node: &'a Arc<Node>,
     client: &'a Client,
+    prefix: String,
     hosts_prefix: String,
     /// The registered entry hosts, sorted by name.
     entry_hosts: Vec<Arc<Host>>,
@@ -85,6 +86,7 @@
         Follower {
             node,
             client,
+            prefix: cfg.prefix.clone(),
             hosts_prefix: format!("{}{HOSTS_PREFIX}", cfg.prefix),
             entry_hosts: Vec::new(),
             missing_registrations: MissingRegistrations::default(),
@@ -280,6 +282,11 @@
         self.offer(records);
         let mut has_changed = false;
         for change in changes {
+            if change.value.is_some()
+                && let Some(fingerprint) = blocked::fingerprint(&self.prefix, &change.key)
+            {
+                self.node.suspects.lock().block(fingerprint, now);
+            }
             if change.key.starts_with(&self.hosts_prefix) {
                 has_changed |= self.apply_entry_host(change, now);
             }
--- a/src/registry/mod.rs
+++ b/src/registry/mod.rs
@@ -5,6 +5,7 @@
 //! [`crate::decide::reads`]. Any host whose copy becomes too old reads for itself, whatever the
 //! reason. This bounds the age of every copy without the need to detect that a reader has failed.
 
+mod blocked;
 mod follower;
 mod freshness;
 mod registration;
@@ -42,7 +43,11 @@
     let client = Client::connect(cfg.address, cfg.calls_per_second, calls, observe_era);
     let (own_registration, previous) = oneshot::channel();
     let mut follower = Follower::new(&node, &cfg, &client, own_registration);
-    tokio::join!(registration::run(&node, &cfg, &client, previous), follower.run());
+    tokio::join!(
+        registration::run(&node, &cfg, &client, previous),
+        blocked::run(&node, &cfg, &client),
+        follower.run()
+    );
 }
 
 fn registration_key(cfg: &settings::Registry, host: &str) -> String {
--- a/tests/crash.rs
+++ b/tests/crash.rs
@@ -31,6 +31,8 @@
 const DOWN: Duration = Duration::from_millis(600);
 /// The time after the third upstream has ended from which hosts must no longer send the request.
 const CONTACT: Duration = Duration::from_secs(3);
+/// The code of the response to a blocked request.
+const BLOCKED: u16 = 2019;
 /// How often the request may still be sent after that time.
 const LATE_MAX: usize = 3;
 
@@ -185,6 +187,36 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_request_that_ends_upstreams_stays_blocked_after_a_restart_of_the_whole_fleet() {
+    let crashes = Crashes::default();
+    let registry = Registry::start(SocketAddr::from((Ipv4Addr::LOCALHOST, 0))).await;
+    registry.put("op/config", &config(3, "/book/"));
+    for id in ["u-1", "u-2", "u-3", "u-4"] {
+        let upstream = FragileUpstream::start(id, &crashes);
+        registry.put(&format!("servers/{id}"), &upstream.registration());
+    }
+    let daemons: Vec<Daemon> = (1..=2).map(|i| Daemon::run(&settings(i, &registry))).collect();
+    wait_until("the hosts know each other", || daemons.iter().all(|d| live_peers(d) == 1));
+    let mut number = 0;
+    while send(&daemons[number % 2], POISON, number).await != (503, BLOCKED) {
+        number += 1;
+        assert!(number < 500, "the request is not blocked");
+        tokio::time::sleep(Duration::from_millis(40)).await;
+    }
+    wait_until("the request is listed", || !registry.keys("cornelferry/blocked/").is_empty());
+    let daemons: Vec<Daemon> = daemons
+        .into_iter()
+        .zip(1..)
+        .map(|(daemon, i)| daemon.restart(&settings(i, &registry)))
+        .collect();
+    let before = crashes.lock().expect("crashes").len();
+    for daemon in &daemons {
+        assert_eq!(send(daemon, POISON, 0).await, (503, BLOCKED));
+    }
+    assert_eq!(crashes.lock().expect("crashes").len(), before);
+}
+
 fn evidence(request: u64, sighting: Sighting, millis: u64) -> Evidence {
     Evidence { fingerprint: Fingerprint(request), sighting, at: Time::from_millis(millis) }
 }
