Play rate limits and requests that end upstreams in the soak

Each run lets one upstream name a limit and sends copies of a request under which upstreams end to random hosts for 7 s; the limit is checked as the users state it, and so is what is still sent 3 s after the third upstream. The base schedule of a seed is unchanged.

--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -36,7 +36,7 @@
 };
 use proxy::{Mode, Proxy};
 use standin::registry::Registry;
-use upstream::{Fault, Upstream};
+use upstream::{Fault, POISON, Upstream};
 
 /// Seeds of the CI run. A seed that has ever failed stays here, with a line on the cause.
 ///
@@ -57,6 +57,10 @@
 const FAULT_INTERVAL_MS: std::ops::Range<u64> = 150..700;
 /// Range of the duration of a fault.
 const FAULT_DURATION_MS: std::ops::Range<u64> = 200..2_000;
+/// Time for which copies of a request under which upstreams end are sent.
+const POISON_TIME: Duration = Duration::from_secs(7);
+/// Time between two of these copies.
+const POISON_INTERVAL: Duration = Duration::from_millis(150);
 /// Time after the last fault within which the fleet must have recovered.
 const SETTLE_TIME: Duration = Duration::from_secs(4);
 /// Time after which the operator and the upstreams write again what the registry has lost.
@@ -353,6 +357,37 @@
         }
     }
 
+    /// Lets an upstream name a rate limit until the end of the run, unless one does so already.
+    /// Another one joins.
+    async fn limit_upstream(&self, rng: &mut SmallRng) {
+        let upstream = {
+            let upstreams = self.upstreams.lock();
+            let has_limited = upstreams.iter().any(|u| u.is_limited());
+            upstreams.choose(rng).filter(|_| !has_limited).cloned()
+        };
+        if let Some(upstream) = upstream {
+            upstream.name_limit();
+            self.add_upstream(rng).await;
+        }
+    }
+
+    /// Sends copies of a request under which upstreams end to random hosts.
+    async fn send_poison(&self, rng: &mut SmallRng) {
+        let path = format!("{POISON}{:x}", rng.random::<u32>());
+        let end = Instant::now() + POISON_TIME;
+        while Instant::now() < end {
+            let host = rng.random_range(0..self.addresses.len());
+            let id = format!("p-{host}-{:x}", rng.random::<u64>());
+            if let Ok(mut conn) = Caller::connect(self.addresses[host]).await {
+                let req = Request::builder().uri(&path).header("host", "port.example");
+                let req = req.header("x-attempt-id", id).header("x-deadline-ms", "1500");
+                let req = req.body(Full::new(Bytes::new())).expect("request");
+                let _ = tokio::time::timeout(CALLER_TIMEOUT, conn.send(req)).await;
+            }
+            tokio::time::sleep(POISON_INTERVAL).await;
+        }
+    }
+
     async fn inject_upstream_fault(&self, duration: Duration, rng: &mut SmallRng) {
         let upstream = self.upstreams.lock().choose(rng).cloned();
         let Some(upstream) = upstream else { return };
@@ -387,7 +422,17 @@
     let callers: Vec<_> =
         (0..CALLERS).map(|i| tokio::spawn(soak.clone().call(i, seed, end))).collect();
     let mut rng = SmallRng::seed_from_u64(seed);
-    let mut faults = Vec::new();
+    // Drawn apart, so that the schedule of a seed stays the same.
+    let mut extra_rng = SmallRng::seed_from_u64(!seed);
+    let extra = tokio::spawn({
+        let (soak, delay) = (soak.clone(), extra_rng.random_range(FAULT_DURATION_MS));
+        async move {
+            tokio::time::sleep(Duration::from_millis(delay)).await;
+            soak.limit_upstream(&mut extra_rng).await;
+            soak.send_poison(&mut extra_rng).await;
+        }
+    });
+    let mut faults = vec![extra];
     while Instant::now() < last_fault {
         tokio::time::sleep(Duration::from_millis(rng.random_range(FAULT_INTERVAL_MS))).await;
         let (kind, fault_rng) =
--- a/tests/soak/observed.rs
+++ b/tests/soak/observed.rs
@@ -5,7 +5,7 @@
 
 use parking_lot::Mutex;
 
-use crate::upstream::PAUSE;
+use crate::upstream::{LIMIT, PAUSE};
 
 /// Time within which a drain, a new route or a removed one must be known to all hosts, as the
 /// users' deployments require.
@@ -24,6 +24,13 @@
 /// Time after an upstream asked for a pause in which requests may still be on their way to it.
 const PAUSE_TOLERANCE: Duration = Duration::from_millis(500);
 
+/// Time after a host has passed on a rate limit in which requests may still be on their way.
+const LIMIT_TOLERANCE: Duration = Duration::from_millis(500);
+/// The window in which requests are counted against a rate limit.
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+/// How often a request under which three upstreams have ended may still be sent.
+const BLOCKED_SENDS_MAX: usize = 3;
+
 /// A request that reached an upstream.
 #[derive(Clone, Debug)]
 pub struct Attempt {
@@ -65,6 +72,10 @@
     pub attempts: Mutex<Vec<(Attempt, bool)>>,
     /// For each request answered with the announcement that an upstream is leaving, the upstream.
     pub announcements: Mutex<BTreeMap<String, String>>,
+    /// For each request answered with a rate limit, the upstream.
+    pub limits: Mutex<BTreeMap<String, String>>,
+    /// The paths of requests under which upstreams have ended, the hosts that sent them, and when.
+    pub crashes: Mutex<Vec<(String, usize, Instant)>>,
     pub outcomes: Mutex<Vec<Outcome>>,
     /// When the registry acknowledged that an upstream is draining.
     pub drained_at: Mutex<BTreeMap<String, Instant>>,
@@ -111,6 +122,8 @@
         out.extend(self.requests_after_drain());
         out.extend(self.requests_after_announcement());
         out.extend(self.requests_in_pauses());
+        out.extend(self.requests_over_limits());
+        out.extend(self.blocked_requests_sent());
         out.extend(self.retry_budget_breach());
         let seconds = end.duration_since(start).as_secs_f64();
         for (upstream, probes) in self.probes.lock().iter() {
@@ -230,6 +243,71 @@
         out
     }
 
+    /// Checks for more requests in a window than an upstream's rate limit permits, from hosts that
+    /// had passed on the limit before.
+    fn requests_over_limits(&self) -> Vec<String> {
+        let outcomes = self.outcomes.lock();
+        let limits = self.limits.lock();
+        let by_id: BTreeMap<&str, &Outcome> = outcomes.iter().map(|o| (o.id.as_str(), o)).collect();
+        // For each upstream and host, when the host first passed on the limit.
+        let mut told: BTreeMap<(&str, usize), Instant> = BTreeMap::new();
+        for (id, upstream) in limits.iter() {
+            let Some(outcome) = by_id.get(id.as_str()) else { continue };
+            if outcome.response.as_ref().is_some_and(|r| r.status == 200) {
+                let at = told.entry((upstream, outcome.host)).or_insert(outcome.received);
+                *at = (*at).min(outcome.received);
+            }
+        }
+        let mut out = Vec::new();
+        let upstreams: std::collections::BTreeSet<&String> = limits.values().collect();
+        for upstream in upstreams {
+            let of_upstream = told.iter().filter(|((u, _), _)| u == upstream);
+            let Some(first) = of_upstream.map(|(_, at)| *at).min() else { continue };
+            let attempts = self.attempts.lock();
+            let is_counted = |a: &&Attempt| {
+                let Some(host) = by_id.get(a.id.as_str()).map(|o| o.host) else { return false };
+                let told = told.get(&(upstream.as_str(), host));
+                a.upstream == **upstream
+                    && told.is_some_and(|told| a.at >= *told + LIMIT_TOLERANCE)
+                    && self.is_host_fault_free(host, a.at - LIMIT_WINDOW, a.at)
+            };
+            let counted: Vec<Instant> =
+                attempts.iter().map(|(a, _)| a).filter(is_counted).map(|a| a.at).collect();
+            let most = counted
+                .iter()
+                .filter(|end| **end >= first + FAULT_FREE_PERIOD)
+                .map(|end| counted.iter().filter(|at| **at <= *end && **at + LIMIT_WINDOW > *end))
+                .map(Iterator::count)
+                .max();
+            let allowed = 1.5 * LIMIT * LIMIT_WINDOW.as_secs_f64() + 5.0;
+            if most.is_some_and(|most| most as f64 > allowed) {
+                out.push(format!("LIMIT: {most:?} requests in 4 s at {upstream}"));
+            }
+        }
+        out
+    }
+
+    /// Checks for requests under which upstreams have ended that were sent more than three times
+    /// later than hosts have to know.
+    fn blocked_requests_sent(&self) -> Vec<String> {
+        let crashes = self.crashes.lock();
+        let paths: std::collections::BTreeSet<&String> = crashes.iter().map(|(p, ..)| p).collect();
+        let mut out = Vec::new();
+        for path in paths {
+            let of_path: Vec<_> = crashes.iter().filter(|(p, ..)| p == path).collect();
+            let Some((_, _, third)) = of_path.get(2) else { continue };
+            let is_late = |(_, host, at): &&&(String, usize, Instant)| {
+                *at > *third + FAULT_FREE_PERIOD
+                    && self.is_host_fault_free(*host, *at - FAULT_FREE_PERIOD, *at)
+            };
+            let late = of_path.iter().filter(is_late).count();
+            if late > BLOCKED_SENDS_MAX {
+                out.push(format!("BLOCKED: {path} sent {late} times after three upstreams ended"));
+            }
+        }
+        out
+    }
+
     /// Checks whether the arrivals after the first of each request exceed the retry budget in any
     /// window.
     fn retry_budget_breach(&self) -> Option<String> {
--- a/tests/soak/proxy.rs
+++ b/tests/soak/proxy.rs
@@ -9,6 +9,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 
 /// The treatment of the bytes on all connections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -32,6 +33,8 @@
     mode: Mutex<Mode>,
     /// The number of resets. A reset closes all connections opened before it.
     reset_count: AtomicU64,
+    /// Whether the server's process has ended, so that no connection is accepted.
+    ended: watch::Sender<bool>,
 }
 
 /// Time between checks for a reset.
@@ -46,17 +49,51 @@
             server: Mutex::new(server),
             mode: Mutex::new(Mode::Forward),
             reset_count: AtomicU64::new(0),
+            ended: watch::Sender::new(false),
         });
-        let acceptor = proxy.clone();
-        tokio::spawn(async move {
-            loop {
-                let Ok((client, _)) = listener.accept().await else { continue };
-                tokio::spawn(acceptor.clone().serve(client));
-            }
-        });
+        tokio::spawn(proxy.clone().accept(listener));
         proxy
     }
 
+    /// Accepts connections while the server's process runs.
+    async fn accept(self: Arc<Proxy>, listener: TcpListener) {
+        let mut ended = self.ended.subscribe();
+        let mut listener = Some(listener);
+        loop {
+            if *ended.borrow_and_update() {
+                listener = None;
+                let _ = ended.wait_for(|ended| !ended).await;
+            }
+            let open = match listener.take() {
+                Some(open) => open,
+                None => match TcpListener::bind(self.address).await {
+                    Ok(open) => open,
+                    Err(_) => {
+                        tokio::time::sleep(RESET_CHECK_INTERVAL).await;
+                        continue;
+                    }
+                },
+            };
+            tokio::select! {
+                accepted = open.accept() => {
+                    if let Ok((client, _)) = accepted {
+                        tokio::spawn(self.clone().serve(client));
+                    }
+                }
+                _ = ended.changed() => {}
+            }
+            listener = Some(open);
+        }
+    }
+
+    /// Sets whether the server's process has ended. If so, its connections are reset.
+    pub fn set_ended(&self, ended: bool) {
+        self.ended.send_replace(ended);
+        if ended {
+            self.reset();
+        }
+    }
+
     /// Sets what happens to bytes from now on.
     pub fn set_mode(&self, mode: Mode) {
         *self.mode.lock() = mode;
--- a/tests/soak/upstream.rs
+++ b/tests/soak/upstream.rs
@@ -39,6 +39,12 @@
 
 /// The pause that a pausing upstream asks for.
 pub const PAUSE: Duration = Duration::from_millis(1_500);
+/// The limit that a limited upstream names, in requests per second.
+pub const LIMIT: f64 = 3.0;
+/// The time for which an upstream is gone that ended under a request.
+const RESTART_TIME: Duration = Duration::from_millis(700);
+/// The beginning of the paths of requests under which upstreams end.
+pub const POISON: &str = "/read/poison/";
 /// The mark after which a response is repeated until the host closes the connection.
 const ENDLESS: &str = "<endless>";
 
@@ -50,6 +56,8 @@
     fault: Mutex<Fault>,
     /// Whether its responses say that it is leaving.
     leaving: AtomicBool,
+    /// Whether its responses name [`LIMIT`].
+    limited: AtomicBool,
     running: AtomicU32,
     observed: Arc<Observed>,
 }
@@ -64,6 +72,7 @@
             proxy: Proxy::start(address).await,
             fault: Mutex::new(Fault::None),
             leaving: AtomicBool::new(false),
+            limited: AtomicBool::new(false),
             running: AtomicU32::new(0),
             observed: observed.clone(),
         });
@@ -91,6 +100,28 @@
         self.leaving.store(true, Ordering::SeqCst);
     }
 
+    /// Lets all responses name a rate limit from now on.
+    pub fn name_limit(&self) {
+        self.limited.store(true, Ordering::SeqCst);
+    }
+
+    /// Returns whether its responses name a rate limit.
+    pub fn is_limited(&self) -> bool {
+        self.limited.load(Ordering::SeqCst)
+    }
+
+    /// Ends the process for a while.
+    fn crash(&self, path: &str, id: &str) {
+        let host = id.split('-').nth(1).and_then(|host| host.parse().ok()).unwrap_or(0);
+        self.observed.crashes.lock().push((path.to_owned(), host, Instant::now()));
+        let proxy = self.proxy.clone();
+        proxy.set_ended(true);
+        tokio::spawn(async move {
+            tokio::time::sleep(RESTART_TIME).await;
+            proxy.set_ended(false);
+        });
+    }
+
     /// Returns the upstream's entry in the registry.
     pub fn registration(&self, state: &str) -> String {
         json!({
@@ -139,6 +170,11 @@
         if header_field(head, "x-expect-instance") != self.id {
             return Some("HTTP/1.1 421 Misdirected\r\ncontent-length: 0\r\n\r\n".to_owned());
         }
+        let path = head.split(' ').nth(1).unwrap_or("");
+        if path.starts_with(POISON) {
+            self.crash(path, &id);
+            return None;
+        }
         let is_pausing = *self.fault.lock() == Fault::Pausing;
         let attempt = Attempt { id: id.clone(), upstream: self.id.clone(), at: Instant::now() };
         self.observed.attempts.lock().push((attempt, is_pausing));
@@ -173,12 +209,18 @@
         if leaving {
             self.observed.announcements.lock().insert(id.clone(), self.id.clone());
         }
+        let limit = if self.is_limited() {
+            self.observed.limits.lock().insert(id.clone(), self.id.clone());
+            format!("server-limit: {LIMIT}\r\n")
+        } else {
+            String::new()
+        };
         let leaving = if leaving { "server-leaving: 1\r\n" } else { "" };
         let sent = if is_truncated { "body" } else { body.as_str() };
         let (load, length) = (load(running), body.len());
         Some(format!(
             "HTTP/1.1 200 OK\r\nx-attempt-id: {echo}\r\nx-response-signature: s.{echo}\r\n{load}\r\n\
-             {leaving}content-length: {length}\r\n\r\n{sent}"
+             {leaving}{limit}content-length: {length}\r\n\r\n{sent}"
         ))
     }
 }
