Refuse at once what no upstream has room for, without occupancy too

Services whose upstreams don't report their occupancy queued a request until its wait was over although every upstream was paused or closed by its limit for longer.

--- a/src/decide/service.rs
+++ b/src/decide/service.rs
@@ -409,6 +409,13 @@
         }
     }
 
+    /// Returns when this host may next send an upstream a request: now, unless all that take requests
+    /// have asked for a pause or leave it no room in their rate limits. `None` if it may send none.
+    pub(crate) fn opens_at(&self, now: Time) -> Option<Time> {
+        let live = self.rows.iter().filter(|r| r.state == State::Live);
+        live.filter_map(|r| r.opens_at(now)).min().map(|at| at.max(now))
+    }
+
     /// Returns whether an upstream has named a rate limit.
     pub fn is_limited(&self, id: UpstreamId) -> bool {
         upstream::find(&self.rows, id).is_some_and(|r| r.limit.per_second().is_some())
--- a/src/decide/service/admission.rs
+++ b/src/decide/service/admission.rs
@@ -37,7 +37,9 @@
         if self.uses_occupancy() {
             return self.admit_by_occupancy(req, now, rng);
         }
-        if self.misses_deadline(req, Duration::ZERO, now) {
+        if self.misses_deadline(req, Duration::ZERO, now)
+            || self.opens_at(now).is_none_or(|at| at >= req.deadline)
+        {
             return Admission::Refuse(self.refusal(Code::DeadlineTooClose));
         }
         if self.queue.ahead(req.priority) == 0
--- a/src/decide/service/placement.rs
+++ b/src/decide/service/placement.rs
@@ -400,13 +400,6 @@
         }
     }
 
-    /// Returns when this host may next send an upstream a request: now, unless all that take requests
-    /// have asked for a pause or leave it no room in their rate limits. `None` if it may send none.
-    fn opens_at(&self, now: Time) -> Option<Time> {
-        let live = self.rows.iter().filter(|r| r.state == State::Live);
-        live.filter_map(|r| r.opens_at(now)).min().map(|at| at.max(now))
-    }
-
     /// Returns when the first upstream ends its pause: now, unless all have asked for one. Other
     /// hosts may have room in rate limits, so those don't count.
     fn resumes_at(&self, now: Time) -> Time {
--- a/tests/limit.rs
+++ b/tests/limit.rs
@@ -277,14 +277,16 @@
 
 #[test]
 fn a_request_that_no_limit_leaves_room_for_is_refused_at_once() {
-    let mut fleet = SimulatedFleet::new(3, 1, 0.0, LoadFormat::Occupancy);
-    let (_, table) = &mut fleet.hosts[0];
-    let now = fleet.now + MS * 500;
-    table.update_limits(3, now, |_, _| true);
-    let req = AdmissionRequest::new(Priority::Normal, now + MS * 700, now + MS * 700);
-    let admission = table.admit(&req, now, &mut fleet.rng);
-    let Admission::Refuse(refusal) = admission else { panic!("{admission:?}") };
-    assert!(refusal.retry_after <= Duration::from_secs(4), "{refusal:?}");
+    for format in [LoadFormat::Occupancy, LoadFormat::InFlight] {
+        let mut fleet = SimulatedFleet::new(3, 1, 0.0, format);
+        let (_, table) = &mut fleet.hosts[0];
+        let now = fleet.now + MS * 500;
+        table.update_limits(3, now, |_, _| true);
+        let req = AdmissionRequest::new(Priority::Normal, now + MS * 700, now + MS * 700);
+        let admission = table.admit(&req, now, &mut fleet.rng);
+        let Admission::Refuse(refusal) = admission else { panic!("{format:?}: {admission:?}") };
+        assert!(refusal.retry_after <= Duration::from_secs(4), "{format:?}: {refusal:?}");
+    }
 }
 
 #[test]
