Grant a pause that an upstream asks for with status 429

An upstream that turned requests away with 429 and Retry-After was tried again after some milliseconds (8 requests within 1.5 s of a pause of 2.5 s in the test, none now); only 503 was read.

--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -370,7 +370,7 @@
 
 impl LoadReport {
     /// Reads the header fields that the service's configuration names, and how long a response with
-    /// status 503 asks this host to wait.
+    /// status 429 or 503 asks this host to wait.
     pub(crate) fn new(service: &Service, status: StatusCode, headers: &HeaderMap) -> LoadReport {
         let value = |name: &str| headers.get(name).and_then(|v| v.to_str().ok()).map(str::trim);
         let says_no = |v: &str| v == "0" || v.eq_ignore_ascii_case("false");
@@ -384,9 +384,12 @@
             load: in_flight.or_else(|| load.and_then(|v| v.parse().ok())),
             draining: value(&service.drain_header).is_some_and(|v| !says_no(v)),
             occupancy,
-            pause: (status == StatusCode::SERVICE_UNAVAILABLE)
-                .then(|| value(RETRY_AFTER.as_str()).and_then(parse_pause))
-                .flatten(),
+            pause: matches!(
+                status,
+                StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE
+            )
+            .then(|| value(RETRY_AFTER.as_str()).and_then(parse_pause))
+            .flatten(),
             limit: value(&service.limit_header).and_then(parse_limit),
         }
     }
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -380,8 +380,18 @@
 /// milliseconds after each refusal.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn an_upstream_that_asks_for_a_pause_gets_no_requests_until_its_end() {
+    check_pause(pausing).await;
+}
+
+/// Guards against a pause that was read only beside one of the two statuses that may ask for it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_pause_that_comes_with_too_many_requests_is_granted() {
+    check_pause(|head| pausing(head).replacen("503 Service Unavailable", "429 Too Many", 1)).await;
+}
+
+async fn check_pause(respond: Respond) {
     let (busy, free) =
-        (SigningUpstream::start("u-1", pausing), SigningUpstream::start("u-2", signed));
+        (SigningUpstream::start("u-1", respond), SigningUpstream::start("u-2", signed));
     let fleet = Fleet::start(&[("u-1", &busy), ("u-2", &free)]).await;
     let start = std::time::Instant::now();
     while busy.runs() == 0 {
