Don't take an unchanged limit of zero for a change

Each response with a limit of 0 logged event 3009 and woke the links to all peers. Also sorts the numbers of evidence once a digest in place of a search through all of them for each.

--- a/src/decide/digest.rs
+++ b/src/decide/digest.rs
@@ -418,7 +418,9 @@
             return;
         }
         let all = suspects.evidence();
-        self.evidence.retain(|sent| all.iter().any(|(number, _)| number == sent));
+        let mut numbers: Vec<u64> = all.iter().map(|(number, _)| *number).collect();
+        numbers.sort_unstable();
+        self.evidence.retain(|sent| numbers.binary_search(sent).is_ok());
         for (number, evidence) in all {
             let Err(at) = self.evidence.binary_search(&number) else { continue };
             if digest.evidence.len() == EVIDENCE_MAX {
--- a/src/decide/limit.rs
+++ b/src/decide/limit.rs
@@ -173,5 +173,5 @@
 }
 
 fn is_changed(new: f64, old: f64) -> bool {
-    (new - old).abs() >= old * CHANGE_MIN
+    new != old && (new - old).abs() >= old * CHANGE_MIN
 }
--- a/tests/limit.rs
+++ b/tests/limit.rs
@@ -308,6 +308,16 @@
     assert!(!limit.is_closed(at(31)));
 }
 
+#[test]
+fn a_limit_that_stays_the_same_is_no_change() {
+    let at = Time::from_millis;
+    for rate in [0.0, 2.0] {
+        let mut limit = RateLimit::default();
+        assert_eq!(limit.observe(Some(rate), at(1), at(2)), Some(LimitChange::Named(rate)));
+        assert_eq!(limit.observe(Some(rate), at(3), at(4)), None);
+    }
+}
+
 #[test]
 fn a_limit_that_nobody_sees_confirmed_is_forgotten_in_the_end() {
     let at = Time::from_millis;
