Tests of limits over two hosts and of malformed ones, and of a held peer port

Hosts that get no requests learn from others of a limit and of its end; anything but a finite number that is not negative is ignored.

--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -105,7 +105,9 @@
         Daemon::try_start_at(settings, [free_address(), free_address(), free_address()])
     }
 
-    fn try_start_at(settings: &Value, addresses: [SocketAddr; 3]) -> Option<Daemon> {
+    /// Starts a daemon at caller, admin and peer addresses, and waits until it is ready. Returns
+    /// `None` if it exits before.
+    pub fn try_start_at(settings: &Value, addresses: [SocketAddr; 3]) -> Option<Daemon> {
         let [caller, admin, peer] = addresses;
         let mut ports = json!({"caller": caller, "admin": admin});
         if settings["peer"] == FREE_ADDRESS {
@@ -192,7 +194,7 @@
 }
 
 /// Returns a free address that no other test in this process has been given.
-fn free_address() -> SocketAddr {
+pub fn free_address() -> SocketAddr {
     static ASSIGNED: Mutex<Vec<SocketAddr>> = Mutex::new(Vec::new());
     let mut assigned = ASSIGNED.lock().expect("ports");
     loop {
@@ -314,3 +316,13 @@
     let members = status["members"].as_array().cloned().unwrap_or_default();
     members.iter().filter(|m| m["standing"] == "alive").count()
 }
+
+/// Returns how many events of a kind a daemon has recorded.
+pub fn event_count(daemon: &Daemon, code: u16) -> usize {
+    let req = b"GET /events HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n";
+    let res = send_raw(daemon.admin, req).expect("events");
+    let (_, body) = res.split_once("\r\n\r\n").expect("body");
+    let page: Value = serde_json::from_str(body).unwrap_or_default();
+    let events = page["events"].as_array().cloned().unwrap_or_default();
+    events.iter().filter(|e| e["code"] == code).count()
+}
--- a/tests/limit.rs
+++ b/tests/limit.rs
@@ -24,9 +24,12 @@
 use serde_json::json;
 
 use harness::signing::{SigningUpstream, config, field, signed};
-use harness::{Caller, Daemon, live_peers, wait_until};
+use harness::{Caller, Daemon, event_count, live_peers, wait_until};
 use standin::registry::Registry;
 
+/// The numbers of the events for the begin and the end of a limit.
+const LIMITED: u16 = 3009;
+const UNLIMITED: u16 = 3010;
 /// The limit that the upstream names, in requests per second.
 const LIMIT: f64 = 2.0;
 /// The time after the limit is first named from which hosts must keep within it.
@@ -97,7 +100,23 @@
     registry.put("op/config", &config(3, "/book/"));
     registry.put("servers/u-1", &limited.registration("ready"));
     registry.put("servers/u-2", &other.registration("ready"));
-    let daemons: Vec<Daemon> = (1..=3)
+    let daemons = start_hosts(3, &registry);
+    let end = Instant::now() + CONTACT + WINDOW + TOLD;
+    let callers = daemons.iter().enumerate().flat_map(|(i, daemon)| {
+        let address = daemon.caller;
+        (0..3).map(move |_| tokio::spawn(send_until(address, format!("entry-{}", i + 1), end)))
+    });
+    for caller in callers.collect::<Vec<_>>() {
+        caller.await.expect("caller");
+    }
+    let allowed = 1.5 * LIMIT * WINDOW.as_secs_f64() + 5.0;
+    let most = arrivals.most_in_window();
+    assert!(most as f64 <= allowed, "{most} requests in 4 s; {allowed} are allowed");
+}
+
+/// Starts hosts that follow a registry, and waits until they know each other.
+fn start_hosts(count: usize, registry: &Registry) -> Vec<Daemon> {
+    let daemons: Vec<Daemon> = (1..=count)
         .map(|i| {
             Daemon::run(&json!({
                 "host": format!("entry-{i}"), "data_centre": "a", "peer": harness::FREE_ADDRESS,
@@ -108,18 +127,63 @@
             }))
         })
         .collect();
-    wait_until("the hosts know each other", || daemons.iter().all(|d| live_peers(d) == 2));
-    let end = Instant::now() + CONTACT + WINDOW + TOLD;
-    let callers = daemons.iter().enumerate().flat_map(|(i, daemon)| {
-        let address = daemon.caller;
-        (0..3).map(move |_| tokio::spawn(send_until(address, format!("entry-{}", i + 1), end)))
+    wait_until("the hosts know each other", || daemons.iter().all(|d| live_peers(d) == count - 1));
+    daemons
+}
+
+/// Starts a registry with one upstream whose responses name `limit` if there is one, and another.
+async fn start_registry(limit: &Arc<Mutex<Option<String>>>) -> (Arc<Registry>, SigningUpstream) {
+    let named = limit.clone();
+    let limited = SigningUpstream::start("u-1", move |head| match &*named.lock().expect("limit") {
+        Some(limit) => signed(head).replacen("\r\n", &format!("\r\nserver-limit: {limit}\r\n"), 1),
+        None => signed(head),
     });
-    for caller in callers.collect::<Vec<_>>() {
-        caller.await.expect("caller");
+    let other = SigningUpstream::start("u-2", signed);
+    let registry = Registry::start(SocketAddr::from((Ipv4Addr::LOCALHOST, 0))).await;
+    registry.put("op/config", &config(3, "/book/"));
+    registry.put("servers/u-1", &limited.registration("ready"));
+    registry.put("servers/u-2", &other.registration("ready"));
+    (registry, limited)
+}
+
+/// Sends requests to a host for a moment.
+async fn send_some(daemon: &Daemon) {
+    let end = Instant::now() + Duration::from_millis(100);
+    send_until(daemon.caller, "r".to_owned(), end).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn hosts_learn_from_each_other_of_a_limit_and_of_its_end() {
+    let limit = Arc::new(Mutex::new(Some("5".to_owned())));
+    let (registry, _limited) = start_registry(&limit).await;
+    let daemons = start_hosts(2, &registry);
+    let count = |code| daemons.iter().map(|d| event_count(d, code)).collect::<Vec<_>>();
+    let start = Instant::now();
+    // Only the first host gets requests until both know.
+    while count(LIMITED) != [1, 1] {
+        send_some(&daemons[0]).await;
+        assert!(start.elapsed() < harness::TIMEOUT, "{:?}", count(LIMITED));
+    }
+    *limit.lock().expect("limit") = None;
+    while count(UNLIMITED) != [1, 1] {
+        send_some(&daemons[0]).await;
+        assert!(start.elapsed() < harness::TIMEOUT, "{:?}", count(UNLIMITED));
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_limit_that_is_no_number_is_ignored() {
+    for text in ["", "many", "-3", "NaN", "inf", "1e999", "3,5", "\u{fc}"] {
+        let limit = Arc::new(Mutex::new(Some(text.to_owned())));
+        let (registry, limited) = start_registry(&limit).await;
+        let daemons = start_hosts(1, &registry);
+        let start = Instant::now();
+        while limited.runs() < 3 {
+            send_some(&daemons[0]).await;
+            assert!(start.elapsed() < harness::TIMEOUT, "{text:?}: {} runs", limited.runs());
+        }
+        assert_eq!(event_count(&daemons[0], LIMITED), 0, "{text:?}");
     }
-    let allowed = 1.5 * LIMIT * WINDOW.as_secs_f64() + 5.0;
-    let most = arrivals.most_in_window();
-    assert!(most as f64 <= allowed, "{most} requests in 4 s; {allowed} are allowed");
 }
 
 const MS: Duration = Duration::from_millis(1);
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -547,3 +547,16 @@
         assert!(start.elapsed() < harness::TIMEOUT, "the new process gets no request");
     }
 }
+
+/// Guards against tests that fail because another program holds a port: the daemon exits, so that
+/// the next attempt takes other ports.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_daemon_whose_peer_port_is_held_exits_and_is_started_with_another() {
+    let upstream = SigningUpstream::start("u-1", signed);
+    let fleet = Fleet::start(&[("u-1", &upstream)]).await;
+    let held = std::net::TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("bind");
+    let addresses =
+        [harness::free_address(), harness::free_address(), held.local_addr().expect("bound")];
+    assert!(Daemon::try_start_at(&fleet.settings, addresses).is_none());
+    let _started = Daemon::run(&fleet.settings);
+}
