--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -24,7 +24,7 @@
   members @14 :UInt64;           # Hash over the processes that the sender knows, its own included.
   registryEra @15 :UInt32;       # Newest era of the platform's store that the sender knows of.
   limits @16 :List(Limit);       # Rate limits that upstreams have named or no longer name.
-  evidence @17 :List(Evidence);  # Requests under which upstreams have ended.
+  requestReports @17 :List(RequestReport);  # Requests under which upstreams have ended.
 }
 
 # One run of the daemon on an entry host.
@@ -67,7 +67,7 @@
   ageMs @2 :UInt32;              # Time since any host saw this in a response.
 }
 
-struct Evidence {
+struct RequestReport {
   fingerprint @0 :UInt64;        # Of the request.
   upstream @1 :UInt64;           # Hash of the name of the upstream that has ended; 0 if one has answered.
   ageMs @2 :UInt32;              # Time since a host saw this.
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -158,7 +158,7 @@
         let now = node.clock.now();
         if now.since(last_expiry) >= EXPIRY_INTERVAL {
             node.pool.expire(now);
-            node.suspects.lock().expire(now);
+            node.poison_requests.lock().expire(now);
             last_expiry = now;
         }
         node.update_members();
--- a/src/decide/digest.rs
+++ b/src/decide/digest.rs
@@ -17,7 +17,7 @@
 use crate::decide::leaving::LeavingObservation;
 use crate::decide::limit::LimitObservation;
 use crate::decide::member::{Heartbeat, Member, Process};
-use crate::decide::suspect::{Evidence, Fingerprint, Sighting, Suspects};
+use crate::decide::poison::{Fingerprint, PoisonRequests, RequestEvent, RequestReport};
 use crate::decide::upstream::UpstreamSummary;
 use crate::hlc::Timestamp;
 use crate::time::Time;
@@ -37,8 +37,8 @@
 /// The number of rate limits that a digest may hold.
 const LIMITS_MAX: usize = 64;
 
-/// The number of pieces of evidence that a digest may hold.
-const EVIDENCE_MAX: usize = 32;
+/// The number of reports on requests that a digest may hold.
+const REQUEST_REPORTS_MAX: usize = 32;
 
 /// The time after which an unchanged rate limit is sent again if it has been seen since.
 const LIMIT_RESEND_AFTER: Duration = Duration::from_secs(10);
@@ -152,13 +152,13 @@
     pub age: Duration,
 }
 
-/// Evidence on a request under which upstreams have ended.
+/// RequestReport on a request under which upstreams have ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct SharedEvidence {
+pub struct RelayedReport {
     /// The request.
     pub fingerprint: Fingerprint,
     /// What a host has seen of it.
-    pub sighting: Sighting,
+    pub event: RequestEvent,
     /// The time since then.
     pub age: Duration,
 }
@@ -196,8 +196,8 @@
     pub leaving_upstreams: Vec<LeavingUpstream>,
     /// Upstreams whose rate limit is new to the receiver or was seen again.
     pub limits: Vec<UpstreamLimit>,
-    /// Evidence that is new to the receiver.
-    pub evidence: Vec<SharedEvidence>,
+    /// RequestReport that is new to the receiver.
+    pub request_reports: Vec<RelayedReport>,
     /// Records that have recently come into force.
     pub recent: Vec<RecordVersion>,
 }
@@ -213,10 +213,10 @@
     sorted: Vec<u16>,
     /// The rate limits last sent, with the time of sending, sorted by the index of the upstream.
     limits: Vec<(u16, LimitObservation, Time)>,
-    /// The numbers of the evidence that was sent, sorted.
-    evidence: Vec<u64>,
-    /// The number up to which all evidence was sent.
-    evidence_up_to: u64,
+    /// The numbers of the reports on requests that were sent, sorted.
+    sent_request_reports: Vec<u64>,
+    /// The number up to which all reports on requests were sent.
+    request_reports_up_to: u64,
     /// When the first digest was built.
     opened: Option<Time>,
 }
@@ -412,28 +412,33 @@
         is_due
     }
 
-    /// Adds the evidence that was not sent before, up to a limit.
-    pub fn add_evidence(&mut self, suspects: &Suspects, now: Time, digest: &mut Digest) {
-        if self.evidence_up_to == suspects.newest() {
+    /// Adds the reports on requests that were not sent before, up to a limit.
+    pub fn add_request_reports(
+        &mut self,
+        suspects: &PoisonRequests,
+        now: Time,
+        digest: &mut Digest,
+    ) {
+        if self.request_reports_up_to == suspects.newest() {
             return;
         }
-        let all = suspects.evidence();
+        let all = suspects.reports();
         let mut numbers: Vec<u64> = all.iter().map(|(number, _)| *number).collect();
         numbers.sort_unstable();
-        self.evidence.retain(|sent| numbers.binary_search(sent).is_ok());
-        for (number, evidence) in all {
-            let Err(at) = self.evidence.binary_search(&number) else { continue };
-            if digest.evidence.len() == EVIDENCE_MAX {
+        self.sent_request_reports.retain(|sent| numbers.binary_search(sent).is_ok());
+        for (number, report) in all {
+            let Err(at) = self.sent_request_reports.binary_search(&number) else { continue };
+            if digest.request_reports.len() == REQUEST_REPORTS_MAX {
                 return;
             }
-            self.evidence.insert(at, number);
-            digest.evidence.push(SharedEvidence {
-                fingerprint: evidence.fingerprint,
-                sighting: evidence.sighting,
-                age: now.since(evidence.at),
+            self.sent_request_reports.insert(at, number);
+            digest.request_reports.push(RelayedReport {
+                fingerprint: report.fingerprint,
+                event: report.event,
+                age: now.since(report.at),
             });
         }
-        self.evidence_up_to = suspects.newest();
+        self.request_reports_up_to = suspects.newest();
     }
 
     fn add_load(&mut self, summary: &UpstreamSummary, now: Time, digest: &mut Digest) {
@@ -540,8 +545,8 @@
     pub leaving_upstreams: Vec<LeavingObservation>,
     /// Rate limits of upstreams.
     pub limits: Vec<(UpstreamName, LimitObservation)>,
-    /// Evidence on requests under which upstreams have ended.
-    pub evidence: Vec<Evidence>,
+    /// RequestReport on requests under which upstreams have ended.
+    pub request_reports: Vec<RequestReport>,
 }
 
 impl DeltaDecoder {
@@ -599,13 +604,20 @@
         let leaving_upstreams =
             digest.leaving_upstreams.iter().filter_map(|l| self.observation(l, now)).collect();
         let limits = digest.limits.iter().filter_map(|l| self.limit(l, now)).collect();
-        let evidence = |e: &SharedEvidence| Evidence {
+        let report = |e: &RelayedReport| RequestReport {
             fingerprint: e.fingerprint,
-            sighting: e.sighting,
+            event: e.event,
             at: before(now, e.age),
         };
-        let evidence = digest.evidence.iter().map(evidence).collect();
-        Some(DecodedDigest { sender, heartbeats, loads, leaving_upstreams, limits, evidence })
+        let request_reports = digest.request_reports.iter().map(report).collect();
+        Some(DecodedDigest {
+            sender,
+            heartbeats,
+            loads,
+            leaving_upstreams,
+            limits,
+            request_reports,
+        })
     }
 
     fn limit(&self, limit: &UpstreamLimit, now: Time) -> Option<(UpstreamName, LimitObservation)> {
--- a/src/decide/suspect.rs
+++ b/src/decide/poison.rs
@@ -17,7 +17,7 @@
 use crate::time::Time;
 
 /// The number of upstreams that must have ended under a request before it is blocked.
-const CRASHES_MAX: usize = 3;
+const CRASH_THRESHOLD: usize = 3;
 /// The time after which an upstream's end no longer counts, and for which a request is blocked after
 /// it last came.
 pub const SUSPICION_PERIOD: Duration = Duration::from_secs(600);
@@ -72,33 +72,33 @@
 
 /// What a host has seen of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Sighting {
+pub enum RequestEvent {
     /// An upstream, given by a hash of its name, has ended under it.
-    Crash(u64),
+    UpstreamCrashed(u64),
     /// An upstream has answered it.
-    Answer,
+    Answered,
 }
 
-/// A [`Sighting`] with its request and its time, as hosts tell each other.
+/// A [`RequestEvent`] with its request and its time, as hosts tell each other.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Evidence {
+pub struct RequestReport {
     /// The request.
     pub fingerprint: Fingerprint,
     /// What was seen of it.
-    pub sighting: Sighting,
+    pub event: RequestEvent,
     /// When a host saw it.
     pub at: Time,
 }
 
 /// The decision on a request that has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Verdict {
+pub enum BlockDecision {
     /// It is not blocked.
-    Free,
+    Allow,
     /// It is blocked, and is not sent.
-    Blocked,
+    Refuse,
     /// It is blocked, and is sent once to see whether it is answered.
-    OnTrial,
+    Trial,
 }
 
 /// The end of an upstream under a request.
@@ -107,7 +107,7 @@
     /// A hash of the upstream's name.
     upstream: u64,
     at: Time,
-    /// The number of the evidence.
+    /// The number of the report.
     number: u64,
 }
 
@@ -117,7 +117,7 @@
     fingerprint: Fingerprint,
     /// The upstreams that have ended, at most [`CRASHES_KEPT`].
     crashes: Vec<Crash>,
-    /// When an upstream last answered it, with the number of the evidence.
+    /// When an upstream last answered it, with the number of the report.
     answered: Option<(Time, u64)>,
     /// When the registry first showed that it is blocked.
     listed: Option<Time>,
@@ -125,14 +125,16 @@
     refused: Option<Time>,
     /// When this host last sent a copy on trial.
     tried: Option<Time>,
+    /// The copies that this host has sent on trial since the last answer.
+    trials: usize,
 }
 
 impl Suspect {
-    fn is_convicted(&self) -> bool {
-        self.listed.is_some() || self.crashes.len() >= CRASHES_MAX
+    fn is_over_threshold(&self) -> bool {
+        self.listed.is_some() || self.crashes.len() >= CRASH_THRESHOLD
     }
 
-    /// Returns the time of the newest sighting; zero if there is none.
+    /// Returns the time of the newest event; zero if there is none.
     fn last_seen(&self) -> Time {
         let crash = self.crashes.iter().map(|c| c.at).max();
         let answer = self.answered.map(|(at, _)| at);
@@ -145,57 +147,70 @@
         times.sort_unstable();
         let gaps = times.windows(2).filter(|w| w[1].since(w[0]) >= EPISODE_GAP).count();
         let last = times.last().copied().max(self.tried);
-        match (TRIAL_DELAYS.get(gaps), last) {
+        match (TRIAL_DELAYS.get(gaps.max(self.trials)), last) {
             (Some(delay), Some(last)) => now.since(last) >= *delay,
             _ => false,
         }
     }
 
+    /// Records that an upstream has ended. Returns whether this is news. If there are too many, only
+    /// the first one of an episode is.
+    fn record_crash(&mut self, crash: Crash) -> bool {
+        let last = self.crashes.iter().map(|c| c.at).max().unwrap_or_default();
+        let is_full = self.crashes.len() == CRASHES_KEPT;
+        let is_news = self.answered.is_none_or(|(answered, _)| answered < crash.at)
+            && self.crashes.iter().all(|c| c.upstream != crash.upstream)
+            && (!is_full || crash.at.since(last) >= EPISODE_GAP);
+        if !is_news {
+            return false;
+        }
+        if is_full {
+            self.crashes.sort_by_key(|c| c.at);
+            self.crashes.remove(1);
+        }
+        self.crashes.push(crash);
+        true
+    }
+
     fn is_blocked(&self, now: Time) -> bool {
-        self.is_convicted() && now.since(self.last_seen()) < SUSPICION_PERIOD
+        self.is_over_threshold() && now.since(self.last_seen()) < SUSPICION_PERIOD
     }
 }
 
 /// The requests under which upstreams have ended, sorted by fingerprint.
 #[derive(Clone, Debug, Default)]
-pub struct Suspects {
+pub struct PoisonRequests {
     rows: Vec<Suspect>,
-    /// The number of the newest piece of evidence.
+    /// The number of the newest report.
     newest: u64,
 }
 
-impl Suspects {
-    /// Records evidence, of this host or a peer. Returns whether it is news.
+impl PoisonRequests {
+    /// Records a report of this host or a peer. Returns whether it is news.
     ///
     /// An answer clears a request of everything that was seen of it before. One to a request that is
     /// not a suspect is no news.
-    pub fn record(&mut self, evidence: &Evidence, now: Time) -> bool {
-        let &Evidence { fingerprint, sighting, at } = evidence;
+    pub fn record(&mut self, report: &RequestReport, now: Time) -> bool {
+        let &RequestReport { fingerprint, event, at } = report;
         if now.since(at) >= SUSPICION_PERIOD {
             return false;
         }
         let number = self.newest + 1;
-        let is_news = match (sighting, self.find(fingerprint)) {
-            (Sighting::Answer, Err(_)) => false,
-            (Sighting::Answer, Ok(i)) => {
+        let is_news = match (event, self.find(fingerprint)) {
+            (RequestEvent::Answered, Err(_)) => false,
+            (RequestEvent::Answered, Ok(i)) => {
                 let suspect = &mut self.rows[i];
                 let is_news = suspect.answered.is_none_or(|(last, _)| last < at);
                 if is_news {
                     suspect.answered = Some((at, number));
+                    suspect.trials = 0;
                     suspect.crashes.retain(|c| c.at > at);
                     suspect.listed = suspect.listed.filter(|listed| *listed > at);
                 }
                 is_news
             }
-            (Sighting::Crash(upstream), _) => {
-                let suspect = self.suspect(fingerprint);
-                let is_news = suspect.crashes.len() < CRASHES_KEPT
-                    && suspect.answered.is_none_or(|(last, _)| last < at)
-                    && suspect.crashes.iter().all(|c| c.upstream != upstream);
-                if is_news {
-                    suspect.crashes.push(Crash { upstream, at, number });
-                }
-                is_news
+            (RequestEvent::UpstreamCrashed(upstream), _) => {
+                self.suspect(fingerprint).record_crash(Crash { upstream, at, number })
             }
         };
         self.newest += u64::from(is_news);
@@ -212,24 +227,27 @@
     }
 
     /// Decides on a request that has come. One that comes while it is blocked stays so for longer.
-    /// `is_tester` returns whether this host is the one to send a copy on trial.
-    pub fn verdict(
+    /// `is_owner` returns whether this host is the one to send a copy on trial.
+    pub fn decide(
         &mut self,
         fingerprints: Fingerprints,
         now: Time,
-        is_tester: impl FnOnce() -> bool,
-    ) -> Verdict {
-        let rows: Vec<usize> = fingerprints.iter().filter_map(|f| self.find(f).ok()).collect();
-        let rows: Vec<usize> = rows.into_iter().filter(|&i| self.rows[i].is_blocked(now)).collect();
+        is_owner: impl FnOnce() -> bool,
+    ) -> BlockDecision {
+        let found = fingerprints.iter().filter_map(|f| self.find(f).ok());
+        let rows: Vec<usize> = found.filter(|&i| self.rows[i].is_blocked(now)).collect();
         if rows.is_empty() {
-            return Verdict::Free;
+            return BlockDecision::Allow;
         }
         rows.iter().for_each(|&i| self.rows[i].refused = Some(now));
-        if rows.iter().any(|&i| !self.rows[i].is_trial_due(now)) || !is_tester() {
-            return Verdict::Blocked;
+        if rows.iter().any(|&i| !self.rows[i].is_trial_due(now)) || !is_owner() {
+            return BlockDecision::Refuse;
+        }
+        for &i in &rows {
+            self.rows[i].tried = Some(now);
+            self.rows[i].trials += 1;
         }
-        rows.iter().for_each(|&i| self.rows[i].tried = Some(now));
-        Verdict::OnTrial
+        BlockDecision::Trial
     }
 
     /// Returns whether the request with a fingerprint is blocked.
@@ -247,35 +265,36 @@
         self.rows.iter().filter(move |s| s.is_blocked(now)).map(|s| s.fingerprint)
     }
 
-    /// Returns all evidence with its numbers, which increase with each new piece: that of the
-    /// requests under which the most upstreams have ended comes first.
-    pub fn evidence(&self) -> Vec<(u64, Evidence)> {
+    /// Returns all reports with their numbers, which increase with each new one: those on the
+    /// requests under which the most upstreams have ended come first.
+    pub fn reports(&self) -> Vec<(u64, RequestReport)> {
         let mut rows: Vec<&Suspect> = self.rows.iter().collect();
         rows.sort_by_key(|s| std::cmp::Reverse(s.crashes.len()));
         let of_suspect = |s: &Suspect| {
-            let evidence = |sighting, at| Evidence { fingerprint: s.fingerprint, sighting, at };
+            let report = |event, at| RequestReport { fingerprint: s.fingerprint, event, at };
             let crashes = s.crashes.iter();
-            let crashes = crashes.map(|c| (c.number, evidence(Sighting::Crash(c.upstream), c.at)));
-            let answer = s.answered.map(|(at, n)| (n, evidence(Sighting::Answer, at)));
+            let crashes = crashes
+                .map(|c| (c.number, report(RequestEvent::UpstreamCrashed(c.upstream), c.at)));
+            let answer = s.answered.map(|(at, n)| (n, report(RequestEvent::Answered, at)));
             crashes.chain(answer).collect::<Vec<_>>()
         };
         rows.into_iter().flat_map(of_suspect).collect()
     }
 
-    /// Returns the number of the newest piece of evidence; 0 before the first.
+    /// Returns the number of the newest report; 0 before the first.
     pub fn newest(&self) -> u64 {
         self.newest
     }
 
-    /// Forgets evidence that no longer counts, and if there are too many suspects, those under which
+    /// Forgets reports that no longer count, and if there are too many suspects, those under which
     /// the fewest upstreams have ended, the oldest ones first.
     pub fn expire(&mut self, now: Time) {
-        for suspect in self.rows.iter_mut().filter(|s| !s.is_convicted()) {
+        for suspect in self.rows.iter_mut().filter(|s| !s.is_over_threshold()) {
             suspect.crashes.retain(|c| now.since(c.at) < SUSPICION_PERIOD);
         }
         self.rows.retain(|s| now.since(s.last_seen()) < SUSPICION_PERIOD);
         while self.rows.len() > SUSPECTS_MAX {
-            let order = |s: &Suspect| (s.is_convicted(), s.crashes.len(), s.last_seen());
+            let order = |s: &Suspect| (s.is_over_threshold(), s.crashes.len(), s.last_seen());
             let least = (0..self.rows.len()).min_by_key(|&i| order(&self.rows[i]));
             self.rows.remove(least.unwrap_or(0));
         }
@@ -291,6 +310,7 @@
                 listed: None,
                 refused: None,
                 tried: None,
+                trials: 0,
             };
             self.rows.insert(i, row);
             i
@@ -303,7 +323,7 @@
     }
 }
 
-/// Returns the hash by which evidence names an upstream.
+/// Returns the hash by which reports name an upstream.
 pub fn upstream_hash(service: &str, upstream: &str) -> u64 {
     XxHash64::oneshot(XxHash64::oneshot(0, service.as_bytes()), upstream.as_bytes())
 }
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -16,7 +16,7 @@
 use crate::config::Service;
 use crate::decide::kinds::LatencyGoal;
 use crate::decide::matching::Match;
-use crate::decide::suspect::Fingerprints;
+use crate::decide::poison::Fingerprints;
 use crate::entry::socket::CallerConnection;
 use crate::error::Code;
 use crate::forward::BufferedRequest;
--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -16,7 +16,7 @@
 use crate::config::{DeclaredRefusal, LoadFormat, Service};
 use crate::decide::admission::Target;
 use crate::decide::attempt::{AttemptNumber, AttemptOutcome};
-use crate::decide::suspect::Fingerprints;
+use crate::decide::poison::Fingerprints;
 use crate::decide::upstream::{AttemptReport, Occupancy, UpstreamOutcome};
 use crate::event::{EventCode, Subject};
 use crate::forward::BufferedRequest;
--- a/src/forward/crash.rs
+++ b/src/forward/crash.rs
@@ -5,7 +5,9 @@
 
 use crate::config::Service;
 use crate::decide::admission::Target;
-use crate::decide::suspect::{Evidence, Fingerprints, Sighting, Verdict, upstream_hash};
+use crate::decide::poison::{
+    BlockDecision, Fingerprints, RequestEvent, RequestReport, upstream_hash,
+};
 use crate::event::{EventCode, Subject};
 use crate::forward::connection::{ConnectError, Connection};
 use crate::node::Node;
@@ -49,22 +51,23 @@
         ..Subject::default()
     };
     node.events.record(EventCode::UpstreamCrashed, subject, None);
-    let sighting = Sighting::Crash(upstream_hash(&crash.service.name, &crash.target.name));
+    let event =
+        RequestEvent::UpstreamCrashed(upstream_hash(&crash.service.name, &crash.target.name));
     let at = node.clock.now();
     for fingerprint in crash.fingerprints.iter() {
-        node.record_evidence(&Evidence { fingerprint, sighting, at });
+        node.record_request_report(&RequestReport { fingerprint, event, at });
     }
 }
 
 impl Node {
-    /// Records evidence on a request under which upstreams have ended, of this host or a peer.
-    pub(crate) fn record_evidence(&self, evidence: &Evidence) {
+    /// Records a report on a request under which upstreams have ended, of this host or a peer.
+    pub(crate) fn record_request_report(&self, report: &RequestReport) {
         let now = self.clock.now();
-        let fingerprint = evidence.fingerprint;
+        let fingerprint = report.fingerprint;
         let (is_news, was_blocked, is_blocked) = {
-            let mut suspects = self.suspects.lock();
+            let mut suspects = self.poison_requests.lock();
             let was_blocked = suspects.is_blocked(fingerprint, now);
-            let is_news = suspects.record(evidence, now);
+            let is_news = suspects.record(report, now);
             (is_news, was_blocked, suspects.is_blocked(fingerprint, now))
         };
         if is_news {
@@ -83,25 +86,29 @@
     /// Records that an upstream has answered a request. This matters only for suspects.
     pub(crate) fn record_answer(&self, fingerprints: Fingerprints) {
         for fingerprint in fingerprints.iter() {
-            if self.suspects.lock().contains(fingerprint) {
+            if self.poison_requests.lock().contains(fingerprint) {
                 let at = self.clock.now();
-                self.record_evidence(&Evidence { fingerprint, sighting: Sighting::Answer, at });
+                self.record_request_report(&RequestReport {
+                    fingerprint,
+                    event: RequestEvent::Answered,
+                    at,
+                });
             }
         }
     }
 
     /// Decides whether a request that has come may be sent to an upstream.
-    pub(crate) fn verdict(&self, fingerprints: Fingerprints) -> Verdict {
+    pub(crate) fn decide_block(&self, fingerprints: Fingerprints) -> BlockDecision {
         let now = self.clock.now();
         let duty = || format!("trial/{}", fingerprints.without_query);
-        let is_tester = || self.members.lock().owns(&duty(), now);
-        self.suspects.lock().verdict(fingerprints, now, is_tester)
+        let is_owner = || self.members.lock().owns(&duty(), now);
+        self.poison_requests.lock().decide(fingerprints, now, is_owner)
     }
 
     /// Returns whether a request is blocked, on trial or not.
     pub(crate) fn is_blocked(&self, fingerprints: Fingerprints) -> bool {
         let now = self.clock.now();
-        let suspects = self.suspects.lock();
+        let suspects = self.poison_requests.lock();
         fingerprints.iter().any(|f| suspects.is_blocked(f, now))
     }
 }
--- a/src/forward/driver.rs
+++ b/src/forward/driver.rs
@@ -12,8 +12,8 @@
 
 use crate::decide::admission::{Admission, Refusal, Target};
 use crate::decide::attempt::{AttemptLimits, AttemptNumber, Attempts, Event, RequestResult, Step};
+use crate::decide::poison::BlockDecision;
 use crate::decide::service::NextAttempt;
-use crate::decide::suspect::Verdict;
 use crate::decide::upstream::UpstreamId;
 use crate::dispatch::Dispatch;
 use crate::entry::waiting::Waiter;
@@ -50,8 +50,8 @@
     disconnected: impl Future<Output = ()>,
 ) -> ProxyResponse {
     let mut disconnected = pin!(disconnected);
-    let verdict = node.verdict(request.fingerprints);
-    if verdict == Verdict::Blocked {
+    let decision = node.decide_block(request.fingerprints);
+    if decision == BlockDecision::Refuse {
         return *blocked_response(node, request);
     }
     if request.service.probe_before_send {
@@ -59,7 +59,7 @@
     }
     match admit(node, request, disconnected.as_mut()).await {
         // It may have been blocked while it waited.
-        Ok(target) if verdict == Verdict::Free && node.is_blocked(request.fingerprints) => {
+        Ok(target) if decision == BlockDecision::Allow && node.is_blocked(request.fingerprints) => {
             node.cancel_attempt(&request.service.name, &target);
             *blocked_response(node, request)
         }
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -20,7 +20,7 @@
 use crate::config::{Service, Treatment};
 use crate::decide::admission;
 use crate::decide::kinds::LatencyGoal;
-use crate::decide::suspect::Fingerprints;
+use crate::decide::poison::Fingerprints;
 use crate::forward::memory::Reservation;
 use crate::request_log::RequestLog;
 use crate::time::Time;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -74,7 +74,7 @@
 
 pub use decide::{
     admission, attempt, balancing, catalog, digest, hosts, kinds, lapse, leaving, limit, matching,
-    member, pause, probing, reads, registered, service, startup, stored, suspect, tick, topology,
+    member, pause, poison, probing, reads, registered, service, startup, stored, tick, topology,
     upstream,
 };
 pub use time::{Clock, Time};
--- a/src/node.rs
+++ b/src/node.rs
@@ -16,9 +16,9 @@
 use crate::decide::matching::Routes;
 use crate::decide::member::{MemberChange, MemberState, Members};
 use crate::decide::pause::{PauseDetector, RESYNC_TIMEOUT};
+use crate::decide::poison::PoisonRequests;
 use crate::decide::reads::ReadSchedule;
 use crate::decide::service::HostInfo;
-use crate::decide::suspect::Suspects;
 use crate::decide::tick::ServiceTables;
 use crate::entry::waiting::WaitingRequests;
 use crate::event::{EventCode, RingBuffer, Subject};
@@ -56,7 +56,7 @@
 /// The shared state of one daemon.
 ///
 /// Locks are held for one decision and never across an await. The lock order is `catalog`,
-/// `host_list`, `members`, `tables`.
+/// `poison_requests`, `host_list`, `members`, `tables`.
 #[derive(derive_more::Debug)]
 #[debug("node {}", settings.host)]
 pub(crate) struct Node {
@@ -84,7 +84,7 @@
     pub(crate) pool: Pool,
     pub(crate) memory: MemoryBudget,
     /// Requests under which upstreams have ended.
-    pub(crate) suspects: Mutex<Suspects>,
+    pub(crate) poison_requests: Mutex<PoisonRequests>,
     pub(crate) pause_detector: Mutex<PauseDetector>,
     /// The age of this host's copy of the registry.
     pub(crate) registry_freshness: RegistryFreshness,
@@ -140,7 +140,7 @@
             resync_needed: Arc::default(),
             pool: Pool::default(),
             memory: MemoryBudget::new(settings.limits.body_bytes),
-            suspects: Mutex::default(),
+            poison_requests: Mutex::default(),
             pause_detector: Mutex::default(),
             registry_freshness: RegistryFreshness::new(ReadSchedule::new(apply_time(&settings))),
             header_names: match settings.registry {
--- a/src/peer/codec.rs
+++ b/src/peer/codec.rs
@@ -7,11 +7,11 @@
 
 use crate::decide::catalog::RecordKind;
 use crate::decide::digest::{
-    CatalogSummary, Digest, LeavingUpstream, RecordVersion, RelayedHeartbeat, SharedEvidence,
+    CatalogSummary, Digest, LeavingUpstream, RecordVersion, RelayedHeartbeat, RelayedReport,
     UpstreamLimit, UpstreamLoad, UpstreamName,
 };
 use crate::decide::member::Process;
-use crate::decide::suspect::{Fingerprint, Sighting};
+use crate::decide::poison::{Fingerprint, RequestEvent};
 use crate::hlc::Timestamp;
 use crate::peer::peer_capnp as wire;
 
@@ -52,7 +52,7 @@
     write_loads(&digest.loads, &mut out);
     write_leaving_upstreams(&digest.leaving_upstreams, &mut out);
     write_limits(&digest.limits, &mut out);
-    write_evidence(&digest.evidence, &mut out);
+    write_request_reports(&digest.request_reports, &mut out);
     if !digest.recent.is_empty() {
         write_versions(&digest.recent, out.init_recent(digest.recent.len() as u32));
     }
@@ -82,7 +82,7 @@
         loads: digest.get_loads()?.iter().map(read_load).collect(),
         leaving_upstreams: digest.get_leaves()?.iter().map(read_leaving_upstream).collect(),
         limits: digest.get_limits()?.iter().map(read_limit).collect(),
-        evidence: digest.get_evidence()?.iter().map(read_evidence).collect(),
+        request_reports: digest.get_request_reports()?.iter().map(read_request_report).collect(),
         recent: read_versions(digest.get_recent()?)?,
     })
 }
@@ -279,28 +279,28 @@
     }
 }
 
-fn write_evidence(evidence: &[SharedEvidence], out: &mut wire::digest::Builder<'_>) {
-    if evidence.is_empty() {
+fn write_request_reports(reports: &[RelayedReport], out: &mut wire::digest::Builder<'_>) {
+    if reports.is_empty() {
         return;
     }
-    let mut rows = out.reborrow().init_evidence(evidence.len() as u32);
-    for (i, evidence) in evidence.iter().enumerate() {
+    let mut rows = out.reborrow().init_request_reports(reports.len() as u32);
+    for (i, report) in reports.iter().enumerate() {
         let mut row = rows.reborrow().get(i as u32);
-        row.set_fingerprint(evidence.fingerprint.0);
-        row.set_upstream(match evidence.sighting {
-            Sighting::Crash(upstream) => upstream,
-            Sighting::Answer => ANSWERED,
+        row.set_fingerprint(report.fingerprint.0);
+        row.set_upstream(match report.event {
+            RequestEvent::UpstreamCrashed(upstream) => upstream,
+            RequestEvent::Answered => ANSWERED,
         });
-        row.set_age_ms(age_millis(evidence.age));
+        row.set_age_ms(age_millis(report.age));
     }
 }
 
-fn read_evidence(row: wire::evidence::Reader<'_>) -> SharedEvidence {
-    SharedEvidence {
+fn read_request_report(row: wire::request_report::Reader<'_>) -> RelayedReport {
+    RelayedReport {
         fingerprint: Fingerprint(row.get_fingerprint()),
-        sighting: match row.get_upstream() {
-            ANSWERED => Sighting::Answer,
-            upstream => Sighting::Crash(upstream),
+        event: match row.get_upstream() {
+            ANSWERED => RequestEvent::Answered,
+            upstream => RequestEvent::UpstreamCrashed(upstream),
         },
         age: Duration::from_millis(row.get_age_ms().into()),
     }
--- a/src/peer/peer_capnp.rs
+++ b/src/peer/peer_capnp.rs
@@ -163,11 +163,11 @@
             !self.reader.get_pointer_field(6).is_null()
         }
         #[inline]
-        pub fn get_evidence(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer::peer_capnp::evidence::Owned>> {
+        pub fn get_request_reports(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer::peer_capnp::request_report::Owned>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(7), ::core::option::Option::None)
         }
         #[inline]
-        pub fn has_evidence(&self) -> bool {
+        pub fn has_request_reports(&self) -> bool {
             !self.reader.get_pointer_field(7).is_null()
         }
     }
@@ -417,19 +417,19 @@
             !self.builder.is_pointer_field_null(6)
         }
         #[inline]
-        pub fn get_evidence(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer::peer_capnp::evidence::Owned>> {
+        pub fn get_request_reports(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer::peer_capnp::request_report::Owned>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(7), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_evidence(&mut self, value: ::capnp::struct_list::Reader<'_,crate::peer::peer_capnp::evidence::Owned>) -> ::capnp::Result<()> {
+        pub fn set_request_reports(&mut self, value: ::capnp::struct_list::Reader<'_,crate::peer::peer_capnp::request_report::Owned>) -> ::capnp::Result<()> {
             ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(7), value, false)
         }
         #[inline]
-        pub fn init_evidence(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::peer::peer_capnp::evidence::Owned> {
+        pub fn init_request_reports(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::peer::peer_capnp::request_report::Owned> {
             ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(7), size)
         }
         #[inline]
-        pub fn has_evidence(&self) -> bool {
+        pub fn has_request_reports(&self) -> bool {
             !self.builder.is_pointer_field_null(7)
         }
     }
@@ -583,7 +583,7 @@
             ::capnp::word(17, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 17, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(181, 2, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(180, 2, 0, 0, 3, 0, 1, 0),
             ::capnp::word(208, 2, 0, 0, 2, 0, 1, 0),
@@ -757,14 +757,14 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 118, 105, 100, 101, 110, 99, 101),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 113, 117, 101, 115, 116, 82),
+            ::capnp::word(101, 112, 111, 114, 116, 115, 0, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(52, 104, 229, 12, 83, 151, 119, 245),
+            ::capnp::word(207, 107, 78, 232, 95, 113, 112, 202),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
@@ -790,7 +790,7 @@
                 14 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 15 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 16 => <::capnp::struct_list::Owned<crate::peer::peer_capnp::limit::Owned> as ::capnp::introspect::Introspect>::introspect(),
-                17 => <::capnp::struct_list::Owned<crate::peer::peer_capnp::evidence::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                17 => <::capnp::struct_list::Owned<crate::peer::peer_capnp::request_report::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -806,7 +806,7 @@
         );
         pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,7,1,17,3,12,5,16,9,14,0,6,10,13,15,11,8,4];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,7,1,3,12,5,16,9,14,0,6,10,13,15,17,11,8,4];
         pub(crate) const TYPE_ID: u64 = 0xad2f_c725_6ad9_814b;
     }
 }
@@ -2466,7 +2466,7 @@
     }
 }
 
-pub mod evidence {
+pub mod request_report {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -2628,22 +2628,23 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 64] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 65] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(52, 104, 229, 12, 83, 151, 119, 245),
+            ::capnp::word(207, 107, 78, 232, 95, 113, 112, 202),
             ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(39, 82, 161, 156, 57, 191, 28, 128),
             ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 162, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
-            ::capnp::word(110, 112, 58, 69, 118, 105, 100, 101),
-            ::capnp::word(110, 99, 101, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 112, 58, 82, 101, 113, 117, 101),
+            ::capnp::word(115, 116, 82, 101, 112, 111, 114, 116),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -2715,7 +2716,7 @@
         pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
         pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,0,1];
-        pub(crate) const TYPE_ID: u64 = 0xf577_9753_0ce5_6834;
+        pub(crate) const TYPE_ID: u64 = 0xca70_715f_e84e_6bcf;
     }
 }
 
--- a/src/peer/session.rs
+++ b/src/peer/session.rs
@@ -212,7 +212,7 @@
         let max_loads = self.local.traffic.max_loads(now);
         let upstream_summaries = self.local.upstream_summaries(now);
         encoder.add_leaving_upstreams(self.local.observations.borrow().rows(), now, &mut digest);
-        encoder.add_evidence(&node.suspects.lock(), now, &mut digest);
+        encoder.add_request_reports(&node.poison_requests.lock(), now, &mut digest);
         encoder.add_limits(&self.local.limits(now), now, &mut digest);
         encoder.add_loads(&upstream_summaries, now, max_loads, &mut digest);
         digest
@@ -273,7 +273,7 @@
         self.import_loads(&decoded, now);
         decoded.leaving_upstreams.iter().for_each(|o| self.local.apply_observation(o, now));
         decoded.limits.iter().for_each(|(name, limit)| node.import_limit(name, limit));
-        decoded.evidence.iter().for_each(|evidence| node.record_evidence(evidence));
+        decoded.request_reports.iter().for_each(|report| node.record_request_report(report));
         self.peer_summary.set(Some(digest.summary));
         self.peer_members.set(Some(digest.members_fingerprint));
         self.is_peer_stale.set(digest.stale);
--- a/src/peer/tests.rs
+++ b/src/peer/tests.rs
@@ -19,12 +19,12 @@
 use crate::config::{Profile, Service, Treatment, Upstream};
 use crate::decide::catalog::{Body, Record, RecordKind};
 use crate::decide::digest::{
-    CatalogSummary, Digest, RecordVersion, RelayedHeartbeat, SharedEvidence, UpstreamLimit,
+    CatalogSummary, Digest, RecordVersion, RelayedHeartbeat, RelayedReport, UpstreamLimit,
     UpstreamLoad, UpstreamName,
 };
 use crate::decide::hosts::{Host as ListedHost, Role};
 use crate::decide::member::{Heartbeat, MemberState, Process};
-use crate::decide::suspect::{Fingerprint, Sighting};
+use crate::decide::poison::{Fingerprint, RequestEvent};
 use crate::decide::upstream::State;
 use crate::event::EventCode;
 use crate::hlc::Timestamp;
@@ -429,15 +429,15 @@
     let limit = (any::<u16>(), rate, any::<u32>()).prop_map(|(upstream, per_second, age)| {
         UpstreamLimit { upstream, per_second, age: Duration::from_millis(age.into()) }
     });
-    let evidence = (any::<u64>(), any::<u64>(), any::<u32>()).prop_map(|(fingerprint, n, age)| {
-        SharedEvidence {
+    let report = (any::<u64>(), any::<u64>(), any::<u32>()).prop_map(|(fingerprint, n, age)| {
+        RelayedReport {
             fingerprint: Fingerprint(fingerprint),
-            sighting: if n == 0 { Sighting::Answer } else { Sighting::Crash(n) },
+            event: if n == 0 { RequestEvent::Answered } else { RequestEvent::UpstreamCrashed(n) },
             age: Duration::from_millis(age.into()),
         }
     });
-    let tail = (vec(recent, 0..4), vec(limit, 0..4), vec(evidence, 0..4));
-    (head, lists, tail).prop_map(|(head, lists, (recent, limits, evidence))| Digest {
+    let tail = (vec(recent, 0..4), vec(limit, 0..4), vec(report, 0..4));
+    (head, lists, tail).prop_map(|(head, lists, (recent, limits, request_reports))| Digest {
         stamp: Timestamp { millis: head.0, count: head.1 },
         heartbeat: head.2,
         left: head.3,
@@ -452,7 +452,7 @@
         upstreams: lists.2,
         loads: lists.3,
         limits,
-        evidence,
+        request_reports,
         recent,
     })
 }
--- a/src/registry/blocked.rs
+++ b/src/registry/blocked.rs
@@ -8,7 +8,7 @@
 use rand::rngs::SmallRng;
 use tokio::time::sleep;
 
-use crate::decide::suspect::{Fingerprint, SUSPICION_PERIOD};
+use crate::decide::poison::{Fingerprint, SUSPICION_PERIOD};
 use crate::node::Node;
 use crate::platform::Client;
 use crate::settings;
@@ -50,7 +50,7 @@
 
 /// Returns the blocked requests whose entries this host has to keep, sorted.
 fn owned(node: &Node, now: Time) -> Vec<Fingerprint> {
-    let blocked: Vec<Fingerprint> = node.suspects.lock().blocked(now).collect();
+    let blocked: Vec<Fingerprint> = node.poison_requests.lock().blocked(now).collect();
     let members = node.members.lock();
     let is_owned = |f: &Fingerprint| members.owns(&format!("{PREFIX}{f}"), now);
     blocked.into_iter().filter(is_owned).collect()
--- a/src/registry/follower.rs
+++ b/src/registry/follower.rs
@@ -285,7 +285,7 @@
             if change.value.is_some()
                 && let Some(fingerprint) = blocked::fingerprint(&self.prefix, &change.key)
             {
-                self.node.suspects.lock().block(fingerprint, now);
+                self.node.poison_requests.lock().block(fingerprint, now);
             }
             if change.key.starts_with(&self.hosts_prefix) {
                 has_changed |= self.apply_entry_host(change, now);
--- a/src/request_log.rs
+++ b/src/request_log.rs
@@ -16,7 +16,7 @@
 
 use crate::decide::admission::PlacementEstimate;
 use crate::decide::bucket::TokenBucket;
-use crate::decide::suspect::Fingerprint;
+use crate::decide::poison::Fingerprint;
 use crate::event::{self, EventCode};
 use crate::logs;
 use crate::time::Time;
--- a/tests/crash.rs
+++ b/tests/crash.rs
@@ -12,8 +12,9 @@
 use cornelferry::Time;
 use cornelferry::digest::{DeltaDecoder, DeltaEncoder, Digest};
 use cornelferry::member::Process;
-use cornelferry::suspect::{
-    Evidence, Fingerprint, Fingerprints, SUSPICION_PERIOD, Sighting, Suspects, Verdict,
+use cornelferry::poison::{
+    BlockDecision, Fingerprint, Fingerprints, PoisonRequests, RequestEvent, RequestReport,
+    SUSPICION_PERIOD,
 };
 use http::Request;
 use http_body_util::Full;
@@ -217,37 +218,37 @@
     assert_eq!(crashes.lock().expect("crashes").len(), before);
 }
 
-fn evidence(request: u64, sighting: Sighting, millis: u64) -> Evidence {
-    Evidence { fingerprint: Fingerprint(request), sighting, at: Time::from_millis(millis) }
+fn report(request: u64, event: RequestEvent, millis: u64) -> RequestReport {
+    RequestReport { fingerprint: Fingerprint(request), event, at: Time::from_millis(millis) }
 }
 
 #[test]
 fn a_request_is_blocked_once_three_different_upstreams_have_ended_under_it() {
-    let (mut suspects, now) = (Suspects::default(), Time::from_millis(1_000));
-    let blocked = |s: &Suspects| s.is_blocked(Fingerprint(7), now);
+    let (mut suspects, now) = (PoisonRequests::default(), Time::from_millis(1_000));
+    let blocked = |s: &PoisonRequests| s.is_blocked(Fingerprint(7), now);
     for (upstream, is_news) in [(1, true), (2, true), (1, false)] {
-        let seen = evidence(7, Sighting::Crash(upstream), 900);
+        let seen = report(7, RequestEvent::UpstreamCrashed(upstream), 900);
         assert_eq!((suspects.record(&seen, now), blocked(&suspects)), (is_news, false));
     }
-    suspects.record(&evidence(8, Sighting::Crash(3), 900), now);
+    suspects.record(&report(8, RequestEvent::UpstreamCrashed(3), 900), now);
     assert!(!blocked(&suspects));
-    suspects.record(&evidence(7, Sighting::Crash(3), 900), now);
+    suspects.record(&report(7, RequestEvent::UpstreamCrashed(3), 900), now);
     assert!(blocked(&suspects) && !suspects.is_blocked(Fingerprint(8), now));
 }
 
 #[test]
 fn an_answer_clears_a_request_whose_upstreams_ended_for_another_reason() {
-    let (mut suspects, now) = (Suspects::default(), Time::from_millis(1_000));
-    assert!(!suspects.record(&evidence(7, Sighting::Answer, 100), now));
+    let (mut suspects, now) = (PoisonRequests::default(), Time::from_millis(1_000));
+    assert!(!suspects.record(&report(7, RequestEvent::Answered, 100), now));
     for upstream in 1..=3 {
-        suspects.record(&evidence(7, Sighting::Crash(upstream), 900), now);
+        suspects.record(&report(7, RequestEvent::UpstreamCrashed(upstream), 900), now);
     }
     assert!(suspects.is_blocked(Fingerprint(7), now));
-    assert!(suspects.record(&evidence(7, Sighting::Answer, 950), now));
+    assert!(suspects.record(&report(7, RequestEvent::Answered, 950), now));
     assert!(!suspects.is_blocked(Fingerprint(7), now));
     // A peer still tells what was seen before the answer.
-    assert!(!suspects.record(&evidence(7, Sighting::Crash(4), 940), now));
-    assert!(suspects.record(&evidence(7, Sighting::Crash(5), 960), now));
+    assert!(!suspects.record(&report(7, RequestEvent::UpstreamCrashed(4), 940), now));
+    assert!(suspects.record(&report(7, RequestEvent::UpstreamCrashed(5), 960), now));
 }
 
 fn only(request: u64) -> Fingerprints {
@@ -256,66 +257,77 @@
 
 #[test]
 fn a_blocked_request_stays_blocked_for_as_long_as_it_comes() {
-    let mut suspects = Suspects::default();
+    let mut suspects = PoisonRequests::default();
     for upstream in 1..=3 {
-        suspects.record(&evidence(7, Sighting::Crash(upstream), 0), Time::ZERO);
+        suspects.record(&report(7, RequestEvent::UpstreamCrashed(upstream), 0), Time::ZERO);
     }
     let mut now = Time::ZERO;
     for _ in 0..4 {
         now = now + SUSPICION_PERIOD / 2;
         suspects.expire(now);
-        assert_eq!(suspects.verdict(only(7), now, || false), Verdict::Blocked);
+        assert_eq!(suspects.decide(only(7), now, || false), BlockDecision::Refuse);
     }
     now = now + SUSPICION_PERIOD;
-    assert_eq!(suspects.verdict(only(7), now, || false), Verdict::Free);
+    assert_eq!(suspects.decide(only(7), now, || false), BlockDecision::Allow);
     suspects.expire(now);
     assert!(!suspects.contains(Fingerprint(7)));
 }
 
-#[test]
-fn a_blocked_request_is_sent_on_trial_twice_at_most() {
-    let mut suspects = Suspects::default();
-    // More upstreams end before the fleet has learned of the first three.
-    for upstream in 1..=6 {
-        suspects.record(&evidence(7, Sighting::Crash(upstream), 100 * upstream), Time::ZERO);
+/// Returns the seconds at which a request that ended `upstreams` upstreams at first is sent on trial.
+fn trials(upstreams: u64, ends_upstreams: bool) -> Vec<u64> {
+    let mut requests = PoisonRequests::default();
+    for upstream in 1..=upstreams {
+        let crash = RequestEvent::UpstreamCrashed(upstream);
+        requests.record(&report(7, crash, 10 * upstream), Time::ZERO);
     }
     let mut trials = Vec::new();
     for second in 1..=500 {
         let now = Time::from_millis(second * 1_000);
-        if suspects.verdict(only(7), now, || true) == Verdict::OnTrial {
+        if requests.decide(only(7), now, || true) == BlockDecision::Trial {
             trials.push(second);
-            let crash = Sighting::Crash(100 + second);
-            suspects.record(&evidence(7, crash, second * 1_000), now);
+            let crash = RequestEvent::UpstreamCrashed(100 + second);
+            if ends_upstreams {
+                requests.record(&report(7, crash, second * 1_000), now);
+            }
         }
     }
-    assert_eq!(trials, [11, 71]);
+    trials
+}
+
+#[test]
+fn a_blocked_request_is_sent_on_trial_twice_at_most() {
+    // More than three upstreams end before the fleet has learned of the first ones.
+    for upstreams in [3, 6, 8, 20] {
+        assert_eq!(trials(upstreams, true), [11, 71], "{upstreams} upstreams");
+    }
+    assert_eq!(trials(3, false), [11, 71], "trials that leave no trace");
 }
 
 #[test]
 fn a_request_that_was_lost_with_many_upstreams_at_once_is_free_after_a_trial() {
-    let mut suspects = Suspects::default();
+    let mut suspects = PoisonRequests::default();
     for upstream in 1..=20 {
-        suspects.record(&evidence(7, Sighting::Crash(upstream), 0), Time::ZERO);
+        suspects.record(&report(7, RequestEvent::UpstreamCrashed(upstream), 0), Time::ZERO);
     }
     let now = Time::from_millis(10_000);
-    assert_eq!(suspects.verdict(only(7), now, || true), Verdict::OnTrial);
-    assert_eq!(suspects.verdict(only(7), now, || true), Verdict::Blocked);
-    suspects.record(&evidence(7, Sighting::Answer, 10_050), now);
-    assert_eq!(suspects.verdict(only(7), now, || true), Verdict::Free);
+    assert_eq!(suspects.decide(only(7), now, || true), BlockDecision::Trial);
+    assert_eq!(suspects.decide(only(7), now, || true), BlockDecision::Refuse);
+    suspects.record(&report(7, RequestEvent::Answered, 10_050), now);
+    assert_eq!(suspects.decide(only(7), now, || true), BlockDecision::Allow);
 }
 
 #[test]
 fn the_suspects_kept_are_limited_and_blocked_ones_stay() {
-    let (mut suspects, now) = (Suspects::default(), Time::from_millis(10_000));
+    let (mut suspects, now) = (PoisonRequests::default(), Time::from_millis(10_000));
     for upstream in 1..=3 {
-        suspects.record(&evidence(7, Sighting::Crash(upstream), 1), now);
+        suspects.record(&report(7, RequestEvent::UpstreamCrashed(upstream), 1), now);
     }
     for request in 100..5_000 {
-        suspects.record(&evidence(request, Sighting::Crash(1), 2 + request), now);
+        suspects.record(&report(request, RequestEvent::UpstreamCrashed(1), 2 + request), now);
     }
     suspects.expire(now);
     assert!(suspects.is_blocked(Fingerprint(7), now));
-    assert!(suspects.evidence().len() < 600);
+    assert!(suspects.reports().len() < 600);
     assert!(suspects.contains(Fingerprint(4_999)) && !suspects.contains(Fingerprint(100)));
 }
 
@@ -334,13 +346,13 @@
 }
 
 #[test]
-fn a_new_connection_carries_all_evidence_and_then_only_news() {
-    let (mut suspects, now) = (Suspects::default(), Time::from_millis(10_000));
+fn a_new_connection_carries_all_reports_and_then_only_news() {
+    let (mut suspects, now) = (PoisonRequests::default(), Time::from_millis(10_000));
     for request in 0..40 {
-        suspects.record(&evidence(request, Sighting::Crash(1), 5_000), now);
+        suspects.record(&report(request, RequestEvent::UpstreamCrashed(1), 5_000), now);
     }
     for upstream in 1..=3 {
-        suspects.record(&evidence(99, Sighting::Crash(upstream), 5_000), now);
+        suspects.record(&report(99, RequestEvent::UpstreamCrashed(upstream), 5_000), now);
     }
     let sender = Process {
         host: "entry-1".into(),
@@ -349,20 +361,20 @@
         incarnation: 1,
     };
     let (mut encoder, mut decoder) = (DeltaEncoder::default(), DeltaDecoder::default());
-    let mut received = Suspects::default();
-    let mut exchange = |suspects: &Suspects| {
+    let mut received = PoisonRequests::default();
+    let mut exchange = |suspects: &PoisonRequests| {
         let mut digest = Digest::default();
         encoder.add_sender(&sender, &mut digest);
-        encoder.add_evidence(suspects, now, &mut digest);
+        encoder.add_request_reports(suspects, now, &mut digest);
         let decoded = decoder.decode(&digest, now).expect("sender");
-        decoded.evidence.iter().for_each(|e| {
+        decoded.request_reports.iter().for_each(|e| {
             received.record(e, now);
         });
-        (digest.evidence.len(), received.is_blocked(Fingerprint(99), now))
+        (digest.request_reports.len(), received.is_blocked(Fingerprint(99), now))
     };
     assert_eq!(exchange(&suspects), (32, true));
     assert_eq!(exchange(&suspects), (11, true));
     assert_eq!(exchange(&suspects), (0, true));
-    suspects.record(&evidence(99, Sighting::Answer, 6_000), now);
+    suspects.record(&report(99, RequestEvent::Answered, 6_000), now);
     assert_eq!(exchange(&suspects), (1, false));
 }
