Give the soak's hosts a free peer port at each start attempt

The soak found a free port once and used it for all attempts; a connection of the other run had taken it. The fault is the test's; no daemon was running yet. It now uses FREE_ADDRESS as the other tests do.

--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -16,7 +16,7 @@
 mod standin;
 mod upstream;
 
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -129,9 +129,8 @@
         }
         let settings: Vec<Value> = (0..hosts)
             .map(|i| {
-                let peer = TcpListener::bind(loopback).expect("port").local_addr().expect("bound");
                 json!({
-                    "host": format!("entry-{i}"), "data_centre": "a", "peer": peer,
+                    "host": format!("entry-{i}"), "data_centre": "a", "peer": harness::FREE_ADDRESS,
                     "limits": {"grace_ms": 300},
                     "registry": {
                         "address": registry_proxy.address, "retry_share": RETRY_SHARE,
