Tell peers only of answers that clear a request of something

After one upstream had ended under a request that many callers send, each answer to it counted as news for 10 minutes and woke the links to all peers. The test failed before.

--- a/src/decide/poison.rs
+++ b/src/decide/poison.rs
@@ -172,6 +172,20 @@
         true
     }
 
+    /// Records that an upstream has answered. Returns whether this is news: whether it clears the
+    /// request of something.
+    fn record_answer(&mut self, at: Time, number: u64) -> bool {
+        let is_news = self.crashes.iter().any(|c| c.at <= at)
+            || self.listed.is_some_and(|listed| listed <= at);
+        if is_news {
+            self.answered = Some((at, number));
+            self.trials = 0;
+            self.crashes.retain(|c| c.at > at);
+            self.listed = self.listed.filter(|listed| *listed > at);
+        }
+        is_news
+    }
+
     fn is_blocked(&self, now: Time) -> bool {
         self.is_over_threshold() && now.since(self.last_seen()) < SUSPICION_PERIOD
     }
@@ -188,8 +202,7 @@
 impl PoisonRequests {
     /// Records a report of this host or a peer. Returns whether it is news.
     ///
-    /// An answer clears a request of everything that was seen of it before. One to a request that is
-    /// not a suspect is no news.
+    /// An answer clears a request of everything that was seen of it before.
     pub fn record(&mut self, report: &RequestReport, now: Time) -> bool {
         let &RequestReport { fingerprint, event, at } = report;
         if now.since(at) >= SUSPICION_PERIOD {
@@ -198,17 +211,7 @@
         let number = self.newest + 1;
         let is_news = match (event, self.find(fingerprint)) {
             (RequestEvent::Answered, Err(_)) => false,
-            (RequestEvent::Answered, Ok(i)) => {
-                let suspect = &mut self.rows[i];
-                let is_news = suspect.answered.is_none_or(|(last, _)| last < at);
-                if is_news {
-                    suspect.answered = Some((at, number));
-                    suspect.trials = 0;
-                    suspect.crashes.retain(|c| c.at > at);
-                    suspect.listed = suspect.listed.filter(|listed| *listed > at);
-                }
-                is_news
-            }
+            (RequestEvent::Answered, Ok(i)) => self.rows[i].record_answer(at, number),
             (RequestEvent::UpstreamCrashed(upstream), _) => {
                 self.suspect(fingerprint).record_crash(Crash { upstream, at, number })
             }
@@ -255,9 +258,10 @@
         self.find(fingerprint).is_ok_and(|i| self.rows[i].is_blocked(now))
     }
 
-    /// Returns whether a request is a suspect, blocked or not.
+    /// Returns whether an upstream has ended under a request since it was last answered.
     pub fn contains(&self, fingerprint: Fingerprint) -> bool {
-        self.find(fingerprint).is_ok()
+        let row = self.find(fingerprint).ok().map(|i| &self.rows[i]);
+        row.is_some_and(|s| !s.crashes.is_empty() || s.listed.is_some())
     }
 
     /// Returns the blocked requests.
--- a/tests/crash.rs
+++ b/tests/crash.rs
@@ -251,6 +251,20 @@
     assert!(suspects.record(&report(7, RequestEvent::UpstreamCrashed(5), 960), now));
 }
 
+/// Guards against a message to all peers for each answer to a page that everybody reads.
+#[test]
+fn only_an_answer_that_clears_something_is_news() {
+    let (mut requests, now) = (PoisonRequests::default(), Time::from_millis(1_000));
+    requests.record(&report(7, RequestEvent::UpstreamCrashed(1), 100), now);
+    assert!(!requests.record(&report(7, RequestEvent::Answered, 50), now));
+    assert!(requests.record(&report(7, RequestEvent::Answered, 200), now));
+    for millis in 201..300 {
+        assert!(!requests.record(&report(7, RequestEvent::Answered, millis), now));
+    }
+    assert!(!requests.contains(Fingerprint(7)));
+    assert!(requests.record(&report(7, RequestEvent::UpstreamCrashed(1), 400), now));
+}
+
 fn only(request: u64) -> Fingerprints {
     Fingerprints { with_query: Fingerprint(request), without_query: Fingerprint(request) }
 }
