--- a/tests/crash.rs
+++ b/tests/crash.rs
@@ -4,14 +4,13 @@
 #[path = "../examples/standin/mod.rs"]
 mod standin;
 
-use std::io::{Read, Write};
+use std::io::Write;
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use cornelferry::Time;
 use cornelferry::digest::{DeltaDecoder, DeltaEncoder, Digest};
-use cornelferry::member::Process;
 use cornelferry::poison::{
     BlockDecision, Fingerprint, Fingerprints, PoisonRequests, RequestEvent, RequestReport,
     SUSPICION_PERIOD,
@@ -20,7 +19,7 @@
 use http_body_util::Full;
 use serde_json::{Value, json};
 
-use harness::signing::{config, field, signed};
+use harness::signing::{config, field, read_head, signed};
 use harness::{Caller, Daemon, live_peers, wait_until};
 use standin::registry::Registry;
 
@@ -96,13 +95,7 @@
 
 fn serve(mut stream: TcpStream, id: &str, has_ended: &Mutex<bool>, crashes: &Crashes) {
     let mut buf = Vec::new();
-    let mut chunk = [0; 4096];
-    loop {
-        let Ok(read @ 1..) = stream.read(&mut chunk) else { return };
-        buf.extend_from_slice(&chunk[..read]);
-        let Some(end) = buf.windows(4).position(|w| w == b"\r\n\r\n") else { continue };
-        let head = String::from_utf8_lossy(&buf[..end]).to_ascii_lowercase();
-        buf.drain(..end + 4);
+    while let Some(head) = read_head(&mut stream, &mut buf) {
         let res = if head.starts_with("get /health ") {
             format!(
                 "HTTP/1.1 200 OK\r\nx-instance-id: {id}\r\nx-instance-load: 0,0,6,100\r\n\
@@ -368,12 +361,7 @@
     for upstream in 1..=3 {
         suspects.record(&report(99, RequestEvent::UpstreamCrashed(upstream), 5_000), now);
     }
-    let sender = Process {
-        host: "entry-1".into(),
-        data_centre: "a".into(),
-        address: SocketAddr::from((Ipv4Addr::LOCALHOST, 8_000)),
-        incarnation: 1,
-    };
+    let sender = harness::process("entry-1");
     let (mut encoder, mut decoder) = (DeltaEncoder::default(), DeltaDecoder::default());
     let mut received = PoisonRequests::default();
     let mut exchange = |suspects: &PoisonRequests| {
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -13,6 +13,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use cornelferry::member::Process;
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1::{SendRequest, handshake};
@@ -326,3 +327,13 @@
     let events = page["events"].as_array().cloned().unwrap_or_default();
     events.iter().filter(|e| e["code"] == code).count()
 }
+
+/// Returns the process of a host, for decisions that need only its name.
+pub fn process(host: &str) -> Process {
+    Process {
+        host: host.into(),
+        data_centre: "a".into(),
+        address: SocketAddr::from((Ipv4Addr::LOCALHOST, 8_000)),
+        incarnation: 1,
+    }
+}
--- a/tests/harness/signing.rs
+++ b/tests/harness/signing.rs
@@ -71,13 +71,7 @@
 /// Serves the requests of a connection. The requests have no bodies.
 fn serve(mut stream: TcpStream, id: &str, respond: &Respond, runs: &AtomicUsize) {
     let mut buf = Vec::new();
-    let mut chunk = [0; 4096];
-    loop {
-        let Ok(read @ 1..) = stream.read(&mut chunk) else { return };
-        buf.extend_from_slice(&chunk[..read]);
-        let Some(end) = buf.windows(4).position(|w| w == b"\r\n\r\n") else { continue };
-        let head = String::from_utf8_lossy(&buf[..end]).to_ascii_lowercase();
-        buf.drain(..end + 4);
+    while let Some(head) = read_head(&mut stream, &mut buf) {
         let res = if head.starts_with("get /health ") && id == ENDLESS_HEALTH {
             format!(
                 "HTTP/1.1 200 OK\r\nx-instance-id: {id}\r\nx-instance-load: 0,0,6,100\r\n\r\n\
@@ -109,6 +103,21 @@
     }
 }
 
+/// Reads the head of the next request of a connection, in lower case. `buf` holds what was read
+/// beyond it. Returns `None` if the connection has ended.
+pub fn read_head(stream: &mut TcpStream, buf: &mut Vec<u8>) -> Option<String> {
+    let mut chunk = [0; 4096];
+    loop {
+        if let Some(end) = buf.windows(4).position(|w| w == b"\r\n\r\n") {
+            let head = String::from_utf8_lossy(&buf[..end]).to_ascii_lowercase();
+            buf.drain(..end + 4);
+            return Some(head);
+        }
+        let Ok(read @ 1..) = stream.read(&mut chunk) else { return None };
+        buf.extend_from_slice(&chunk[..read]);
+    }
+}
+
 /// Returns the value of a header field, or an empty string.
 pub fn field<'a>(head: &'a str, name: &str) -> &'a str {
     let line = head.lines().find_map(|l| l.strip_prefix(name)?.strip_prefix(':'));
--- a/tests/limit.rs
+++ b/tests/limit.rs
@@ -14,7 +14,7 @@
 use cornelferry::config::{LoadFormat, Priority, Service, Upstream};
 use cornelferry::digest::{DeltaDecoder, DeltaEncoder, Digest, UpstreamName};
 use cornelferry::limit::{LimitChange, LimitObservation, RateLimit};
-use cornelferry::member::{Heartbeat, Members, Process};
+use cornelferry::member::{Heartbeat, Members};
 use cornelferry::service::{HostInfo, NextAttempt, ServiceTable};
 use cornelferry::upstream::{AttemptReport, Occupancy, UpstreamOutcome};
 use http::Request;
@@ -241,12 +241,7 @@
         let count = self.hosts.len();
         for (i, (members, _)) in self.hosts.iter_mut().enumerate() {
             for j in (0..count).filter(|j| *j != i) {
-                let process = Process {
-                    host: format!("entry-{j}").into(),
-                    data_centre: "a".into(),
-                    address: SocketAddr::from((Ipv4Addr::LOCALHOST, 8_000)),
-                    incarnation: 1,
-                };
+                let process = harness::process(&format!("entry-{j}"));
                 let heartbeat = Heartbeat { counter, at: now, left: false, dead: false };
                 members.record_heartbeat(&process, heartbeat, now);
             }
@@ -396,12 +391,7 @@
 fn peers_learn_of_a_limit_and_of_its_end_once() {
     let at = Time::from_millis;
     let name = UpstreamName { service: "s".into(), name: "u-0".into() };
-    let sender = Process {
-        host: "entry-1".into(),
-        data_centre: "a".into(),
-        address: SocketAddr::from((Ipv4Addr::LOCALHOST, 8_000)),
-        incarnation: 1,
-    };
+    let sender = harness::process("entry-1");
     let (mut encoder, mut decoder) = (DeltaEncoder::default(), DeltaDecoder::default());
     let mut send = |per_second: Option<f64>, seen: Time, now: Time| {
         let mut digest = Digest::default();
