--- a/tests/limit.rs
+++ b/tests/limit.rs
@@ -195,6 +195,7 @@
     now: Time,
     /// When requests reached the limited upstream, `u-0`.
     arrivals: Vec<Time>,
+    limit: f64,
 }
 
 impl SimulatedFleet {
@@ -231,6 +232,7 @@
             rng: SmallRng::seed_from_u64(23),
             now,
             arrivals: Vec::new(),
+            limit,
         };
         fleet.hear_heartbeats(1);
         fleet
@@ -249,10 +251,23 @@
         }
     }
 
+    /// Lets one host hear from those that are alive.
+    fn hear(&mut self, receiver: usize, alive: &[bool], start: Time) {
+        let now = self.now;
+        let counter = now.since(start).as_millis() as u32 + 2;
+        let (members, _) = &mut self.hosts[receiver];
+        for (j, _) in alive.iter().enumerate().filter(|(j, alive)| **alive && *j != receiver) {
+            let heartbeat = Heartbeat { counter, at: now, left: false, dead: false };
+            members.record_heartbeat(&harness::process(&format!("entry-{j}")), heartbeat, now);
+        }
+        members.tick(now);
+    }
+
     /// Runs one request on the host with this index, to its end.
     fn request(&mut self, index: usize) {
-        let (now, live) = (self.now, self.hosts.len());
+        let now = self.now;
         let (members, table) = &mut self.hosts[index];
+        let live = members.alive(now).count() + 1;
         let duty = |upstream: &str| format!("limit/s/{upstream}");
         table.update_limits(live, now, |u, owners| members.is_among_owners(&duty(u), owners, now));
         for row in table.rows().iter().map(|r| r.id).collect::<Vec<_>>() {
@@ -277,15 +292,24 @@
             }
             Admission::Refuse(_) => (None, None),
         };
+        let mut is_limit_seen = false;
         for target in first.into_iter().chain(retry) {
             if &*target.name == "u-0" {
                 self.arrivals.push(now);
+                table.observe_limit(target.id, Some(self.limit), now, now);
+                is_limit_seen = true;
             }
             let outcome = UpstreamOutcome::Answered;
             let report = AttemptReport { outcome, latency: MS, load: None, draining: false };
             table.finish_attempt(target.id, &report, now);
             table.release(now, &mut self.rng);
         }
+        if is_limit_seen {
+            let observation = LimitObservation { per_second: Some(self.limit), at: now };
+            for (_, table) in &mut self.hosts {
+                table.import_limit("u-0", &observation);
+            }
+        }
     }
 
     /// Sends a request every `interval` to a random host, until `time` is over.
@@ -334,6 +358,40 @@
     }
 }
 
+/// Hosts die and return all the time, and each host learns of it at another time.
+#[test]
+fn hosts_together_keep_within_a_limit_while_their_views_differ() {
+    for (seed, hosts, limit) in [(1, 6, 2.0), (2, 13, 0.5), (3, 18, 3.1), (4, 18, 1.9)] {
+        let mut fleet = SimulatedFleet::new(hosts, 4, limit, LoadFormat::Occupancy);
+        fleet.rng = SmallRng::seed_from_u64(seed);
+        let mut alive = vec![true; hosts];
+        let (start, end) = (fleet.now, fleet.now + Duration::from_secs(60));
+        let mut step = 0_u64;
+        while fleet.now < end {
+            step += 1;
+            fleet.now = fleet.now + MS * 5;
+            if step.is_multiple_of(100) {
+                let changed = fleet.rng.random_range(0..hosts);
+                alive[changed] = !alive[changed];
+            }
+            // Every host hears from the others at its own intervals, of up to a second.
+            for receiver in 0..hosts {
+                if step.is_multiple_of(10 + receiver as u64 * 170 / hosts as u64) {
+                    fleet.hear(receiver, &alive, start);
+                }
+            }
+            let index = fleet.rng.random_range(0..hosts);
+            if alive[index] {
+                fleet.request(index);
+            }
+        }
+        let most = fleet.most_in_window() as f64;
+        let allowed = 1.5 * limit * WINDOW.as_secs_f64() + 5.0;
+        assert!(most <= allowed, "seed {seed}: {most} requests in 4 s; {allowed} are allowed");
+        assert!(fleet.arrivals.len() as f64 >= limit * 10.0, "seed {seed}: the limit is not used");
+    }
+}
+
 #[test]
 fn a_request_that_no_limit_leaves_room_for_is_refused_at_once() {
     for format in [LoadFormat::Occupancy, LoadFormat::InFlight] {
