--- a/tests/limit.rs
+++ b/tests/limit.rs
@@ -187,6 +187,8 @@
 }
 
 const MS: Duration = Duration::from_millis(1);
+/// The time in which a digest reaches all hosts.
+const RELAY_TIME: Duration = Duration::from_millis(300);
 
 /// The hosts of a fleet that know each other, without their network.
 struct SimulatedFleet {
@@ -196,6 +198,8 @@
     /// When requests reached the limited upstream, `u-0`.
     arrivals: Vec<Time>,
     limit: f64,
+    /// What hosts have seen of the limit and the others have not yet heard.
+    relays: Vec<LimitObservation>,
 }
 
 impl SimulatedFleet {
@@ -233,6 +237,7 @@
             now,
             arrivals: Vec::new(),
             limit,
+            relays: Vec::new(),
         };
         fleet.hear_heartbeats(1);
         fleet
@@ -266,6 +271,14 @@
     /// Runs one request on the host with this index, to its end.
     fn request(&mut self, index: usize) {
         let now = self.now;
+        let (heard, rest) = self.relays.iter().partition(|o| now.since(o.at) >= RELAY_TIME);
+        self.relays = rest;
+        let heard: Vec<LimitObservation> = heard;
+        for observation in &heard {
+            for (_, table) in &mut self.hosts {
+                table.import_limit("u-0", observation);
+            }
+        }
         let (members, table) = &mut self.hosts[index];
         let live = members.alive(now).count() + 1;
         let duty = |upstream: &str| format!("limit/s/{upstream}");
@@ -306,9 +319,7 @@
         }
         if is_limit_seen {
             let observation = LimitObservation { per_second: Some(self.limit), at: now };
-            for (_, table) in &mut self.hosts {
-                table.import_limit("u-0", &observation);
-            }
+            self.relays.push(observation);
         }
     }
 
@@ -392,6 +403,37 @@
     }
 }
 
+/// After 30 s without requests at its owners, all hosts forget the limit until the next response.
+#[test]
+fn hosts_together_keep_within_a_limit_whose_owners_get_no_requests() {
+    for (hosts, limit) in [(13, 2.0), (18, 0.5), (18, 3.1)] {
+        let mut fleet = SimulatedFleet::new(hosts, 4, limit, LoadFormat::Occupancy);
+        fleet.run(MS * 50, Duration::from_secs(6));
+        fleet.hear_heartbeats(100);
+        let mut named = RateLimit::default();
+        named.observe(Some(limit), fleet.now, fleet.now);
+        let owners = named.owners(hosts);
+        let is_owner = |index: usize| {
+            let (members, _) = &fleet.hosts[index];
+            members.is_among_owners("limit/s/u-0", owners, fleet.now)
+        };
+        let others: Vec<usize> = (0..hosts).filter(|i| !is_owner(*i)).collect();
+        assert_eq!(others.len(), hosts - owners);
+        for step in 0..24_000 {
+            fleet.now = fleet.now + MS * 5;
+            if step % 20 == 0 {
+                fleet.hear_heartbeats(101 + step);
+            }
+            let index = others[fleet.rng.random_range(0..others.len())];
+            fleet.request(index);
+        }
+        let most = fleet.most_in_window() as f64;
+        let allowed = 1.5 * limit * WINDOW.as_secs_f64() + 5.0;
+        assert!(most <= allowed, "{hosts} hosts: {most} requests in 4 s; {allowed} are allowed");
+        assert!(fleet.arrivals.len() > 3, "{hosts} hosts: the limit is never tried again");
+    }
+}
+
 #[test]
 fn a_request_that_no_limit_leaves_room_for_is_refused_at_once() {
     for format in [LoadFormat::Occupancy, LoadFormat::InFlight] {
