Count the ends of upstreams under a request only in turn

A fifth of the requests, all for one path, stayed unserved.

Cause: a request that ended three upstreams within milliseconds, by its retries, took others with it that many callers sent. Three upstreams had ended under those too, so they were blocked, and with no copy in flight none was answered until the trial after 10 s.

Change: an upstream counts only if the copy was sent after the one before had ended; copies in flight together are lost together. The host that blocks a request tells the others so, as they may see another order. An entry of the store doesn't block a request again that has been answered.

--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -69,8 +69,9 @@
 
 struct RequestReport {
   fingerprint @0 :UInt64;        # Of the request.
-  upstream @1 :UInt64;           # Hash of the name of the upstream that has ended; 0 if one has answered.
+  upstream @1 :UInt64;           # Hash of the name of the upstream that has ended; 0 if one has answered, 1 if the host has blocked it.
   ageMs @2 :UInt32;              # Time since a host saw this.
+  tookMs @3 :UInt32;             # Time from the sending of the request until then.
 }
 
 enum Kind {
--- a/src/decide/digest.rs
+++ b/src/decide/digest.rs
@@ -161,6 +161,8 @@
     pub event: RequestEvent,
     /// The time since then.
     pub age: Duration,
+    /// The time from the sending of the request until then.
+    pub took: Duration,
 }
 
 /// The message that one host sends a peer in one exchange: its own state and the leaving upstreams
@@ -436,6 +438,7 @@
                 fingerprint: report.fingerprint,
                 event: report.event,
                 age: now.since(report.at),
+                took: report.at.since(report.sent),
             });
         }
         self.request_reports_up_to = suspects.newest();
@@ -604,10 +607,10 @@
         let leaving_upstreams =
             digest.leaving_upstreams.iter().filter_map(|l| self.observation(l, now)).collect();
         let limits = digest.limits.iter().filter_map(|l| self.limit(l, now)).collect();
-        let report = |e: &RelayedReport| RequestReport {
-            fingerprint: e.fingerprint,
-            event: e.event,
-            at: before(now, e.age),
+        let report = |r: &RelayedReport| {
+            let at = before(now, r.age);
+            let (fingerprint, event) = (r.fingerprint, r.event);
+            RequestReport { fingerprint, event, sent: at.before(r.took), at }
         };
         let request_reports = digest.request_reports.iter().map(report).collect();
         Some(DecodedDigest {
--- a/src/decide/poison.rs
+++ b/src/decide/poison.rs
@@ -16,13 +16,14 @@
 
 use crate::time::Time;
 
-/// The number of upstreams that must have ended under a request before it is blocked.
+/// The number of upstreams that must have ended under a request, one after another, before it is
+/// blocked.
 const CRASH_THRESHOLD: usize = 3;
 /// The time after which an upstream's end no longer counts, and for which a request is blocked after
 /// it last came.
 pub const SUSPICION_PERIOD: Duration = Duration::from_secs(600);
 /// The ends of upstreams that are remembered for a request.
-const CRASHES_KEPT: usize = 8;
+const CRASHES_KEPT: usize = 32;
 /// The shortest time between the ends of two upstreams that count as two episodes.
 const EPISODE_GAP: Duration = Duration::from_secs(5);
 /// The time after the last episode at which a copy of a blocked request is sent on trial, by the
@@ -77,6 +78,8 @@
     UpstreamCrashed(u64),
     /// An upstream has answered it.
     Answered,
+    /// The host has blocked it.
+    Blocked,
 }
 
 /// A [`RequestEvent`] with its request and its time, as hosts tell each other.
@@ -86,7 +89,9 @@
     pub fingerprint: Fingerprint,
     /// What was seen of it.
     pub event: RequestEvent,
-    /// When a host saw it.
+    /// When the copy was sent.
+    pub sent: Time,
+    /// When its upstream ended or answered.
     pub at: Time,
 }
 
@@ -106,6 +111,8 @@
 struct Crash {
     /// A hash of the upstream's name.
     upstream: u64,
+    /// When the copy was sent.
+    sent: Time,
     at: Time,
     /// The number of the report.
     number: u64,
@@ -119,8 +126,9 @@
     crashes: Vec<Crash>,
     /// When an upstream last answered it, with the number of the report.
     answered: Option<(Time, u64)>,
-    /// When the registry first showed that it is blocked.
-    listed: Option<Time>,
+    /// When another host had blocked it, as a peer or the registry first told, with the number of
+    /// the report.
+    listed: Option<(Time, u64)>,
     /// When it last came to this host while it was blocked.
     refused: Option<Time>,
     /// When this host last sent a copy on trial.
@@ -131,14 +139,32 @@
 
 impl Suspect {
     fn is_over_threshold(&self) -> bool {
-        self.listed.is_some() || self.crashes.len() >= CRASH_THRESHOLD
+        self.listed.is_some() || self.crashes_in_turn() >= CRASH_THRESHOLD
+    }
+
+    /// Returns the number of upstreams that have ended one after another: each copy that counts was
+    /// sent after the upstream of the one before had ended. Copies in flight together are lost
+    /// together, whichever request their upstreams end under.
+    fn crashes_in_turn(&self) -> usize {
+        let mut last: Option<Time> = None;
+        let mut count = 0;
+        let mut crashes: Vec<&Crash> = self.crashes.iter().collect();
+        crashes.sort_by_key(|c| c.at);
+        for crash in crashes {
+            if last.is_none_or(|last| crash.sent >= last) {
+                last = Some(crash.at);
+                count += 1;
+            }
+        }
+        count
     }
 
     /// Returns the time of the newest event; zero if there is none.
     fn last_seen(&self) -> Time {
         let crash = self.crashes.iter().map(|c| c.at).max();
         let answer = self.answered.map(|(at, _)| at);
-        crash.max(answer).max(self.listed).max(self.refused).unwrap_or_default()
+        let listed = self.listed.map(|(at, _)| at);
+        crash.max(answer).max(listed).max(self.refused).unwrap_or_default()
     }
 
     /// Returns whether a copy of a blocked request is to be sent on trial.
@@ -172,16 +198,26 @@
         true
     }
 
+    /// Records that another host had blocked the request at a time. Returns whether this is news.
+    fn record_block(&mut self, at: Time, number: u64) -> bool {
+        let is_news =
+            self.listed.is_none() && self.answered.is_none_or(|(answered, _)| answered < at);
+        if is_news {
+            self.listed = Some((at, number));
+        }
+        is_news
+    }
+
     /// Records that an upstream has answered. Returns whether this is news: whether it clears the
     /// request of something.
     fn record_answer(&mut self, at: Time, number: u64) -> bool {
         let is_news = self.crashes.iter().any(|c| c.at <= at)
-            || self.listed.is_some_and(|listed| listed <= at);
+            || self.listed.is_some_and(|(listed, _)| listed <= at);
         if is_news {
             self.answered = Some((at, number));
             self.trials = 0;
             self.crashes.retain(|c| c.at > at);
-            self.listed = self.listed.filter(|listed| *listed > at);
+            self.listed = self.listed.filter(|(listed, _)| *listed > at);
         }
         is_news
     }
@@ -204,7 +240,7 @@
     ///
     /// An answer clears a request of everything that was seen of it before.
     pub fn record(&mut self, report: &RequestReport, now: Time) -> bool {
-        let &RequestReport { fingerprint, event, at } = report;
+        let &RequestReport { fingerprint, event, sent, at } = report;
         if now.since(at) >= SUSPICION_PERIOD {
             return false;
         }
@@ -212,23 +248,15 @@
         let is_news = match (event, self.find(fingerprint)) {
             (RequestEvent::Answered, Err(_)) => false,
             (RequestEvent::Answered, Ok(i)) => self.rows[i].record_answer(at, number),
+            (RequestEvent::Blocked, _) => self.suspect(fingerprint).record_block(at, number),
             (RequestEvent::UpstreamCrashed(upstream), _) => {
-                self.suspect(fingerprint).record_crash(Crash { upstream, at, number })
+                self.suspect(fingerprint).record_crash(Crash { upstream, sent, at, number })
             }
         };
         self.newest += u64::from(is_news);
         is_news
     }
 
-    /// Records that the registry lists a request as blocked. Ignored if an upstream has answered it,
-    /// since the entry is older.
-    pub fn block(&mut self, fingerprint: Fingerprint, now: Time) {
-        let suspect = self.suspect(fingerprint);
-        if suspect.answered.is_none() {
-            suspect.listed.get_or_insert(now);
-        }
-    }
-
     /// Decides on a request that has come. One that comes while it is blocked stays so for longer.
     /// `is_owner` returns whether this host is the one to send a copy on trial.
     pub fn decide(
@@ -264,6 +292,11 @@
         row.is_some_and(|s| !s.crashes.is_empty() || s.listed.is_some())
     }
 
+    /// Returns whether a request under which an upstream had ended has been answered since.
+    pub fn is_cleared(&self, fingerprint: Fingerprint) -> bool {
+        self.find(fingerprint).is_ok_and(|i| self.rows[i].answered.is_some())
+    }
+
     /// Returns the blocked requests.
     pub fn blocked(&self, now: Time) -> impl Iterator<Item = Fingerprint> {
         self.rows.iter().filter(move |s| s.is_blocked(now)).map(|s| s.fingerprint)
@@ -275,12 +308,15 @@
         let mut rows: Vec<&Suspect> = self.rows.iter().collect();
         rows.sort_by_key(|s| std::cmp::Reverse(s.crashes.len()));
         let of_suspect = |s: &Suspect| {
-            let report = |event, at| RequestReport { fingerprint: s.fingerprint, event, at };
+            let fingerprint = s.fingerprint;
+            let report = |event, sent, at| RequestReport { fingerprint, event, sent, at };
             let crashes = s.crashes.iter();
-            let crashes = crashes
-                .map(|c| (c.number, report(RequestEvent::UpstreamCrashed(c.upstream), c.at)));
-            let answer = s.answered.map(|(at, n)| (n, report(RequestEvent::Answered, at)));
-            crashes.chain(answer).collect::<Vec<_>>()
+            let crashes = crashes.map(|c| {
+                (c.number, report(RequestEvent::UpstreamCrashed(c.upstream), c.sent, c.at))
+            });
+            let answer = s.answered.map(|(at, n)| (n, report(RequestEvent::Answered, at, at)));
+            let block = s.listed.map(|(at, n)| (n, report(RequestEvent::Blocked, at, at)));
+            block.into_iter().chain(crashes).chain(answer).collect::<Vec<_>>()
         };
         rows.into_iter().flat_map(of_suspect).collect()
     }
@@ -298,7 +334,7 @@
         }
         self.rows.retain(|s| now.since(s.last_seen()) < SUSPICION_PERIOD);
         while self.rows.len() > SUSPECTS_MAX {
-            let order = |s: &Suspect| (s.is_over_threshold(), s.crashes.len(), s.last_seen());
+            let order = |s: &Suspect| (s.is_over_threshold(), s.crashes_in_turn(), s.last_seen());
             let least = (0..self.rows.len()).min_by_key(|&i| order(&self.rows[i]));
             self.rows.remove(least.unwrap_or(0));
         }
--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -179,6 +179,8 @@
             target: self.target.clone(),
             request_id: self.request_id.clone(),
             fingerprints: self.fingerprints,
+            sent: self.started,
+            lost: self.node.clock.now(),
         };
         spawn_local(crash::check(self.node.clone(), crash));
     }
--- a/src/forward/crash.rs
+++ b/src/forward/crash.rs
@@ -11,6 +11,7 @@
 use crate::event::{EventCode, Subject};
 use crate::forward::connection::{ConnectError, Connection};
 use crate::node::Node;
+use crate::time::Time;
 
 /// How long after the loss of a connection its upstream is checked. A process that ends closes its
 /// connections before its listener, or after it.
@@ -23,6 +24,9 @@
     pub(crate) target: Target,
     pub(crate) request_id: Arc<str>,
     pub(crate) fingerprints: Fingerprints,
+    pub(crate) sent: Time,
+    /// When the connection was lost.
+    pub(crate) lost: Time,
 }
 
 /// Opens a connection to the upstream. If it accepts none, it has ended under the request.
@@ -53,9 +57,9 @@
     node.events.record(EventCode::UpstreamCrashed, subject, None);
     let event =
         RequestEvent::UpstreamCrashed(upstream_hash(&crash.service.name, &crash.target.name));
-    let at = node.clock.now();
+    let (sent, at) = (crash.sent, crash.lost);
     for fingerprint in crash.fingerprints.iter() {
-        node.record_request_report(&RequestReport { fingerprint, event, at });
+        node.record_request_report(&RequestReport { fingerprint, event, sent, at });
     }
 }
 
@@ -74,6 +78,11 @@
             self.change_feed.notify();
         }
         if was_blocked != is_blocked {
+            // Peers may see the order of what they are told differently.
+            if is_blocked && report.event != RequestEvent::Blocked {
+                let event = RequestEvent::Blocked;
+                self.record_request_report(&RequestReport { event, sent: now, at: now, ..*report });
+            }
             let code = match is_blocked {
                 true => EventCode::RequestBlocked,
                 false => EventCode::RequestUnblocked,
@@ -91,6 +100,7 @@
                 self.record_request_report(&RequestReport {
                     fingerprint,
                     event: RequestEvent::Answered,
+                    sent: at,
                     at,
                 });
             }
--- a/src/peer/codec.rs
+++ b/src/peer/codec.rs
@@ -34,6 +34,9 @@
 /// The hash that stands for an answer, in place of that of an upstream that has ended.
 const ANSWERED: u64 = 0;
 
+/// The hash that stands for a block.
+const BLOCKED: u64 = 1;
+
 /// Writes a digest into a message.
 pub(crate) fn write(digest: &Digest, mut out: wire::digest::Builder<'_>) {
     out.set_millis(digest.stamp.millis);
@@ -290,8 +293,10 @@
         row.set_upstream(match report.event {
             RequestEvent::UpstreamCrashed(upstream) => upstream,
             RequestEvent::Answered => ANSWERED,
+            RequestEvent::Blocked => BLOCKED,
         });
         row.set_age_ms(age_millis(report.age));
+        row.set_took_ms(age_millis(report.took));
     }
 }
 
@@ -300,9 +305,11 @@
         fingerprint: Fingerprint(row.get_fingerprint()),
         event: match row.get_upstream() {
             ANSWERED => RequestEvent::Answered,
+            BLOCKED => RequestEvent::Blocked,
             upstream => RequestEvent::UpstreamCrashed(upstream),
         },
         age: Duration::from_millis(row.get_age_ms().into()),
+        took: Duration::from_millis(row.get_took_ms().into()),
     }
 }
 
--- a/src/peer/peer_capnp.rs
+++ b/src/peer/peer_capnp.rs
@@ -2539,6 +2539,10 @@
         pub fn get_age_ms(self) -> u32 {
             self.reader.get_data_field::<u32>(4)
         }
+        #[inline]
+        pub fn get_took_ms(self) -> u32 {
+            self.reader.get_data_field::<u32>(5)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -2617,6 +2621,14 @@
         pub fn set_age_ms(&mut self, value: u32)  {
             self.builder.set_data_field::<u32>(4, value);
         }
+        #[inline]
+        pub fn get_took_ms(self) -> u32 {
+            self.builder.get_data_field::<u32>(5)
+        }
+        #[inline]
+        pub fn set_took_ms(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(5, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -2628,7 +2640,7 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 65] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 80] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(207, 107, 78, 232, 95, 113, 112, 202),
             ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
@@ -2638,7 +2650,7 @@
             ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
@@ -2646,28 +2658,35 @@
             ::capnp::word(115, 116, 82, 101, 112, 111, 114, 116),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(97, 0, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(77, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(105, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(85, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(113, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(80, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(92, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(117, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(124, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(102, 105, 110, 103, 101, 114, 112, 114),
             ::capnp::word(105, 110, 116, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
@@ -2694,12 +2713,21 @@
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 111, 111, 107, 77, 115, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2713,9 +2741,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,0,1];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,0,3,1];
         pub(crate) const TYPE_ID: u64 = 0xca70_715f_e84e_6bcf;
     }
 }
--- a/src/peer/tests.rs
+++ b/src/peer/tests.rs
@@ -432,8 +432,13 @@
     let report = (any::<u64>(), any::<u64>(), any::<u32>()).prop_map(|(fingerprint, n, age)| {
         RelayedReport {
             fingerprint: Fingerprint(fingerprint),
-            event: if n == 0 { RequestEvent::Answered } else { RequestEvent::UpstreamCrashed(n) },
+            event: match n % 8 {
+                0 => RequestEvent::Answered,
+                1 => RequestEvent::Blocked,
+                _ => RequestEvent::UpstreamCrashed(n),
+            },
             age: Duration::from_millis(age.into()),
+            took: Duration::from_millis(n % 100_000),
         }
     });
     let tail = (vec(recent, 0..4), vec(limit, 0..4), vec(report, 0..4));
--- a/src/registry/follower.rs
+++ b/src/registry/follower.rs
@@ -11,6 +11,7 @@
 use crate::decide::catalog::{Body, Record, RecordKind};
 use crate::decide::hosts::{Host, Role};
 use crate::decide::lapse::MissingRegistrations;
+use crate::decide::poison::{RequestEvent, RequestReport};
 use crate::decide::reads::AGE_FACTOR_MIN;
 use crate::decide::registered::{
     Reading, RegistrationVersion, SeenRegistrations, Step, next_version,
@@ -282,10 +283,8 @@
         self.offer(records);
         let mut has_changed = false;
         for change in changes {
-            if change.value.is_some()
-                && let Some(fingerprint) = blocked::fingerprint(&self.prefix, &change.key)
-            {
-                self.node.poison_requests.lock().block(fingerprint, now);
+            if change.value.is_some() {
+                self.apply_blocked_request(&change.key, now);
             }
             if change.key.starts_with(&self.hosts_prefix) {
                 has_changed |= self.apply_entry_host(change, now);
@@ -296,6 +295,17 @@
         }
     }
 
+    /// Blocks the request that a key lists, if it lists one. An entry may outlast the answer that has
+    /// cleared its request.
+    fn apply_blocked_request(&self, key: &str, now: Time) {
+        let Some(fingerprint) = blocked::fingerprint(&self.prefix, key) else { return };
+        if !self.node.poison_requests.lock().is_cleared(fingerprint) {
+            let event = RequestEvent::Blocked;
+            let report = RequestReport { fingerprint, event, sent: now, at: now };
+            self.node.record_request_report(&report);
+        }
+    }
+
     /// Applies a change of an entry host's registration, and returns whether the entry hosts differ.
     /// Registrations are not records that peers pass on, since entry hosts also learn of each other
     /// by heartbeats.
