Keep the rate limit of an upstream that is absent for a moment

A row that was removed and added again, as after a lapse of its registration, had lost its limit on all hosts at once, and a host that had just started ignored what peers told of upstreams that it did not know yet. Both sent freely until the next response. The test failed before, with no limit after the first put.

--- a/src/decide/service.rs
+++ b/src/decide/service.rs
@@ -370,6 +370,11 @@
         upstream::find_mut(&mut self.rows, id)?.limit.observe(per_second, sent, now)
     }
 
+    /// Returns whether an upstream is configured.
+    pub(crate) fn has_upstream(&self, name: &str) -> bool {
+        self.rows.iter().any(|r| r.configured && *r.name == *name)
+    }
+
     /// Records what a peer has told of an upstream's rate limit. Upstreams that are not configured are
     /// ignored.
     pub fn import_limit(
--- a/src/decide/tick.rs
+++ b/src/decide/tick.rs
@@ -7,6 +7,8 @@
 
 use crate::config::Service;
 use crate::decide::admission::{Admission, Target, Ticket};
+use crate::decide::digest::UpstreamName;
+use crate::decide::limit::{LimitChange, LimitObservation};
 use crate::decide::service::{HostInfo, ServiceTable};
 use crate::decide::upstream::UpstreamChange;
 use crate::time::Time;
@@ -23,8 +25,14 @@
     /// When each service is next due, in the order of `services`. Kept apart from the tables, so
     /// that a tick touches little memory of a service without requests.
     due: Vec<Time>,
+    /// The rate limits of upstreams that the tables don't hold at present, sorted by upstream.
+    absent_limits: Vec<(UpstreamName, LimitObservation)>,
 }
 
+/// The time for which the rate limit of an absent upstream is kept.
+const ABSENT_LIMIT_AGE_MAX: Duration = Duration::from_secs(30);
+/// The number of rate limits of absent upstreams that are kept.
+const ABSENT_LIMITS_MAX: usize = 1_024;
 /// The number of known entry hosts divided by this, rounded up, is added to it, for hosts that have
 /// started and are not yet heard from.
 const FLEET_MARGIN_DIVISOR: u32 = 4;
@@ -51,6 +59,7 @@
             known_hosts: None,
             services: Vec::new(),
             due: Vec::new(),
+            absent_limits: Vec::new(),
         }
     }
 
@@ -66,8 +75,64 @@
         Some(&mut self.services[index])
     }
 
-    /// Adds or replaces a service record.
+    /// Adds or replaces a service record. An upstream that returns keeps its rate limit, and one that
+    /// joins gets the one that peers have told.
     pub fn put(&mut self, cfg: Arc<Service>, now: Time) {
+        let name = cfg.name.clone();
+        if let Ok(index) = self.services.binary_search_by(|s| s.cfg().name.cmp(&name)) {
+            let limits = self.services[index].limits(now);
+            let limits: Vec<_> =
+                limits.map(|(upstream, limit)| (upstream.clone(), limit)).collect();
+            for (upstream, limit) in limits {
+                self.keep_limit(&UpstreamName { service: name.clone(), name: upstream }, &limit);
+            }
+        }
+        self.put_record(cfg, now);
+        let absent = std::mem::take(&mut self.absent_limits);
+        self.absent_limits = absent
+            .into_iter()
+            .filter(|(upstream, limit)| !self.apply_limit(upstream, limit))
+            .collect();
+    }
+
+    /// Records what a peer has told of an upstream's rate limit. Returns the change, if there is one
+    /// worth recording.
+    pub fn import_limit(
+        &mut self,
+        name: &UpstreamName,
+        observation: &LimitObservation,
+    ) -> Option<LimitChange> {
+        let table = self.service(&name.service);
+        match table.filter(|t| t.has_upstream(&name.name)) {
+            Some(table) => table.import_limit(&name.name, observation),
+            None => {
+                self.keep_limit(name, observation);
+                None
+            }
+        }
+    }
+
+    /// Applies a kept rate limit. Returns whether its upstream is there.
+    fn apply_limit(&mut self, name: &UpstreamName, observation: &LimitObservation) -> bool {
+        let table = self.service(&name.service);
+        let table = table.filter(|t| t.has_upstream(&name.name));
+        table.map(|t| t.import_limit(&name.name, observation)).is_some()
+    }
+
+    /// Keeps the newest rate limit of an upstream that may be absent, and none that has ended.
+    fn keep_limit(&mut self, name: &UpstreamName, observation: &LimitObservation) {
+        let found = self.absent_limits.binary_search_by(|(n, _)| n.cmp(name));
+        match found {
+            Ok(at) if self.absent_limits[at].1.at >= observation.at => {}
+            Ok(at) if observation.per_second.is_none() => drop(self.absent_limits.remove(at)),
+            Ok(at) => self.absent_limits[at].1 = *observation,
+            Err(_) if observation.per_second.is_none() => {}
+            Err(_) if self.absent_limits.len() >= ABSENT_LIMITS_MAX => {}
+            Err(at) => self.absent_limits.insert(at, (name.clone(), *observation)),
+        }
+    }
+
+    fn put_record(&mut self, cfg: Arc<Service>, now: Time) {
         match self.services.binary_search_by(|s| s.cfg().name.cmp(&cfg.name)) {
             Ok(index) => {
                 self.services[index].reconfigure(cfg.clone(), now);
@@ -116,6 +181,7 @@
     /// Updates which rate limits this host owns. `is_owner` returns whether it is one of a number of
     /// owners of the limit of an upstream, which is given by its service and its name.
     pub fn update_limits(&mut self, now: Time, is_owner: impl Fn(&str, &str, usize) -> bool) {
+        self.absent_limits.retain(|(_, limit)| now.since(limit.at) < ABSENT_LIMIT_AGE_MAX);
         let live_hosts = self.live_peers as usize + 1;
         for table in &mut self.services {
             let service = table.cfg().name.clone();
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -156,11 +156,7 @@
 
     /// Records what a peer has told of an upstream's rate limit.
     pub(crate) fn import_limit(&self, name: &UpstreamName, observation: &LimitObservation) {
-        let change = {
-            let mut tables = self.tables.lock();
-            let Some(table) = tables.service(&name.service) else { return };
-            table.import_limit(&name.name, observation)
-        };
+        let change = self.tables.lock().import_limit(name, observation);
         if let Some(change) = change {
             self.record_limit_change(&name.service, &name.name, change);
         }
--- a/tests/limit.rs
+++ b/tests/limit.rs
@@ -16,6 +16,7 @@
 use cornelferry::limit::{LimitChange, LimitObservation, RateLimit};
 use cornelferry::member::{Heartbeat, Members};
 use cornelferry::service::{HostInfo, NextAttempt, ServiceTable};
+use cornelferry::tick::ServiceTables;
 use cornelferry::upstream::{AttemptReport, Occupancy, UpstreamOutcome};
 use http::Request;
 use http_body_util::Full;
@@ -467,6 +468,45 @@
     assert!(!limit.is_closed(at(31)));
 }
 
+/// Guards against a limit that was lost with its upstream's row: the host sent freely until the next
+/// response, and a host that had just started had not yet known the upstream when it was told.
+#[test]
+fn a_limit_outlasts_the_absence_of_its_upstream() {
+    let upstream = Upstream {
+        name: "u-0".into(),
+        address: SocketAddr::from((Ipv4Addr::LOCALHOST, 9_000)),
+        data_centre: "a".into(),
+    };
+    let name = UpstreamName { service: "s".into(), name: "u-0".into() };
+    let without = Arc::new(Service { name: "s".into(), ..Service::default() });
+    let with = Arc::new(Service { upstreams: vec![upstream], ..(*without).clone() });
+    let info = HostInfo {
+        host: "entry-1".into(),
+        data_centre: "a".into(),
+        fleet_size_max: 3,
+        policy: Policy::default(),
+        waiting_max: 10,
+    };
+    let mut tables = ServiceTables::new(info);
+    let now = Time::from_millis(60_000);
+    let limit = LimitObservation { per_second: Some(2.0), at: now };
+    let is_limited = |tables: &mut ServiceTables| {
+        let table = tables.service("s").expect("table");
+        let id = table.rows()[0].id;
+        table.is_limited(id)
+    };
+    assert_eq!(tables.import_limit(&name, &limit), None);
+    tables.put(with.clone(), now);
+    assert!(is_limited(&mut tables));
+    tables.put(without, now);
+    tables.put(with.clone(), now);
+    assert!(is_limited(&mut tables));
+    let ended = LimitObservation { per_second: None, at: now + MS };
+    assert_eq!(tables.import_limit(&name, &ended), Some(LimitChange::Ended));
+    tables.put(with, now + MS);
+    assert!(!is_limited(&mut tables));
+}
+
 #[test]
 fn a_limit_that_stays_the_same_is_no_change() {
     let at = Time::from_millis;
