Don't let the soak drain what its callers need

Its trace: drains, a leaving word and a rate limit had left one upstream with 160 requests a second, which refused 277 as it was full, while callers sent 200. The soak now drains one more only if more than two are left that neither leave nor name a limit; no check or bound has changed.

--- a/tests/crash.rs
+++ b/tests/crash.rs
@@ -249,8 +249,8 @@
     assert!(suspects.record(&report(7, RequestEvent::UpstreamCrashed(5), 960), now));
 }
 
-/// Guards against a block of harmless requests: one request had ended three upstreams within
-/// milliseconds, and others were in flight on all of them (soak, seed 301).
+/// Guards against a block of harmless requests: one request may end three upstreams within
+/// milliseconds by its retries, while others are in flight on all of them.
 #[test]
 fn requests_in_flight_on_many_upstreams_that_end_together_are_not_blocked() {
     let (mut requests, now) = (PoisonRequests::default(), Time::from_millis(1_000));
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -42,8 +42,8 @@
 ///
 /// - 116, 132, 133: hosts that had just started knew no peers and took the fleet's retry budget for
 ///   theirs.
-/// - 301: a request that ended three upstreams within milliseconds took others with it, which were
-///   blocked too.
+/// - 301: drains, a leaving word and a rate limit left one upstream, too few for the callers. The
+///   fault was this test's.
 /// - 311: hosts that had just started knew no peers and each took an upstream's whole rate limit.
 const SEEDS: [u64; 7] = [1, 2, 116, 132, 133, 301, 311];
 /// Seconds during which faults are injected in the CI run.
@@ -292,7 +292,9 @@
     async fn drain_upstream(&self) {
         let upstream = {
             let mut upstreams = self.upstreams.lock();
-            if upstreams.len() <= UPSTREAMS / 2 {
+            // One that is leaving serves nothing, and one with a rate limit next to nothing.
+            let usable = upstreams.iter().filter(|u| !u.is_limited() && !u.is_leaving()).count();
+            if usable <= UPSTREAMS / 2 {
                 return;
             }
             upstreams.remove(0)
--- a/tests/soak/upstream.rs
+++ b/tests/soak/upstream.rs
@@ -100,6 +100,11 @@
         self.leaving.store(true, Ordering::SeqCst);
     }
 
+    /// Returns whether its responses say that it is leaving.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::SeqCst)
+    }
+
     /// Lets all responses name a rate limit from now on.
     pub fn name_limit(&self) {
         self.limited.store(true, Ordering::SeqCst);
@@ -205,7 +210,7 @@
             }
             Fault::None | Fault::Slow | Fault::Pausing => (id.as_str(), false),
         };
-        let leaving = self.leaving.load(Ordering::SeqCst);
+        let leaving = self.is_leaving();
         if leaving {
             self.observed.announcements.lock().insert(id.clone(), self.id.clone());
         }
