Log and count what the retry budget allowed and denied

No line said on what a retry was decided, so a budget that forgets, one that counts other requests than it should, and one whose parts add up to too much looked the same. Lines 2005 and 2006, and the new 2012 for a retry that the budget denied, have the requests and retries counted and the host's part of the slack; cornelferry_retries_total counts both.

No decision changes.

--- a/src/decide/retry.rs
+++ b/src/decide/retry.rs
@@ -35,6 +35,17 @@
     pub(crate) window: Duration,
 }
 
+/// What a [`RetryBudget`] has counted, and the part of the slack that it grants.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct RetryUsage {
+    /// Requests that are counted.
+    pub(crate) requests: u32,
+    /// Retries and hedges that are counted.
+    pub(crate) retries: u32,
+    /// Retries that this host may make beyond its share of the requests.
+    pub(crate) slack: f64,
+}
+
 /// Intervals per window. Retries count for at most one interval longer than the window.
 const INTERVALS: u32 = 20;
 
@@ -49,11 +60,19 @@
 
     /// Returns whether one more retry is within the budget.
     pub(crate) fn allows_retry(&mut self, limits: RetryLimits, now: Time) -> bool {
+        let usage = self.usage(limits, now);
+        f64::from(usage.retries) + 1.0
+            <= f64::from(usage.requests) * limits.share.clamp(0.0, 1.0) + usage.slack
+    }
+
+    /// Returns what is counted at present.
+    pub(crate) fn usage(&mut self, limits: RetryLimits, now: Time) -> RetryUsage {
         self.current_interval(limits, now);
-        let requests: u32 = self.intervals.iter().map(|i| i.requests).sum();
-        let retries: u32 = self.intervals.iter().map(|i| i.retries).sum();
-        f64::from(retries) + 1.0
-            <= f64::from(requests) * limits.share.clamp(0.0, 1.0) + limits.slack
+        RetryUsage {
+            requests: self.intervals.iter().map(|i| i.requests).sum(),
+            retries: self.intervals.iter().map(|i| i.retries).sum(),
+            slack: limits.slack,
+        }
     }
 
     pub(crate) fn record_retry(&mut self, limits: RetryLimits, now: Time) {
--- a/src/decide/service/admission.rs
+++ b/src/decide/service/admission.rs
@@ -10,6 +10,7 @@
 use crate::decide::balancing::{self, View};
 use crate::decide::capacity::Fleet;
 use crate::decide::queue::QueuedRequest;
+use crate::decide::retry::RetryUsage;
 use crate::decide::upstream::{self, Row, State, UpstreamId};
 use crate::error::Code;
 use crate::time::Time;
@@ -102,6 +103,12 @@
         self.retry_budget.allows_retry(limits, now)
     }
 
+    /// Returns what the retry budget has counted.
+    pub(crate) fn retry_usage(&mut self, now: Time) -> RetryUsage {
+        let limits = self.retry_limits();
+        self.retry_budget.usage(limits, now)
+    }
+
     /// Removes a queued request whose caller has disconnected.
     pub fn abandon_request(&mut self, ticket: Ticket) {
         if !self.queue.remove(ticket) {
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -12,6 +12,7 @@
 use crate::decide::admission::{Admission, Request, Target, Ticket};
 use crate::decide::digest::UpstreamName;
 use crate::decide::limit::{LimitChange, LimitObservation};
+use crate::decide::retry::RetryUsage;
 use crate::decide::service::{NextAttempt, ServiceTable};
 use crate::decide::tick::TickOutput;
 use crate::decide::upstream::{AttemptReport, Occupancy, UpstreamId, UpstreamOutcome};
@@ -98,6 +99,12 @@
         self.tables.lock().service(service).is_some_and(|t| t.may_retry(now))
     }
 
+    /// Returns what the retry budget of a service has counted, if the service still exists.
+    pub(crate) fn retry_usage(&self, service: &str) -> Option<RetryUsage> {
+        let now = self.clock.now();
+        self.tables.lock().service(service).map(|t| t.retry_usage(now))
+    }
+
     /// Returns how long to wait for an attempt at an upstream before sending a hedge.
     pub(crate) fn hedge_delay(&self, service: &str, id: UpstreamId) -> Option<Duration> {
         let now = self.clock.now();
--- a/src/event.rs
+++ b/src/event.rs
@@ -71,6 +71,8 @@
     Rejected = 2010, "request not taken in";
     /// An attempt's response was received completely.
     AttemptAnswered = 2011, "attempt answered";
+    /// A retry was due, but the retry budget is spent.
+    RetryDenied = 2012, "no further attempt, retry budget spent";
     /// An upstream is leaving and gets no new requests.
     UpstreamLeaving = 3001, "upstream leaving";
     /// An upstream was ejected for a time.
--- a/src/forward/driver.rs
+++ b/src/forward/driver.rs
@@ -221,6 +221,10 @@
         };
         let now = self.node.clock.now();
         let Some(target) = target else {
+            let is_denied = !self.node.may_retry(&self.request.service.name);
+            if reason == NextAttempt::Retry && is_denied {
+                self.record_retry(EventCode::RetryDenied);
+            }
             if now >= self.request.deadline {
                 let event = self.on_deadline();
                 return self.finish_with(event);
@@ -230,11 +234,20 @@
             }
             return self.finish_with(Event::NoTarget);
         };
-        record(self.node, self.request, code);
+        self.record_retry(code);
         self.start_attempt(target);
         None
     }
 
+    /// Records a retry or hedge, or that none was allowed, with the use of the retry budget.
+    fn record_retry(&self, code: EventCode) {
+        let (node, service) = (self.node, &self.request.service.name);
+        let retry_usage = node.retry_usage(service);
+        self.request.log.add(LogEntry { retry_usage, ..LogEntry::new(node.clock.now(), code) });
+        node.events.record(code, subject(self.request), None);
+        node.metrics.count_retry(service, code != EventCode::RetryDenied);
+    }
+
     /// Returns an upstream for a retry or hedge, if one is available and the retry budget permits
     /// it.
     async fn next_target(&self, reason: NextAttempt) -> Option<Target> {
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -33,6 +33,7 @@
     latency: HistogramVec,
     attempts: IntCounterVec,
     probes: IntCounterVec,
+    retries: IntCounterVec,
     limited_attempts: IntCounterVec,
     control_bytes: IntCounterVec,
     platform_calls: IntCounterVec,
@@ -78,6 +79,11 @@
                 "Probes ended, by service and ending",
                 &["service", "ended"],
             ),
+            retries: counter(
+                "cornelferry_retries_total",
+                "Retries and hedges that were sent, and retries that the retry budget denied, by service",
+                &["service", "decision"],
+            ),
             limited_attempts: counter(
                 "cornelferry_limited_attempts_total",
                 "Attempts sent to upstreams that had named a rate limit, by service and order",
@@ -155,6 +161,12 @@
         self.attempts.with_label_values(&[&*label, result_label(outcome)]).inc();
     }
 
+    /// Counts a retry or hedge that is sent, or a retry that the retry budget denied.
+    pub(crate) fn count_retry(&self, service: &str, is_allowed: bool) {
+        let decision = if is_allowed { "allowed" } else { "denied" };
+        self.retries.with_label_values(&[&*self.service_label(service), decision]).inc();
+    }
+
     /// Counts an attempt that is sent to an upstream with a rate limit.
     pub(crate) fn count_limited_attempt(&self, service: &str, is_repeat: bool) {
         let order = if is_repeat { "repeat" } else { "first" };
--- a/src/request_log.rs
+++ b/src/request_log.rs
@@ -17,6 +17,7 @@
 use crate::decide::admission::PlacementEstimate;
 use crate::decide::bucket::TokenBucket;
 use crate::decide::poison::Fingerprint;
+use crate::decide::retry::RetryUsage;
 use crate::event::{self, EventCode};
 use crate::logs;
 use crate::time::Time;
@@ -41,6 +42,8 @@
     pub(crate) estimate: Option<PlacementEstimate>,
     /// The slowdown that the upstream reported in its response, where 1 is its usual speed.
     pub(crate) slowdown: Option<f32>,
+    /// The use of the retry budget, on the entries of retries and hedges and of denied ones.
+    pub(crate) retry_usage: Option<RetryUsage>,
     /// The request's fingerprint, on the entry of its acceptance.
     pub(crate) fingerprint: Option<Fingerprint>,
 }
@@ -55,6 +58,7 @@
             value: None,
             estimate: None,
             slowdown: None,
+            retry_usage: None,
             fingerprint: None,
         }
     }
@@ -151,6 +155,11 @@
     if let Some(slowdown) = entry.slowdown {
         set("slowdown", json!(round_to_hundredths(slowdown)));
     }
+    if let Some(usage) = entry.retry_usage {
+        set("retries_counted", json!(usage.retries));
+        set("requests_counted", json!(usage.requests));
+        set("slack", json!((usage.slack * 100.0).round() / 100.0));
+    }
     if let Some(estimate) = entry.estimate {
         set("load", json!(round_to_hundredths(estimate.load)));
         set("slowdown", json!(round_to_hundredths(estimate.slowdown)));
