Count retries and requests of the same windows in the retry budget

Callers' requests were sent to upstreams more often than the fleet's budget allows, since a host counted requests of the last 10.5 to 11 s whenever it retried: when load fell, requests from before a window paid for retries in it, and hosts whose callers had moved counted them twice.

Every window that a retry falls into now has to keep the budget, with the mean of the requests in it and in the window before it. The budget counts the larger of the two over all hosts; the hosts' means add up to no more than that, the hosts' maxima don't. A host that is alone takes the larger. Retries and requests in transit get a margin of a hundredth of the window.

--- a/src/decide/service.rs
+++ b/src/decide/service.rs
@@ -333,6 +333,7 @@
             share: self.cfg.retry_share,
             slack: self.cfg.retry_slack / f64::from(self.host_info.fleet_size_max.max(1)),
             window: Duration::from_millis(self.cfg.retry_window_ms),
+            is_alone: self.host_info.fleet_size_max <= 1,
         }
     }
 
--- a/src/request_log.rs
+++ b/src/request_log.rs
@@ -157,7 +157,7 @@
     }
     if let Some(usage) = entry.retry_usage {
         set("retries_counted", json!(usage.retries));
-        set("requests_counted", json!(usage.requests));
+        set("requests_counted", json!(usage.requests.floor()));
         set("slack", json!((usage.slack * 100.0).round() / 100.0));
     }
     if let Some(estimate) = entry.estimate {
