Give a host that has just started no part of the retry slack

Callers' requests were sent to upstreams more often than the fleet's budget allows when hosts were killed and started while a service failed. The budget lives in the process: each new one had its whole part of the fleet's slack at once, beside what the one before it had used in the same window.

A host has no slack until the windows that it started in are over; its share of requests it has from the first request on, as that is paid for by its own. A host that is alone keeps its slack.

--- a/src/decide/retry.rs
+++ b/src/decide/retry.rs
@@ -12,8 +12,12 @@
 /// summed over all hosts. A host of a fleet takes the mean of its own two counts: the sum of the
 /// hosts' means never exceeds the larger sum, while the sum of their maxima may. So all hosts together
 /// stay within the budget whatever they know of each other. A host that is alone takes the larger.
+///
+/// A host may have taken the place of one that has used its part of the slack, so it has none until
+/// the windows that it started in are over.
 #[derive(Clone, Debug)]
 pub(crate) struct RetryBudget {
+    since: Time,
     /// Counts per interval of the last two windows, oldest first.
     intervals: VecDeque<Interval>,
 }
@@ -46,7 +50,7 @@
     pub(crate) requests: f64,
     /// Retries and hedges of the window.
     pub(crate) retries: u32,
-    /// Retries that this host may make beyond its share of the requests.
+    /// Retries that this host may make beyond its share of the requests; none after its start.
     pub(crate) slack: f64,
 }
 
@@ -64,8 +68,9 @@
 const TRANSIT_INTERVALS: u32 = 1;
 
 impl RetryBudget {
-    pub(crate) fn new() -> RetryBudget {
-        RetryBudget { intervals: VecDeque::new() }
+    /// Creates the budget of a host that has counted nothing before `now`.
+    pub(crate) fn new(now: Time) -> RetryBudget {
+        RetryBudget { since: now, intervals: VecDeque::new() }
     }
 
     pub(crate) fn record_request(&mut self, limits: RetryLimits, now: Time) {
@@ -83,6 +88,7 @@
         self.current_interval(limits, now);
         let (length, transit) = (interval_length(limits), transit_time(limits));
         let windows_start = now.before(limits.window + transit);
+        let slack = self.slack(limits, now);
         // Counts from the start of each window, and from the start of the one before it.
         let mut retries: u32 = self.intervals.iter().map(|i| i.retries).sum();
         let mut in_window: u32 = self.intervals.iter().map(|i| i.requests).sum();
@@ -97,7 +103,7 @@
                 in_both -= outside.requests;
             }
             let requests = requests_of_window(in_both, in_window, limits);
-            let usage = RetryUsage { requests, retries, slack: limits.slack };
+            let usage = RetryUsage { requests, retries, slack };
             if end > windows_start
                 && tightest.is_none_or(|t| usage.remaining(limits) < t.remaining(limits))
             {
@@ -106,13 +112,22 @@
             retries -= interval.retries;
             in_window -= interval.requests;
         }
-        tightest.unwrap_or(RetryUsage { requests: 0.0, retries: 0, slack: limits.slack })
+        tightest.unwrap_or(RetryUsage { requests: 0.0, retries: 0, slack })
     }
 
     pub(crate) fn record_retry(&mut self, limits: RetryLimits, now: Time) {
         self.current_interval(limits, now).retries += 1;
     }
 
+    /// Returns the part of the slack that this host has already.
+    fn slack(&self, limits: RetryLimits, now: Time) -> f64 {
+        let first_windows = limits.window + transit_time(limits) * 2;
+        match limits.is_alone || now.since(self.since) > first_windows {
+            true => limits.slack,
+            false => 0.0,
+        }
+    }
+
     /// Drops the intervals that concern no window any more, and returns the current one.
     fn current_interval(&mut self, limits: RetryLimits, now: Time) -> &mut Interval {
         let length = interval_length(limits);
--- a/src/decide/service.rs
+++ b/src/decide/service.rs
@@ -131,7 +131,7 @@
             probe_budget,
             next_probe_at: now,
             next_candidate_probe_at: now,
-            retry_budget: RetryBudget::new(),
+            retry_budget: RetryBudget::new(now),
             next_limit_update_at: now,
             candidates: Vec::new(),
             changes: Vec::new(),
