Log and show when no upstream of a service responds to a host

Logs named single upstreams only, so a host that had lost its path to all of them looked like one of whose upstreams many had failed. Events 3014 and 3015 and cornelferry_cut_off say so by service. No decision changes.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -38,4 +38,5 @@
 pub(crate) mod load;
 pub(crate) mod occupancy;
 pub(crate) mod queue;
+pub(crate) mod reach;
 pub(crate) mod retry;
--- a/src/decide/service.rs
+++ b/src/decide/service.rs
@@ -23,6 +23,7 @@
 use crate::decide::limit::{LimitChange, LimitObservation};
 use crate::decide::probing::{self, ProbeBudget};
 use crate::decide::queue::Queue;
+use crate::decide::reach::Reach;
 use crate::decide::retry::{RetryBudget, RetryLimits};
 use crate::decide::upstream::{
     self, AttemptReport, Row, State, UpstreamChange, UpstreamId, UpstreamOutcome,
@@ -81,6 +82,7 @@
     /// When upstreams are next probed for a free slot while requests are queued.
     next_candidate_probe_at: Time,
     retry_budget: RetryBudget,
+    reach: Reach,
     next_limit_update_at: Time,
     /// Row indices of the upstreams open to the current request; kept to reuse its allocation.
     candidates: Vec<u32>,
@@ -132,6 +134,7 @@
             next_probe_at: now,
             next_candidate_probe_at: now,
             retry_budget: RetryBudget::new(now),
+            reach: Reach::default(),
             next_limit_update_at: now,
             candidates: Vec::new(),
             changes: Vec::new(),
@@ -239,6 +242,7 @@
         let row = &mut self.rows[index];
         let Some(attempt) = row.end_attempt(report.latency, now) else { return };
         self.in_flight -= 1;
+        self.reach.record(id, report.outcome, now.before(report.latency), now);
         if report.draining {
             row.drain.signal();
             row.update_state(&mut self.changes);
@@ -277,6 +281,17 @@
         is_idle && !is_used
     }
 
+    /// Returns whether this host is cut off from the service's upstreams, if that has changed since
+    /// the last call.
+    pub(crate) fn take_reach_change(&mut self, now: Time) -> Option<bool> {
+        let upstreams = self.live_upstreams();
+        self.reach.take_change(upstreams, now)
+    }
+
+    fn live_upstreams(&self) -> usize {
+        self.rows.iter().filter(|r| r.state == State::Live).count()
+    }
+
     /// Removes and returns the upstream changes that were recorded since the last call.
     pub fn take_changes(&mut self) -> Vec<UpstreamChange> {
         std::mem::take(&mut self.changes)
@@ -443,6 +458,7 @@
     /// Records the result of a probe. An unknown `id` is ignored.
     pub fn finish_probe(&mut self, id: UpstreamId, report: &AttemptReport, now: Time) {
         let Ok(index) = self.rows.binary_search_by_key(&id, |r| r.id) else { return };
+        self.reach.record(id, report.outcome, now.before(report.latency), now);
         let row = &mut self.rows[index];
         if report.draining {
             row.drain.signal();
--- a/src/decide/service/reports.rs
+++ b/src/decide/service/reports.rs
@@ -28,6 +28,7 @@
     pub fn update_occupancy(&mut self, id: UpstreamId, occupancy: &Occupancy, now: Time) {
         if let Some(row) = upstream::find_mut(&mut self.rows, id) {
             row.record_occupancy(occupancy, now);
+            self.reach.record_response(now);
         }
     }
 
--- a/src/decide/tick.rs
+++ b/src/decide/tick.rs
@@ -42,6 +42,8 @@
 /// The decisions of a tick.
 #[derive(Debug, Default)]
 pub struct TickOutput {
+    /// Services from whose upstreams this host is cut off since the last tick (`true`), or no longer.
+    pub reach_changes: Vec<(Arc<str>, bool)>,
     /// Decisions on queued requests, each with its service's name.
     pub released: Vec<(Arc<str>, Ticket, Admission)>,
     /// Changes of upstreams, each with its service's name.
@@ -211,6 +213,8 @@
                 continue;
             }
             service.tick(now);
+            let reach_change = service.take_reach_change(now);
+            out.reach_changes.extend(reach_change.map(|lost| (service.cfg().name.clone(), lost)));
             for change in service.take_changes() {
                 out.changes.push((service.cfg().name.clone(), change));
             }
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -251,6 +251,15 @@
             self.record_tick(&output, now);
             output
         };
+        for (service, is_cut_off) in output.reach_changes {
+            self.metrics.set_cut_off(&service, is_cut_off);
+            let code = match is_cut_off {
+                true => EventCode::UpstreamsUnreachable,
+                false => EventCode::UpstreamsReachable,
+            };
+            let subject = Subject { service: Some(service), ..Subject::default() };
+            self.events.record(code, subject, None);
+        }
         for (service, change) in output.changes {
             let upstream = Some(change.upstream);
             let subject = Subject { service: Some(service), upstream, ..Subject::default() };
--- a/src/event.rs
+++ b/src/event.rs
@@ -99,6 +99,10 @@
     RequestBlocked = 3012, "request blocked, upstreams end under it";
     /// A request is no longer blocked, because an upstream has answered it.
     RequestUnblocked = 3013, "request no longer blocked";
+    /// None of a service's upstreams has responded to this host for some time.
+    UpstreamsUnreachable = 3014, "no upstream of the service responds";
+    /// An upstream of the service responds to this host again.
+    UpstreamsReachable = 3015, "upstreams of the service respond again";
     /// A record version came into force.
     InForce = 4001, "record version in force";
     /// A newer record can't be read, so the old one stays in force.
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -44,6 +44,7 @@
     config_version: IntGauge,
     waiting: IntGaugeVec,
     in_flight: IntGaugeVec,
+    cut_off: IntGaugeVec,
 }
 
 impl Default for Metrics {
@@ -115,6 +116,10 @@
             config_version: value("cornelferry_config_version", "Version of the routes in force"),
             waiting: gauge("cornelferry_waiting", "Requests that wait for a slot"),
             in_flight: gauge("cornelferry_in_flight", "Attempts in flight"),
+            cut_off: gauge(
+                "cornelferry_cut_off",
+                "1 while no upstream of the service responds to this host, else 0",
+            ),
             services: RwLock::default(),
             registry,
         }
@@ -189,6 +194,11 @@
         gauge(&self.in_flight, in_flight);
     }
 
+    /// Sets whether this host is cut off from the upstreams of a service.
+    pub(crate) fn set_cut_off(&self, service: &str, is_cut_off: bool) {
+        self.cut_off.with_label_values(&[&*self.service_label(service)]).set(is_cut_off.into());
+    }
+
     /// Returns the number of completed probes of a service.
     pub(crate) fn completed_probes(&self, service: &str) -> u64 {
         let label = self.service_label(service);
