Failing tests: requests at hosts that have lost the path to upstreams

Three daemons, of which two reach no upstream, silently or with refused connections: requests at the first have to be served by the third, once each; and a host that no peer can help refuses at once. The setting relay_port, which the tests name, is checked and not yet used.

--- a/src/settings.rs
+++ b/src/settings.rs
@@ -36,6 +36,10 @@
     #[serde(default)]
     #[schemars(with = "Option<SocketAddrSchema>")]
     pub peer: Option<SocketAddr>,
+    /// The port, at the IP address of [`Settings::peer`], on which peers pass on requests whose
+    /// upstreams they can't reach themselves. The same on all hosts; without it none are passed on.
+    #[serde(default)]
+    pub relay_port: Option<u16>,
     /// The maximum number of entry hosts that the fleet may ever have. The connections that an
     /// upstream accepts are divided by it, and so are fleet-wide budgets unless
     /// [`Settings::registry`] provides the number of hosts.
@@ -273,6 +277,10 @@
         if self.host.is_empty() {
             out.push(fault("/host", "must not be empty"));
         }
+        let is_relay_port_taken = |port| port == 0 || self.peer.is_none_or(|p| p.port() == port);
+        if self.relay_port.is_some_and(is_relay_port_taken) {
+            out.push(fault("/relay_port", "needs a peer address and must differ from its port"));
+        }
         if self.fleet_size_max == 0 {
             out.push(fault("/fleet_size_max", "must be at least 1"));
         }
