--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -7,6 +7,7 @@
 
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -186,12 +187,27 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn an_idempotent_request_is_retried_after_a_discarded_response() {
+    static IS_MIXING: AtomicBool = AtomicBool::new(false);
+    let respond: Respond = |head| match IS_MIXING.load(Ordering::SeqCst) {
+        true => for_another_request(head),
+        false => signed(head),
+    };
     let (bad, good) =
-        (SigningUpstream::start("u-1", for_another_request), SigningUpstream::start("u-2", signed));
+        (SigningUpstream::start("u-1", respond), SigningUpstream::start("u-2", signed));
     let fleet = Fleet::start(&[("u-1", &bad), ("u-2", &good)]).await;
-    for _ in 0..4 {
+    // Earns the retries that a host of a fleet lacks after its start.
+    for _ in 0..100 {
         assert_eq!(fleet.status("GET", "/book/read/7").await, 200);
     }
+    IS_MIXING.store(true, Ordering::SeqCst);
+    let runs_before = bad.runs();
+    for _ in 0..2_000 {
+        assert_eq!(fleet.status("GET", "/book/read/7").await, 200);
+        if bad.runs() > runs_before {
+            return;
+        }
+    }
+    panic!("no response is discarded");
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
