Pass requests on to peers while no upstream responds to a host

Callers of hosts that had lost the paths to all upstreams were served 3 of 303 first tries, others 406 of 407. Such a host let requests wait for reports that couldn't come, tried one upstream after another and refused them: it judged each upstream by itself, and a request that it had taken could go nowhere else.

While none of a service's upstreams has responded for 0.4 s (at least three tried, or all), its requests are refused at once with 2020, those in the queue too, and are passed on to a peer before the caller gets that: by HTTP at the port relay_port of the peer, at random among those alive, to one peer unless the one before has proved that it has not run. A peer passes nothing on again, serves it only if an upstream has responded to it within 250 ms (it probes three otherwise), and not with older routes than the sender's. It counts for no retry budget but the sender's. Requests that ended without a connection (2010) are passed on too, which serves those at hosts whose old connections live on while new ones are refused. Probes of all upstreams find the way back; where a service has none, requests are sent as before.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -54,6 +54,7 @@
     let admin = bind(settings.admin, "admin")?;
     let peer = settings.peer.map(|a| bind(a, "peer")).transpose()?;
     let metrics = settings.metrics.map(|a| bind(a, "metrics")).transpose()?;
+    let relay = settings.relay_address().map(|a| bind(a, "relay")).transpose()?;
     let node = Node::new(settings);
     node.events.record(EventCode::Started, Subject::default(), None);
     spawn("admin", {
@@ -64,7 +65,7 @@
         let node = node.clone();
         move || control(node, peer, path)
     })?;
-    listener::run(&node, caller)?;
+    listener::run(&node, caller, relay)?;
     node.events.record(EventCode::Stopped, Subject::default(), None);
     Ok(())
 }
--- a/src/decide/admission.rs
+++ b/src/decide/admission.rs
@@ -25,6 +25,9 @@
     /// The caller's latency goal, if it is known.
     #[serde(rename = "aim", default, skip_serializing_if = "Option::is_none")]
     pub latency_goal: Option<LatencyGoal>,
+    /// Whether a peer has passed it on, whose retry budget counts it.
+    #[serde(skip)]
+    pub(crate) is_relayed: bool,
     /// The estimate that was made when it arrived.
     #[serde(skip)]
     pub(crate) estimate: Option<RequestEstimate>,
@@ -33,7 +36,14 @@
 impl Request {
     /// Creates a request without a latency goal.
     pub fn new(priority: Priority, deadline: Time, wait_until: Time) -> Request {
-        Request { priority, deadline, wait_until, latency_goal: None, estimate: None }
+        Request {
+            priority,
+            deadline,
+            wait_until,
+            latency_goal: None,
+            is_relayed: false,
+            estimate: None,
+        }
     }
 }
 
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -39,4 +39,5 @@
 pub(crate) mod occupancy;
 pub(crate) mod queue;
 pub(crate) mod reach;
+pub(crate) mod relay;
 pub(crate) mod retry;
--- a/src/decide/reach.rs
+++ b/src/decide/reach.rs
@@ -14,10 +14,13 @@
 /// The number of upstreams that must have failed to respond, or all if the service has fewer.
 const SILENT_UPSTREAMS_MIN: usize = 3;
 
+/// Age up to which a response proves that this host reaches the service.
+const PROOF_AGE_MAX: Duration = Duration::from_millis(250);
+
 /// What this host has heard of the upstreams of one service.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Reach {
-    /// When an upstream last responded to this host.
+    /// When an upstream last responded to this host; [`Time::ZERO`] if none has yet.
     last_response: Time,
     /// The upstreams that have failed to respond since then, sorted.
     silent: Vec<UpstreamId>,
@@ -61,6 +64,11 @@
         upstreams > 0 && self.silent.len() >= enough && now.since(self.last_response) >= SILENCE_MIN
     }
 
+    /// Returns whether an upstream has responded a moment ago.
+    pub(crate) fn is_proven(&self, now: Time) -> bool {
+        self.last_response > Time::ZERO && now.since(self.last_response) < PROOF_AGE_MAX
+    }
+
     /// Returns the new state if it has changed since the last call.
     pub(crate) fn take_change(&mut self, upstreams: usize, now: Time) -> Option<bool> {
         let is_lost = self.is_lost(upstreams, now);
--- a/src/decide/service.rs
+++ b/src/decide/service.rs
@@ -9,6 +9,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use rand::Rng;
+use rand::seq::IteratorRandom;
 use twox_hash::XxHash64;
 
 use crate::config::{self, Service};
@@ -99,6 +101,8 @@
 const WATCHED_UPSTREAMS: usize = 2;
 /// Time between two updates of the rate limits that this host owns.
 const LIMIT_UPDATE_INTERVAL: Duration = Duration::from_millis(250);
+/// Number of upstreams that are probed to find out whether this host reaches any.
+const REACH_PROBES: usize = 3;
 /// Time without requests after which a service counts as quiet.
 const QUIET_AFTER: Duration = Duration::from_secs(5);
 /// Number of pending changes to which [`ServiceTable::finish_attempt`] truncates the list, dropping
@@ -281,6 +285,40 @@
         is_idle && !is_used
     }
 
+    /// Returns whether this host has lost its path to the service's upstreams: none of them has
+    /// responded for some time. Probes find out when it is back; where there are none, only
+    /// requests can, so that they are sent.
+    pub(crate) fn is_cut_off(&self, now: Time) -> bool {
+        let upstreams = self.live_upstreams();
+        let is_probed =
+            !self.cfg.measure.path.is_empty() && self.fleet_probe_rate() > 0.0 && upstreams > 1;
+        is_probed && self.reach.is_lost(upstreams, now)
+    }
+
+    /// Returns whether an upstream of the service has responded to this host a moment ago.
+    pub(crate) fn is_reach_proven(&self, now: Time) -> bool {
+        self.reach.is_proven(now)
+    }
+
+    /// Returns a few upstreams to probe, within the probe budget, to find out whether this host
+    /// reaches any.
+    pub(crate) fn reach_probes(&mut self, now: Time, rng: &mut impl Rng) -> Vec<Target> {
+        self.last_request = Some(now);
+        if self.cfg.measure.path.is_empty() {
+            return Vec::new();
+        }
+        let budget = &mut self.probe_budget;
+        let live = self.rows.iter_mut().filter(|r| r.state == State::Live && !r.is_closed(now));
+        let chosen = live.choose_multiple(rng, REACH_PROBES).into_iter();
+        let within_budget = chosen.filter_map(|row| {
+            budget.try_take(now).then(|| {
+                row.last_probe = now;
+                target(row)
+            })
+        });
+        within_budget.collect()
+    }
+
     /// Returns whether this host is cut off from the service's upstreams, if that has changed since
     /// the last call.
     pub(crate) fn take_reach_change(&mut self, now: Time) -> Option<bool> {
@@ -308,7 +346,10 @@
         {
             return Vec::new();
         }
-        let chosen = if self.uses_occupancy() {
+        let chosen = if self.is_cut_off(now) {
+            self.next_probe_at = now + PROBE_INTERVAL;
+            probing::choose(&self.rows, self.last_request, now, |_| true)
+        } else if self.uses_occupancy() {
             self.next_probe_at = now + OCCUPANCY_PROBE_INTERVAL;
             let watched = self.watched();
             probing::choose(&self.rows, self.last_request, now, |r| watched.contains(&r.id))
@@ -360,10 +401,14 @@
 
     /// Updates this host's share of the probe budget.
     fn set_probe_rate(&mut self) {
+        self.probe_budget.set_rate(self.fleet_probe_rate(), self.host_info.fleet_size_max);
+    }
+
+    /// Returns the probes per second that all hosts together may send.
+    fn fleet_probe_rate(&self) -> f64 {
         let measure = &self.cfg.measure;
         let upstreams = self.rows.iter().filter(|r| r.configured).count();
-        let rate = measure.probes_per_second + measure.probes_per_upstream * upstreams as f64;
-        self.probe_budget.set_rate(rate, self.host_info.fleet_size_max);
+        measure.probes_per_second + measure.probes_per_upstream * upstreams as f64
     }
 
     /// Records that an upstream has asked this host to send it nothing for `pause`. This neither
--- a/src/decide/service/admission.rs
+++ b/src/decide/service/admission.rs
@@ -27,11 +27,21 @@
 /// Retry-after time of a refusal if the service has no live upstream.
 const RETRY_AFTER_NO_UPSTREAM: Duration = Duration::from_secs(1);
 
+/// The refusal of a request whose upstreams don't respond to this host. Another host may serve it at
+/// once.
+const UNREACHABLE: Refusal =
+    Refusal { code: Code::UpstreamsUnreachable, retry_after: RETRY_AFTER_MIN };
+
 impl ServiceTable {
     /// Runs, queues or refuses a new request.
     pub fn admit(&mut self, req: &Request, now: Time, rng: &mut impl Rng) -> Admission {
         self.last_request = Some(now);
-        self.retry_budget.record_request(self.retry_limits(), now);
+        if !req.is_relayed {
+            self.retry_budget.record_request(self.retry_limits(), now);
+        }
+        if self.is_cut_off(now) {
+            return Admission::Refuse(UNREACHABLE);
+        }
         if !self.rows.iter().any(|r| r.state == State::Live) {
             return Admission::Refuse(self.no_upstream_refusal());
         }
@@ -122,6 +132,11 @@
         if self.queue.is_empty() && self.evicted.is_empty() {
             return Vec::new();
         }
+        if self.is_cut_off(now) {
+            let queued = self.queue.drain().map(|q| q.ticket);
+            let tickets = queued.chain(self.evicted.drain(..));
+            return tickets.map(|t| (t, Admission::Refuse(UNREACHABLE))).collect();
+        }
         if self.uses_occupancy() && self.rows.iter().any(|r| r.state == State::Live) {
             return self.release_by_occupancy(now, rng);
         }
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -99,6 +99,25 @@
         self.tables.lock().service(service).is_some_and(|t| t.may_retry(now))
     }
 
+    /// Returns whether no upstream of a service responds to this host.
+    pub(crate) fn is_cut_off(&self, service: &str) -> bool {
+        let now = self.clock.now();
+        self.tables.lock().service(service).is_some_and(|t| t.is_cut_off(now))
+    }
+
+    /// Returns whether an upstream of a service has responded to this host a moment ago.
+    pub(crate) fn is_reach_proven(&self, service: &str) -> bool {
+        let now = self.clock.now();
+        self.tables.lock().service(service).is_some_and(|t| t.is_reach_proven(now))
+    }
+
+    /// Returns a few upstreams of a service to probe, to find out whether this host reaches any.
+    pub(crate) fn reach_probes(&self, service: &str) -> Vec<Target> {
+        let now = self.clock.now();
+        let mut tables = self.tables.lock();
+        tables.service(service).map_or_else(Vec::new, |t| t.reach_probes(now, &mut rand::rng()))
+    }
+
     /// Returns what the retry budget of a service has counted, if the service still exists.
     pub(crate) fn retry_usage(&self, service: &str) -> Option<RetryUsage> {
         let now = self.clock.now();
--- a/src/entry/handler.rs
+++ b/src/entry/handler.rs
@@ -25,24 +25,26 @@
 /// The service label in the metrics of rejected requests.
 const NO_SERVICE: &str = "";
 
-/// Handles one request of a caller.
+/// Handles one request of a caller, or one that a peer passes on.
 pub(crate) async fn handle(
     node: &Arc<Node>,
     req: WebRequest,
+    is_relayed: bool,
 ) -> Result<Response<ProxyBody>, Infallible> {
     let caller = CALLER_CONNECTION.with(Rc::clone);
     let _guard = caller.begin_request();
     let id = request::request_id(&node.header_names, req.headers());
     let upgrade = req.headers().contains_key(UPGRADE);
     let has_body = request::has_body(req.headers());
-    let (response, has_unread_body) = match request::receive(node, &caller, &id, req).await {
-        Ok(request) => (process(node, &caller, &request).await, false),
-        Err(code) => {
-            node.metrics.count_request(NO_SERVICE, code);
-            log_rejected(node, &id, code);
-            (refusal(node, code), has_body || request::is_end_unknown(code))
-        }
-    };
+    let (response, has_unread_body) =
+        match request::receive(node, &caller, &id, req, is_relayed).await {
+            Ok(request) => (process(node, &caller, &request).await, false),
+            Err(code) => {
+                node.metrics.count_request(NO_SERVICE, code);
+                log_rejected(node, &id, code);
+                (refusal(node, code), has_body || request::is_end_unknown(code))
+            }
+        };
     let mut res = http_response(&node.header_names, &id, response);
     if has_unread_body || upgrade || caller.is_closing() || node.phase() >= Phase::Draining {
         caller.set_closing();
@@ -79,8 +81,12 @@
         ..LogEntry::new(start, EventCode::Accepted)
     });
     node.events.record(EventCode::Accepted, subject.clone(), time_left);
-    let response =
-        claim::run_claimed(node, request, driver::run(node, request, caller.disconnected())).await;
+    let running = driver::run(node, request, caller.disconnected());
+    let response = match request.is_relayed {
+        // The host that passes it on holds the claim.
+        true => running.await,
+        false => claim::run_claimed(node, request, running).await,
+    };
     let now = node.clock.now();
     let code = Some(response.code.number().into());
     request.log.add(LogEntry { value: code, ..LogEntry::new(now, EventCode::CallerAnswered) });
--- a/src/entry/listener.rs
+++ b/src/entry/listener.rs
@@ -50,35 +50,56 @@
 /// # Panics
 ///
 /// Panics if a worker panics.
-pub(crate) fn run(node: &Arc<Node>, listener: std::net::TcpListener) -> Result<()> {
+pub(crate) fn run(
+    node: &Arc<Node>,
+    listener: std::net::TcpListener,
+    relay: Option<std::net::TcpListener>,
+) -> Result<()> {
     listener.set_nonblocking(true).context("can't set up the caller listener")?;
     let open_count = Arc::new(AtomicUsize::new(0));
+    let relay_worker = relay.map(|relay| spawn_relay_worker(node, relay, &open_count));
+    let relay_worker = relay_worker.transpose().context("can't start the relay worker")?;
     let workers: Vec<_> = (1..node.settings.limits.workers)
         .map(|i| {
             let (node, open_count, listener) =
                 (node.clone(), open_count.clone(), listener.try_clone()?);
             let thread = std::thread::Builder::new().name(format!("caller-{i}"));
-            thread.spawn(move || run_worker(&node, listener, &open_count))
+            thread.spawn(move || run_worker(&node, listener, &open_count, false))
         })
         .collect::<std::io::Result<_>>()
         .context("can't start a caller worker")?;
-    let mut result = run_worker(node, listener, &open_count);
-    for worker in workers {
+    let mut result = run_worker(node, listener, &open_count, false);
+    for worker in workers.into_iter().chain(relay_worker) {
         result = result.and(worker.join().expect("a caller worker does not panic"));
     }
     result
 }
 
+/// Starts a thread that serves the requests that peers pass on.
+fn spawn_relay_worker(
+    node: &Arc<Node>,
+    listener: std::net::TcpListener,
+    open_count: &Arc<AtomicUsize>,
+) -> std::io::Result<std::thread::JoinHandle<Result<()>>> {
+    listener.set_nonblocking(true)?;
+    let (node, open_count) = (node.clone(), open_count.clone());
+    let thread = std::thread::Builder::new().name("relay".to_owned());
+    thread.spawn(move || run_worker(&node, listener, &open_count, true))
+}
+
+/// Serves the connections of a listener; `is_relay` tells whether they are of peers that pass on
+/// requests.
 fn run_worker(
     node: &Arc<Node>,
     listener: std::net::TcpListener,
     open_count: &Arc<AtomicUsize>,
+    is_relay: bool,
 ) -> Result<()> {
     let rt = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     LocalSet::new().block_on(&rt, async {
         let listener =
             TcpListener::from_std(listener).context("can't set up the caller listener")?;
-        accept_loop(node, listener, open_count).await
+        accept_loop(node, listener, open_count, is_relay).await
     })
 }
 
@@ -86,10 +107,11 @@
     node: &Arc<Node>,
     listener: TcpListener,
     open_count: &Arc<AtomicUsize>,
+    is_relay: bool,
 ) -> Result<()> {
     let service = {
         let node = node.clone();
-        let handler = fn_service(async move |req| handler::handle(&node, req).await);
+        let handler = fn_service(async move |req| handler::handle(&node, req, is_relay).await);
         let config = HttpServiceConfig::new()
             .keep_alive_timeout(KEEP_ALIVE_TIMEOUT)
             .request_head_timeout(HEAD_TIMEOUT)
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -62,6 +62,7 @@
     caller: &CallerConnection,
     id: &Arc<str>,
     req: WebRequest,
+    is_relayed: bool,
 ) -> Result<BufferedRequest, Code> {
     let now = node.clock.now();
     node.wait_until_current().await;
@@ -73,6 +74,9 @@
         return Err(if stopping { Code::Stopping } else { Code::BadRequest });
     }
     let (parts, ext) = req.into_parts();
+    if is_relayed && routes_version(&parts.headers) > node.routes_version() {
+        return Err(Code::RoutesOutdated);
+    }
     let routes = node.routes();
     check_head(&parts, &node.settings.limits, routes.head_max_bytes())?;
     let target = RequestTarget::new(&parts)?;
@@ -105,6 +109,7 @@
     Ok(BufferedRequest {
         id: id.clone(),
         fingerprints,
+        is_relayed,
         service,
         treatment,
         deadline,
@@ -231,6 +236,12 @@
     (!objective.is_zero()).then_some(goal)
 }
 
+/// Returns the version of the routes of the host that passed a request on; 0 if it states none.
+fn routes_version(headers: &HeaderMap) -> u64 {
+    let version = headers.get(header::ROUTES_VERSION).and_then(|v| v.to_str().ok()?.parse().ok());
+    version.unwrap_or(0)
+}
+
 fn content_length(headers: &HeaderMap) -> Option<u64> {
     headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
 }
--- a/src/error.rs
+++ b/src/error.rs
@@ -90,6 +90,8 @@
     RoutesOutdated = 2018, 503, NotRun, "no known route matches and the known ones may be outdated";
     /// Upstreams have ended under copies of the request, so it is no longer sent to any.
     Blocked = 2019, 503, NotRun, "upstreams have ended under copies of the request";
+    /// No upstream of the service responds to this host, nor to the peers that were asked.
+    UpstreamsUnreachable = 2020, 503, NotRun, "no upstream of the service responds to this host";
     /// The deadline passed after the request was sent.
     DeadlineAfterSend = 3001, 504, Unknown, "the deadline passed after the request was sent";
     /// The connection failed after a byte was sent.
--- a/src/event.rs
+++ b/src/event.rs
@@ -73,6 +73,8 @@
     AttemptAnswered = 2011, "attempt answered";
     /// A retry was due, but the retry budget is spent.
     RetryDenied = 2012, "no further attempt, retry budget spent";
+    /// The request is passed on to a peer, as this host reaches none of its upstreams.
+    Relayed = 2013, "request passed on to a peer";
     /// An upstream is leaving and gets no new requests.
     UpstreamLeaving = 3001, "upstream leaving";
     /// An upstream was ejected for a time.
--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -23,7 +23,7 @@
 use crate::forward::connection::{ConnectError, Connection};
 use crate::forward::crash::{self, Crash};
 use crate::forward::gate::SendGate;
-use crate::forward::response::{self, Buffered, ProxyBody, ProxyResponse};
+use crate::forward::response::{self, BodySource, Buffered, ProxyBody, ProxyResponse};
 use crate::header::{self, FieldNames};
 use crate::node::Node;
 use crate::request_log::{LogEntry, RequestLog};
@@ -333,7 +333,10 @@
         let deadline = self.node.clock.instant(request.deadline);
         let body = match is_bodiless(&request.method, head.status) {
             true => ProxyBody::Empty,
-            false => buffered.into_body(body, length, deadline, self),
+            false => {
+                let source = BodySource::Attempt(Box::new(self));
+                buffered.into_body(body, length, deadline, source)
+            }
         };
         let Parts { status, headers, .. } = head;
         let response =
--- a/src/forward/driver.rs
+++ b/src/forward/driver.rs
@@ -21,8 +21,8 @@
 use crate::event::{EventCode, Subject};
 use crate::forward::BufferedRequest;
 use crate::forward::attempt::{Attempt, AttemptHandle, AttemptResult};
-use crate::forward::probe;
 use crate::forward::response::ProxyResponse;
+use crate::forward::{probe, relay};
 use crate::node::Node;
 use crate::request_log::LogEntry;
 use crate::time::Time;
@@ -43,18 +43,34 @@
 const BLOCKED_RETRY_AFTER: Duration = Duration::from_secs(10);
 
 /// Drives a request to its final response. `disconnected` completes when the caller closes its
-/// connection.
+/// connection. A request whose upstreams this host can't reach is passed on to a peer.
 pub(crate) async fn run(
     node: &Arc<Node>,
     request: &BufferedRequest,
     disconnected: impl Future<Output = ()>,
 ) -> ProxyResponse {
     let mut disconnected = pin!(disconnected);
+    let response = run_here(node, request, disconnected.as_mut()).await;
+    if !relay::is_wanted(node, request, &response) {
+        return response;
+    }
+    relay::run(node, request, disconnected).await.unwrap_or(response)
+}
+
+/// Drives a request to its final response with this host's own upstreams.
+async fn run_here(
+    node: &Arc<Node>,
+    request: &BufferedRequest,
+    mut disconnected: Pin<&mut impl Future<Output = ()>>,
+) -> ProxyResponse {
     let decision = node.decide_block(request.fingerprints);
     if decision == BlockDecision::Refuse {
         return *blocked_response(node, request);
     }
-    if request.service.probe_before_send {
+    if request.is_relayed && !probe::confirm_reach(node, request).await {
+        return ProxyResponse::local(Code::UpstreamsUnreachable);
+    }
+    if request.service.probe_before_send && !node.is_cut_off(&request.service.name) {
         probe::refresh_loads(node, request).await;
     }
     match admit(node, request, disconnected.as_mut()).await {
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -8,6 +8,7 @@
 pub(crate) mod memory;
 pub(crate) mod pool;
 pub(crate) mod probe;
+pub(crate) mod relay;
 pub(crate) mod response;
 
 use std::rc::Rc;
@@ -39,6 +40,8 @@
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
     pub(crate) fingerprints: Fingerprints,
+    /// Whether a peer has passed it on.
+    pub(crate) is_relayed: bool,
     /// The log of the decisions on this request.
     pub(crate) log: Rc<RequestLog>,
     /// The memory reserved for the body.
@@ -51,6 +54,6 @@
         let wait = Duration::from_millis(self.treatment.wait_ms);
         let wait_until = (now + wait).min(self.deadline);
         let req = admission::Request::new(self.treatment.priority, self.deadline, wait_until);
-        admission::Request { latency_goal: self.latency_goal, ..req }
+        admission::Request { latency_goal: self.latency_goal, is_relayed: self.is_relayed, ..req }
     }
 }
--- a/src/forward/probe.rs
+++ b/src/forward/probe.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_util::StreamExt;
 use futures_util::future::join_all;
+use futures_util::stream::FuturesUnordered;
 use http::header::HOST;
 use http::{HeaderMap, HeaderValue, Request, StatusCode, Uri};
 use http_body_util::{BodyExt, Full, Limited};
@@ -23,6 +25,9 @@
 /// a nearby data centre.
 const REFRESH_TIMEOUT: Duration = Duration::from_millis(12);
 
+/// Maximum time that a request of a peer waits for a sign that this host reaches its upstreams.
+const REACH_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Maximum size of the body of a response to a probe, in bytes. A longer one is a fault of the
 /// upstream.
 const BODY_MAX_BYTES: usize = 64 << 10;
@@ -71,6 +76,22 @@
     let _ = tokio::time::timeout(REFRESH_TIMEOUT, join_all(probes)).await;
 }
 
+/// Returns whether this host reaches the upstreams of the request's service. Probes some if none has
+/// responded a moment ago, and waits for the first response for at most [`REACH_TIMEOUT`].
+pub(crate) async fn confirm_reach(node: &Arc<Node>, request: &BufferedRequest) -> bool {
+    let service = &request.service;
+    if node.is_reach_proven(&service.name) {
+        return true;
+    }
+    let targets = node.reach_probes(&service.name).into_iter();
+    let mut probes: FuturesUnordered<_> =
+        targets.map(|t| spawn_local(send(node.clone(), service.clone(), t))).collect();
+    let first_response =
+        async { while probes.next().await.is_some() && !node.is_reach_proven(&service.name) {} };
+    let _ = tokio::time::timeout(REACH_TIMEOUT, first_response).await;
+    node.is_reach_proven(&service.name)
+}
+
 /// Probes an upstream on an idle connection if there is one, which also proves that the connection
 /// is alive. Otherwise opens a connection, and closes it afterwards unless the service probes
 /// before each request.
--- a/src/forward/response.rs
+++ b/src/forward/response.rs
@@ -16,6 +16,7 @@
 use crate::decide::upstream::UpstreamOutcome;
 use crate::error::Code;
 use crate::forward::attempt::Attempt;
+use crate::forward::connection::Connection;
 use crate::forward::memory::{MemoryBudget, Reservation};
 
 /// The `Retry-After` time in an error response that cornelferry generates.
@@ -27,6 +28,7 @@
     match code {
         Code::Refused
         | Code::ConnectFailed
+        | Code::UpstreamsUnreachable
         | Code::Stopping
         | Code::NotReady
         | Code::RoutesOutdated => RETRY_AFTER_ELSEWHERE,
@@ -72,17 +74,40 @@
     Streamed(Box<StreamedBody>),
 }
 
-/// A body that is forwarded as it arrives, and the attempt that it belongs to.
+/// A body that is forwarded as it arrives, and what it comes from.
 #[derive(Debug)]
 pub(crate) struct StreamedBody {
     buffered: Option<Bytes>,
     rest: Incoming,
     length: Option<u64>,
     deadline: Pin<Box<Sleep>>,
-    attempt: Attempt,
+    source: BodySource,
     _memory: Reservation,
 }
 
+/// What a streamed body comes from.
+#[derive(Debug)]
+pub(crate) enum BodySource {
+    /// An attempt at an upstream.
+    Attempt(Box<Attempt>),
+    /// The connection to a peer that the request was passed on to.
+    Peer { _conn: Connection },
+}
+
+impl BodySource {
+    fn complete(&mut self) {
+        if let BodySource::Attempt(attempt) = self {
+            attempt.complete();
+        }
+    }
+
+    fn close(&mut self, outcome: UpstreamOutcome) {
+        if let BodySource::Attempt(attempt) = self {
+            attempt.close(outcome);
+        }
+    }
+}
+
 /// The error that ends an incomplete body. It closes the caller's connection.
 #[derive(Clone, Copy, Debug, Display, Error)]
 #[display("the upstream's response ended early")]
@@ -126,17 +151,17 @@
             return Poll::Ready(Some(Ok(Frame::Data(bytes))));
         }
         if self.deadline.as_mut().poll(cx).is_ready() {
-            self.attempt.close(UpstreamOutcome::Cancelled);
+            self.source.close(UpstreamOutcome::Cancelled);
             return Poll::Ready(Some(Err(Truncated)));
         }
         loop {
             match ready!(Pin::new(&mut self.rest).poll_frame(cx)) {
                 None => {
-                    self.attempt.complete();
+                    self.source.complete();
                     return Poll::Ready(None);
                 }
                 Some(Err(_)) => {
-                    self.attempt.close(UpstreamOutcome::Lost);
+                    self.source.close(UpstreamOutcome::Lost);
                     return Poll::Ready(Some(Err(Truncated)));
                 }
                 Some(Ok(frame)) => {
@@ -164,7 +189,7 @@
         rest: Incoming,
         length: Option<u64>,
         deadline: std::time::Instant,
-        attempt: Attempt,
+        source: BodySource,
     ) -> ProxyBody {
         match self {
             Buffered::Complete(bytes, memory) => ProxyBody::Full { bytes, _memory: Some(memory) },
@@ -173,7 +198,7 @@
                 rest,
                 length,
                 deadline: Box::pin(tokio::time::sleep_until(deadline.into())),
-                attempt,
+                source,
                 _memory: memory,
             })),
         }
--- a/src/header.rs
+++ b/src/header.rs
@@ -17,6 +17,9 @@
 pub const CODE: HeaderName = HeaderName::from_static("x-cornelferry-code");
 /// The upstream that responded. On responses.
 pub const UPSTREAM: HeaderName = HeaderName::from_static("x-cornelferry-upstream");
+/// The version of the routes of the host that passes a request on. On requests between hosts.
+pub(crate) const ROUTES_VERSION: HeaderName =
+    HeaderName::from_static("x-cornelferry-routes-version");
 /// The caller's key that identifies repetitions of a request.
 pub const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
 
--- a/src/node.rs
+++ b/src/node.rs
@@ -18,6 +18,7 @@
 use crate::decide::pause::{PauseDetector, RESYNC_TIMEOUT};
 use crate::decide::poison::PoisonRequests;
 use crate::decide::reads::ReadSchedule;
+use crate::decide::relay::{RelayPeer, RelayPeers};
 use crate::decide::service::HostInfo;
 use crate::decide::tick::ServiceTables;
 use crate::entry::waiting::WaitingRequests;
@@ -85,6 +86,8 @@
     pub(crate) memory: MemoryBudget,
     /// Requests under which upstreams have ended.
     pub(crate) poison_requests: Mutex<PoisonRequests>,
+    /// The peers that could not help with requests that this host passed on.
+    pub(crate) relay_peers: Mutex<RelayPeers>,
     pub(crate) pause_detector: Mutex<PauseDetector>,
     /// The age of this host's copy of the registry.
     pub(crate) registry_freshness: RegistryFreshness,
@@ -141,6 +144,7 @@
             pool: Pool::default(),
             memory: MemoryBudget::new(settings.limits.body_bytes),
             poison_requests: Mutex::default(),
+            relay_peers: Mutex::default(),
             pause_detector: Mutex::default(),
             registry_freshness: RegistryFreshness::new(ReadSchedule::new(apply_time(&settings))),
             header_names: match settings.registry {
@@ -196,6 +200,26 @@
         self.routes.read().clone()
     }
 
+    /// Returns the version of the routes that the platform's store holds; 0 if there are none.
+    pub(crate) fn routes_version(&self) -> u64 {
+        let catalog = self.catalog.lock();
+        let record = catalog.records().iter().find(|r| r.kind() == RecordKind::Routing);
+        record.map_or(0, |r| r.version)
+    }
+
+    /// Chooses the peer to which a request is passed on.
+    pub(crate) fn choose_relay_peer(&self, service: &str) -> Option<RelayPeer> {
+        let now = self.clock.now();
+        let members = self.members.lock();
+        let mut peers = self.relay_peers.lock();
+        peers.choose(service, members.alive(now), now, &mut rand::rng())
+    }
+
+    /// Records that a peer could not help with a request to a service.
+    pub(crate) fn set_relay_unavailable(&self, service: &Arc<str>, host: &Arc<str>) {
+        self.relay_peers.lock().set_unavailable(service, host, self.clock.now());
+    }
+
     /// Records the era that a response of the registry states, or that a peer knows of. Returns the
     /// era to take the response for, or `None` if it is older than the newest one known.
     pub(crate) fn observe_registry_era(&self, stated: Option<u32>) -> Option<u32> {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -247,6 +247,12 @@
 }
 
 impl Settings {
+    /// Returns the address on which peers pass on requests, if there is one.
+    pub(crate) fn relay_address(&self) -> Option<SocketAddr> {
+        let (peer, port) = (self.peer?, self.relay_port?);
+        Some(SocketAddr::new(peer.ip(), port))
+    }
+
     /// Reads and validates a settings file.
     ///
     /// # Errors
--- a/tests/decide_model.rs
+++ b/tests/decide_model.rs
@@ -249,6 +249,11 @@
     }
 }
 
+fn answered_probe() -> AttemptReport {
+    let outcome = UpstreamOutcome::Answered;
+    AttemptReport { outcome, latency: Duration::from_millis(1), load: None, draining: false }
+}
+
 /// Guards against unbounded memory for evicted requests: requests of each priority fill the queue
 /// and are evicted by the next priority before any release.
 #[test]
@@ -300,6 +305,9 @@
             prop_assert_eq!(model.running.len(), 1);
             model.now = model.now + Duration::from_millis(ms);
             model.finish(0, outcome, None, false);
+            // Requests are refused if no upstream responds at all, whether ejected or not.
+            let probed = model.table.rows()[0].id;
+            model.table.finish_probe(probed, &answered_probe(), model.now);
         }
     }
 }
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -87,7 +87,7 @@
             "peer": SocketAddr::from((addresses[i], peer_port)), "peers": others,
             "relay_port": relay_port,
             "services": [{
-                "name": "s", "profile": "p", "upstreams": upstreams, "echo_header": "x-request-id",
+                "name": "s", "profile": "p", "upstreams": upstreams,
                 "measure": {"probes_per_second": 400.0, "path": "/healthz", "timeout_ms": 200},
             }],
             "profiles": [{
