Tell callers whether a relayed request was sent, and when to come back

A request whose deadline passed, or whose caller left, while this host was still looking for a peer got 3001 or 3005, unknown, though nothing had been sent; it gets 2007 or 2013 now, unless a peer may have it. A request that no peer can serve either was told to come back after 0.1 s, when the service would still be down; now after 0.3 to 1 s, at random.

--- a/src/forward/driver.rs
+++ b/src/forward/driver.rs
@@ -54,7 +54,7 @@
     if !relay::is_wanted(node, request, &response) {
         return response;
     }
-    relay::run(node, request, disconnected).await.unwrap_or(response)
+    relay::run(node, request, response, disconnected).await
 }
 
 /// Drives a request to its final response with this host's own upstreams.
--- a/src/forward/relay.rs
+++ b/src/forward/relay.rs
@@ -3,7 +3,9 @@
 //! The peer treats such a request as a caller's, but doesn't pass it on again. A request is given to
 //! one peer only, unless the one before has proved that it has not run.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,6 +15,7 @@
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::{Body, Incoming};
+use rand::Rng;
 
 use crate::decide::attempt::AttemptOutcome;
 use crate::decide::relay::RelayPeer;
@@ -27,6 +30,9 @@
 
 /// Peers that are tried for one request.
 const PEER_TRIES: usize = 4;
+/// The `Retry-After` time of a request that no peer can serve either: the service is down, or a cut
+/// concerns many hosts. Random, so that refused callers don't return together.
+const RETRY_AFTER_NO_PEER: Range<Duration> = Duration::from_millis(300)..Duration::from_secs(1);
 /// Connections that this host may open to the relay port of one peer.
 const CONNECTIONS_MAX: u32 = 256;
 
@@ -48,28 +54,45 @@
     is_unreachable && !request.is_relayed && node.settings.relay_port.is_some()
 }
 
-/// Passes a request on to one peer after another until one has taken it. Returns `None` if no peer
-/// has run the request or will, and the result if the deadline passes or the caller disconnects.
+/// Passes a request on to one peer after another until one has taken it, and returns the response.
+/// Returns `refusal`, the response of this host, with a later `Retry-After` if no peer can serve the
+/// request either.
 pub(crate) async fn run(
     node: &Arc<Node>,
     request: &BufferedRequest,
+    refusal: ProxyResponse,
     disconnected: impl Future<Output = ()>,
-) -> Option<ProxyResponse> {
+) -> ProxyResponse {
     let deadline = node.clock.instant(request.deadline);
-    tokio::select! {
+    let may_have_run = Cell::new(false);
+    let code = tokio::select! {
         biased;
-        response = try_peers(node, request) => response,
-        () = tokio::time::sleep_until(deadline.into()) => {
-            Some(ProxyResponse::local(Code::DeadlineAfterSend))
+        response = try_peers(node, request, &may_have_run) => {
+            let retry_after = Some(rand::rng().random_range(RETRY_AFTER_NO_PEER));
+            return response.unwrap_or(ProxyResponse { retry_after, ..refusal });
         }
+        () = tokio::time::sleep_until(deadline.into()) => match may_have_run.get() {
+            true => Code::DeadlineAfterSend,
+            false => Code::DeadlineTooClose,
+        },
         () = disconnected => {
             request.log.add(LogEntry::new(node.clock.now(), EventCode::CallerDisconnected));
-            Some(ProxyResponse::local(Code::CallerGoneAfterSend))
+            match may_have_run.get() {
+                true => Code::CallerGoneAfterSend,
+                false => Code::CallerGone,
+            }
         }
-    }
+    };
+    ProxyResponse::local(code)
 }
 
-async fn try_peers(node: &Arc<Node>, request: &BufferedRequest) -> Option<ProxyResponse> {
+/// Returns the response of the first peer that takes the request, or `None` if none has run it or
+/// will. `may_have_run` tells meanwhile whether one may have.
+async fn try_peers(
+    node: &Arc<Node>,
+    request: &BufferedRequest,
+    may_have_run: &Cell<bool>,
+) -> Option<ProxyResponse> {
     let service = &request.service.name;
     for _ in 0..PEER_TRIES {
         let peer = node.choose_relay_peer(service)?;
@@ -77,10 +100,13 @@
             upstream: Some(peer.host.clone()),
             ..LogEntry::new(node.clock.now(), EventCode::Relayed)
         });
-        match send(node, request, &peer).await {
+        match send(node, request, &peer, may_have_run).await {
             Ok(response) => return Some(response),
             Err(RelayError::Unknown) => return Some(ProxyResponse::local(Code::ConnectionLost)),
-            Err(RelayError::NotRun) => node.set_relay_unavailable(service, &peer.host),
+            Err(RelayError::NotRun) => {
+                may_have_run.set(false);
+                node.set_relay_unavailable(service, &peer.host);
+            }
         }
     }
     None
@@ -91,6 +117,7 @@
     node: &Node,
     request: &BufferedRequest,
     peer: &RelayPeer,
+    may_have_run: &Cell<bool>,
 ) -> Result<ProxyResponse, RelayError> {
     let now = node.clock.now();
     let port = node.settings.relay_port.ok_or(RelayError::NotRun)?;
@@ -100,6 +127,7 @@
     let until = node.clock.instant((now + connect_timeout).min(request.deadline));
     let opened = Connection::open(address, node.clock, until, permit).await;
     let mut conn = opened.map_err(|_| RelayError::NotRun)?;
+    may_have_run.set(true);
     let sent = conn.send(relay_request(node, request), request.deadline).await;
     let res = sent.map_err(|outcome| match outcome {
         AttemptOutcome::NotSent => RelayError::NotRun,
