Prefer upstreams with an open connection

Cause: a host sends each of many upstreams a request every few seconds, so that most connections are opened for one request. Change: a new connection counts in the choice of the upstreams to probe, while nothing waits and the service has many upstreams; prefer_open_connections switches it on.

--- a/src/decide/service/reports.rs
+++ b/src/decide/service/reports.rs
@@ -8,6 +8,7 @@
 use crate::decide::admission::Target;
 use crate::decide::load::AttemptEstimate;
 use crate::decide::upstream::{self, Occupancy, Row, State, UpstreamId};
+use crate::decide::working_set::WorkingSet;
 use crate::time::Time;
 
 /// A report younger than this came with the response that is being recorded.
@@ -35,10 +36,26 @@
     /// Returns the upstreams that the next request would probably go to and that have no fresh
     /// report, within the probe budget.
     pub fn probe_candidates(&mut self, now: Time, rng: &mut impl Rng) -> Vec<Target> {
+        self.probe_candidates_in(WorkingSet::default(), now, rng)
+    }
+
+    /// Returns the same, and prefers the upstreams of a working set. Requests in the queue have found
+    /// no free slot there, so that all upstreams count alike.
+    pub fn probe_candidates_in(
+        &mut self,
+        working_set: WorkingSet<'_>,
+        now: Time,
+        rng: &mut impl Rng,
+    ) -> Vec<Target> {
+        let working_set = match self.queue.is_empty() {
+            true => working_set.for_service(self.rows.len()),
+            false => WorkingSet::default(),
+        };
         let mut best: Vec<(f32, usize)> = Vec::with_capacity(self.rows.len());
         for (index, row) in self.rows.iter().enumerate() {
             if row.state == State::Live && !row.health.is_ejected(now) && !row.is_closed(now) {
-                let cost = self.placement_cost(row, now);
+                let cost =
+                    self.placement_cost(row, now) + working_set.connection_cost(&row.address);
                 best.push((cost + rng.random::<f32>() * CANDIDATE_SPREAD, index));
             }
         }
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -16,6 +16,7 @@
 use crate::decide::service::{NextAttempt, ServiceTable};
 use crate::decide::tick::TickOutput;
 use crate::decide::upstream::{AttemptReport, Occupancy, UpstreamId, UpstreamOutcome};
+use crate::decide::working_set::WorkingSet;
 use crate::entry::waiting::Waiter;
 use crate::error::Code;
 use crate::event::{EventCode, Subject};
@@ -220,8 +221,11 @@
     /// report, within the probe budget.
     pub(crate) fn probe_candidates(&self, service: &str) -> Vec<Target> {
         let now = self.clock.now();
+        let connected = self.settings.prefer_open_connections.then(|| self.pool.idle_addresses());
+        let working_set = connected.as_deref().map(WorkingSet::new).unwrap_or_default();
         let mut tables = self.tables.lock();
-        tables.service(service).map_or_else(Vec::new, |t| t.probe_candidates(now, &mut rand::rng()))
+        let Some(table) = tables.service(service) else { return Vec::new() };
+        table.probe_candidates_in(working_set, now, &mut rand::rng())
     }
 
     /// Records the result of a probe.
--- a/src/forward/pool.rs
+++ b/src/forward/pool.rs
@@ -67,6 +67,12 @@
         Some(ConnectionPermit(pool.open.clone()))
     }
 
+    /// Returns the addresses of the upstreams to which connections are idle, sorted.
+    pub(crate) fn idle_addresses(&self) -> Vec<SocketAddr> {
+        let upstreams = self.upstreams.lock();
+        upstreams.iter().filter(|p| !p.idle.is_empty()).map(|p| p.address).collect()
+    }
+
     /// Completes when a connection was returned or closed. May complete spuriously.
     pub(crate) async fn released(&self, address: SocketAddr) {
         let open = upstream_pool(&mut self.upstreams.lock(), address).open.clone();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -75,7 +75,7 @@
 pub use decide::{
     admission, attempt, balancing, catalog, digest, hosts, kinds, lapse, leaving, limit, matching,
     member, pause, poison, probing, reads, registered, service, startup, stored, tick, topology,
-    upstream,
+    upstream, working_set,
 };
 pub use time::{Clock, Time};
 
