--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -302,6 +302,11 @@
         res: Response<Incoming>,
     ) -> (AttemptOutcome, Option<ProxyResponse>) {
         let (head, mut body) = res.into_parts();
+        if let Some(conn) =
+            self.conn.as_mut().filter(|_| self.node.settings.prefer_open_connections)
+        {
+            conn.observe_keep_alive(&head.headers);
+        }
         if head.status.is_informational() {
             return (self.fail(AttemptOutcome::InvalidResponse, UpstreamOutcome::Lost), None);
         }
--- a/src/forward/connection.rs
+++ b/src/forward/connection.rs
@@ -2,11 +2,11 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use derive_more::Display;
-use http::{Request, Response};
+use http::{HeaderMap, HeaderValue, Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -17,13 +17,18 @@
 
 use crate::decide::attempt::AttemptOutcome;
 use crate::forward::gate::{GatedStream, SendGate};
-use crate::forward::pool::ConnectionPermit;
+use crate::forward::pool::{ConnectionPermit, IDLE_TIMEOUT};
 use crate::time::{Clock, Time};
 
 /// Maximum size of the head of a response, in bytes, which also bounds the read buffer of a
 /// connection.
 const HEAD_MAX_BYTES: usize = 64 << 10;
 
+/// Time before the end of an upstream's idle timeout at which this host closes a connection.
+const KEEP_ALIVE_MARGIN: Duration = Duration::from_secs(1);
+/// The longest time that an idle connection is kept, whatever its upstream says.
+const IDLE_TIMEOUT_MAX: Duration = Duration::from_secs(30);
+
 /// The reason why no connection is available.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub(crate) enum ConnectError {
@@ -45,6 +50,8 @@
     gate: Arc<SendGate>,
     /// When the connection was opened or last delivered a complete response.
     pub(crate) last_alive: Time,
+    /// Time after which this host closes it if it is idle.
+    pub(crate) idle_timeout: Duration,
     task: JoinHandle<()>,
     _permit: ConnectionPermit,
 }
@@ -78,7 +85,14 @@
         let task = tokio::spawn(async move {
             let _ = conn.await;
         });
-        Ok(Connection { tx, gate, last_alive: clock.now(), task, _permit: permit })
+        Ok(Connection {
+            tx,
+            gate,
+            last_alive: clock.now(),
+            idle_timeout: IDLE_TIMEOUT,
+            task,
+            _permit: permit,
+        })
     }
 
     /// Returns the send state of the request on this connection.
@@ -91,6 +105,14 @@
         self.tx.is_ready()
     }
 
+    /// Keeps the connection as long as the upstream says in the `Keep-Alive` field of a response, less
+    /// a margin within which a request could cross the upstream's close.
+    pub(crate) fn observe_keep_alive(&mut self, headers: &HeaderMap) {
+        let Some(timeout) = headers.get("keep-alive").and_then(keep_alive_timeout) else { return };
+        let idle = timeout.saturating_sub(KEEP_ALIVE_MARGIN);
+        self.idle_timeout = idle.clamp(KEEP_ALIVE_MARGIN, IDLE_TIMEOUT_MAX);
+    }
+
     pub(crate) fn is_closed(&self) -> bool {
         self.tx.is_closed()
     }
@@ -119,3 +141,13 @@
         })
     }
 }
+
+/// Parses the `timeout` parameter of a `Keep-Alive` field, in seconds.
+fn keep_alive_timeout(value: &HeaderValue) -> Option<Duration> {
+    let mut parameters = value.to_str().ok()?.split(',').map(str::trim);
+    let seconds = parameters.find_map(|p| p.strip_prefix("timeout="))?;
+    Some(Duration::from_secs(seconds.parse().ok()?))
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/forward/pool.rs
+++ b/src/forward/pool.rs
@@ -11,9 +11,9 @@
 use crate::forward::connection::Connection;
 use crate::time::Time;
 
-/// Time after which an idle connection is closed. Upstreams close idle connections after a few
-/// seconds, and each connection holds a buffer.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
+/// Time after which an idle connection is closed if its upstream has named none. Upstreams close idle
+/// connections after a few seconds, and each connection holds a buffer.
+pub(crate) const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 
 /// Time for which an upstream's connections are not reused after it sent an unsolicited response.
 /// Such faults last for seconds.
@@ -121,7 +121,7 @@
     pub(crate) fn expire(&self, now: Time) {
         let mut upstreams = self.upstreams.lock();
         for pool in upstreams.iter_mut() {
-            pool.idle.retain(|c| !c.is_closed() && now.since(c.last_alive) < IDLE_TIMEOUT);
+            pool.idle.retain(|c| !c.is_closed() && now.since(c.last_alive) < c.idle_timeout);
         }
         upstreams.retain(|p| Arc::strong_count(&p.open) > 1 || now < p.reuse_disabled_until);
     }
--- a/src/forward/probe.rs
+++ b/src/forward/probe.rs
@@ -122,6 +122,9 @@
     if is_from_another(service, target, &head.headers) {
         return Err(UpstreamOutcome::ConnectFailed);
     }
+    if node.settings.prefer_open_connections {
+        conn.observe_keep_alive(&head.headers);
+    }
     if keep_open {
         node.pool.put(target.address, conn, node.clock.now());
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,7 +10,7 @@
 //! - Requests to one service: [`service`] holds its upstreams and its queue, [`admission`] the
 //!   decisions on a request, [`attempt`] the state machine of its retries and hedges, [`balancing`]
 //!   the policies, [`kinds`] the latency goals of callers, [`upstream`] the rows of the upstreams,
-//!   and [`probing`] the budget for probes.
+//!   [`probing`] the budget for probes, and [`working_set`] the use of open connections.
 //! - All services of a host: [`tick`] holds their tables, and [`matching`] finds the service of a
 //!   request.
 //! - Records: [`catalog`] decides which version is in force, [`config`] holds their contents, and
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -1,6 +1,7 @@
 //! Placement of requests on upstreams that report their occupancy, under loads that were recorded.
 //! Each test that replays such a load names it.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -12,6 +13,7 @@
 use cornelferry::kinds::LatencyGoal;
 use cornelferry::service::{HostInfo, NextAttempt, ServiceTable};
 use cornelferry::upstream::{AttemptReport, Occupancy, UpstreamId, UpstreamOutcome};
+use cornelferry::working_set::WorkingSet;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
@@ -501,3 +503,68 @@
     let req = fixture.request(1, Priority::Normal);
     assert_eq!(fixture.admit_running(&req).id, id);
 }
+
+/// Load: a large service of which one host uses a small part, a few requests a second.
+#[test]
+fn upstreams_with_an_open_connection_are_probed_first() {
+    let mut fixture = Fixture::new(60, 0);
+    fixture.table.set_fleet_size(1);
+    fixture.now = fixture.now + ms(1_000);
+    fixture.report_all(FREE);
+    fixture.now = fixture.now + ms(1_000);
+    let connected = addresses(&fixture, 10..20);
+    let probed = probed_in(&mut fixture, WorkingSet::new(&connected));
+    assert!(!probed.is_empty());
+    assert!(probed.iter().all(|a| connected.contains(a)), "{probed:?}");
+    let probed = probed_in(&mut fixture, WorkingSet::default());
+    assert!(probed.iter().any(|a| !connected.contains(a)), "{probed:?}");
+}
+
+/// Load: all upstreams of the working set turn slow at once.
+#[test]
+fn a_host_looks_beyond_its_working_set_if_that_is_slow() {
+    let mut fixture = Fixture::new(60, 0);
+    fixture.now = fixture.now + ms(1_000);
+    fixture.report_all(FREE);
+    (10..20).for_each(|index| fixture.report(index, SLOW));
+    fixture.now = fixture.now + ms(100);
+    let connected = addresses(&fixture, 10..20);
+    let probed = probed_in(&mut fixture, WorkingSet::new(&connected));
+    assert!(probed.iter().all(|a| !connected.contains(a)), "{probed:?}");
+}
+
+/// Load: a burst that fills the working set, while other upstreams have free slots.
+#[test]
+fn requests_in_the_queue_look_for_a_slot_beyond_the_working_set() {
+    let mut fixture = Fixture::new(60, 0);
+    fixture.report_all(FULL);
+    let req = fixture.request(1, Priority::Normal);
+    fixture.admit_waiting(&req);
+    fixture.now = fixture.now + ms(500);
+    let connected = addresses(&fixture, 10..20);
+    let probed = probed_in(&mut fixture, WorkingSet::new(&connected));
+    assert!(probed.iter().any(|a| !connected.contains(a)), "{probed:?}");
+}
+
+#[test]
+fn a_service_with_few_upstreams_has_no_working_set() {
+    let mut fixture = Fixture::new(12, 0);
+    let connected = addresses(&fixture, 0..2);
+    let probed = probed_in(&mut fixture, WorkingSet::new(&connected));
+    assert!(probed.iter().any(|a| !connected.contains(a)), "{probed:?}");
+}
+
+fn addresses(fixture: &Fixture, indices: std::ops::Range<usize>) -> Vec<SocketAddr> {
+    fixture.table.rows()[indices].iter().map(|r| r.address).collect()
+}
+
+/// Returns the addresses of the upstreams that are probed for some requests.
+fn probed_in(fixture: &mut Fixture, working_set: WorkingSet<'_>) -> Vec<SocketAddr> {
+    let mut probed = Vec::new();
+    for _ in 0..5 {
+        fixture.now = fixture.now + ms(60);
+        let (now, rng) = (fixture.now, &mut fixture.rng);
+        probed.extend(fixture.table.probe_candidates_in(working_set, now, rng));
+    }
+    probed.iter().map(|t| t.address).collect()
+}
