Take a host's share of an upstream's rate out of rate limits

Cause: the warm-up of upstreams needs the same division of a rate among a few owners. Change: decide/share.rs holds it; rate limits use it.

--- a/src/decide/limit.rs
+++ b/src/decide/limit.rs
@@ -1,13 +1,12 @@
 //! Rate limits that upstreams name in their responses, and the share of this host.
 //!
-//! A limit is for all hosts together. A host can't tell in time how much the others send, so each
-//! limit is divided among a few owners, chosen by rendezvous hashing, and other hosts send nothing.
-//! There are few enough of them that the whole fleet stays within the limit even if all of them have
-//! saved up a request.
+//! A limit is for all hosts together and divided among a few owners, see [`Share`]. There are few
+//! enough of them that the whole fleet stays within the limit even if all of them have saved up a
+//! request.
 
 use std::time::Duration;
 
-use crate::decide::bucket::TokenBucket;
+use crate::decide::share::Share;
 use crate::time::Time;
 
 /// Relative difference from which a limit counts as changed.
@@ -36,8 +35,8 @@
     per_second: Option<f64>,
     /// When any host last saw in a response that the limit holds or has ended.
     observed: Time,
-    /// This host's share; `None` unless it owns a part of the limit.
-    share: Option<TokenBucket>,
+    /// This host's share.
+    share: Share,
 }
 
 /// A change of a rate limit.
@@ -123,7 +122,7 @@
         let hosts = self.owners(live_hosts).saturating_mul(turns);
         let is_expired = hosts >= live_hosts || is_among_first(hosts);
         if is_expired {
-            (self.per_second, self.share) = (None, None);
+            (self.per_second, self.share) = (None, Share::default());
         }
         is_expired
     }
@@ -140,27 +139,22 @@
         OWNERS_MIN.saturating_add(rate as usize).min(live_hosts)
     }
 
-    /// Sets whether this host is one of the owners, and how many there are. A new owner has saved up
-    /// nothing, so that a change of owners doesn't add to what the limit permits.
+    /// Sets whether this host is one of the owners, and how many there are.
     pub fn set_owned(&mut self, is_owner: bool, owners: usize, now: Time) {
         let Some(rate) = self.per_second.filter(|_| is_owner) else {
-            self.share = None;
-            return;
+            return self.share.clear();
         };
         let rate = rate / owners.max(1) as f64;
         let burst = (rate * BURST_SECONDS).max(1.0);
-        match &mut self.share {
-            Some(bucket) => bucket.set_rate(rate, burst, now),
-            None => self.share = Some(TokenBucket::empty(rate, burst, now)),
-        }
+        self.share.set(rate, burst, now);
     }
 
     /// Returns when this host may send the next request: now or at a past time if it may at once,
     /// `None` if it is not an owner of the limit.
     pub fn opens_at(&self, now: Time) -> Option<Time> {
-        match (self.per_second, &self.share) {
-            (None, _) => Some(now),
-            (Some(_), bucket) => bucket.as_ref()?.available_at(),
+        match self.per_second {
+            None => Some(now),
+            Some(_) => self.share.opens_at(),
         }
     }
 
@@ -171,16 +165,14 @@
 
     /// Counts a request that this host sends.
     pub fn take(&mut self, now: Time) {
-        if let Some(bucket) = &mut self.share {
-            bucket.try_take(now);
-        }
+        self.share.take(now);
     }
 
     fn set(&mut self, per_second: Option<f64>, at: Time) -> Option<LimitChange> {
         self.observed = at;
         let old = std::mem::replace(&mut self.per_second, per_second);
         let Some(rate) = per_second else {
-            self.share = None;
+            self.share.clear();
             return old.map(|_| LimitChange::Ended);
         };
         let is_new = old.is_none_or(|old| is_changed(rate, old));
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -42,3 +42,4 @@
 pub(crate) mod reach;
 pub(crate) mod relay;
 pub(crate) mod retry;
+pub(crate) mod share;
