Warm up cold upstreams over the whole fleet

Cause: a cold upstream takes few requests a second from all hosts together and ends well above; hosts knew only of a ramp-up of their own.

Change: decide/warmup.rs keeps for each upstream until when it is cold, as its responses to probes, its registration and peers say, and this host's share of its rate. Owners are chosen among known hosts and send so little that two views of the fleet together keep within what the upstream tolerates. An upstream that joins, returns, restarts or refuses a connection, or that is distrusted, counts as cold until it is heard, and is probed first. Coldness goes from the registry's follower to the tables beside the records, so that a heartbeat makes no record version. Refusals count Retry-After from the warm-up. Without a rate nothing changes.

--- a/src/config.rs
+++ b/src/config.rs
@@ -133,6 +133,10 @@
     pub identity_header: String,
     /// How the upstreams are probed.
     pub measure: ProbeConfig,
+    /// The response header to a probe in which an upstream names the milliseconds for which it stays
+    /// cold; empty for none.
+    #[serde(skip_serializing_if = "String::is_empty")]
+    pub warm_up_header: String,
     /// Maximum size of a request body, in bytes.
     pub body_max_bytes: u64,
     /// Maximum size of a response that is buffered until complete, in bytes; larger ones are
@@ -184,6 +188,7 @@
             drain_header: "x-draining".to_owned(),
             limit_header: "x-rate-limit".to_owned(),
             identity_header: String::new(),
+            warm_up_header: String::new(),
             measure: ProbeConfig::default(),
             body_max_bytes: 1 << 20,
             answer_buffer_bytes: 256 << 10,
--- a/src/decide/digest.rs
+++ b/src/decide/digest.rs
@@ -37,6 +37,12 @@
 /// The number of rate limits that a digest may hold.
 const LIMITS_MAX: usize = 64;
 
+/// The number of cold upstreams that a digest may hold.
+const COLD_MAX: usize = 32;
+
+/// The time by which an upstream stays cold longer than last sent from which this is sent again.
+const COLD_CHANGE_MIN: Duration = Duration::from_secs(1);
+
 /// The number of reports on requests that a digest may hold.
 const REQUEST_REPORTS_MAX: usize = 32;
 
@@ -152,6 +158,15 @@
     pub age: Duration,
 }
 
+/// A cold upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ColdUpstream {
+    /// The index of the upstream among those named on the connection.
+    pub upstream: u16,
+    /// The time until it is warm again.
+    pub remaining: Duration,
+}
+
 /// RequestReport on a request under which upstreams have ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RelayedReport {
@@ -198,6 +213,8 @@
     pub leaving_upstreams: Vec<LeavingUpstream>,
     /// Upstreams whose rate limit is new to the receiver or was seen again.
     pub limits: Vec<UpstreamLimit>,
+    /// Upstreams that are cold and new to the receiver as such.
+    pub cold: Vec<ColdUpstream>,
     /// RequestReport that is new to the receiver.
     pub request_reports: Vec<RelayedReport>,
     /// Records that have recently come into force.
@@ -215,6 +232,8 @@
     sorted: Vec<u16>,
     /// The rate limits last sent, with the time of sending, sorted by the index of the upstream.
     limits: Vec<(u16, LimitObservation, Time)>,
+    /// Until when upstreams are cold, as last sent, sorted by the index of the upstream.
+    cold: Vec<(u16, Time)>,
     /// The numbers of the reports on requests that were sent, sorted.
     sent_request_reports: Vec<u64>,
     /// The number up to which all reports on requests were sent.
@@ -414,6 +433,36 @@
         is_due
     }
 
+    /// Adds the cold upstreams that are new to the receiver or stay cold longer than it knows, up to a
+    /// limit.
+    pub fn add_cold_upstreams(
+        &mut self,
+        cold: &[(UpstreamName, Duration)],
+        now: Time,
+        digest: &mut Digest,
+    ) {
+        for (name, remaining) in cold {
+            if digest.cold.len() == COLD_MAX {
+                return;
+            }
+            let summary = UpstreamSummary {
+                service: name.service.clone(),
+                upstream: name.name.clone(),
+                in_flight: 0,
+                load: None,
+                leaving: false,
+            };
+            let Some(at) = self.upstream_index(&summary, now, digest) else { continue };
+            let (upstream, remaining, until) = (at as u16, *remaining, now + *remaining);
+            match self.cold.binary_search_by_key(&upstream, |(at, _)| *at) {
+                Ok(i) if until < self.cold[i].1 + COLD_CHANGE_MIN => continue,
+                Ok(i) => self.cold[i].1 = until,
+                Err(i) => self.cold.insert(i, (upstream, until)),
+            }
+            digest.cold.push(ColdUpstream { upstream, remaining });
+        }
+    }
+
     /// Adds the reports on requests that were not sent before, up to a limit.
     pub fn add_request_reports(
         &mut self,
@@ -548,6 +597,8 @@
     pub leaving_upstreams: Vec<LeavingObservation>,
     /// Rate limits of upstreams.
     pub limits: Vec<(UpstreamName, LimitObservation)>,
+    /// Cold upstreams, with the time until each is warm again.
+    pub cold: Vec<(UpstreamName, Duration)>,
     /// RequestReport on requests under which upstreams have ended.
     pub request_reports: Vec<RequestReport>,
 }
@@ -607,6 +658,10 @@
         let leaving_upstreams =
             digest.leaving_upstreams.iter().filter_map(|l| self.observation(l, now)).collect();
         let limits = digest.limits.iter().filter_map(|l| self.limit(l, now)).collect();
+        let cold = |c: &ColdUpstream| {
+            Some((self.upstreams.get(usize::from(c.upstream))?.clone(), c.remaining))
+        };
+        let cold = digest.cold.iter().filter_map(cold).collect();
         let report = |r: &RelayedReport| {
             let at = before(now, r.age);
             let (fingerprint, event) = (r.fingerprint, r.event);
@@ -619,6 +674,7 @@
             loads,
             leaving_upstreams,
             limits,
+            cold,
             request_reports,
         })
     }
--- a/src/decide/member.rs
+++ b/src/decide/member.rs
@@ -441,6 +441,26 @@
         is_fleet_known && self.is_view_complete(now) && is_among_first()
     }
 
+    /// Returns whether this host is one of the `count` owners of `duty` among all known hosts that have
+    /// not left, whether alive or not: hosts that are cut off from each other don't take each other's
+    /// part. Otherwise like [`Members::is_among_owners`].
+    pub fn is_among_known_owners(
+        &self,
+        duty: &str,
+        count: usize,
+        may_have_peers: bool,
+        now: Time,
+    ) -> bool {
+        let is_fleet_known = self.known_hosts(may_have_peers).is_some();
+        let is_among_first = || {
+            let duty = hash(duty);
+            let own = (mix(self.hash, duty), &*self.host);
+            let others = self.members.iter().filter(|m| !m.left);
+            others.filter(|m| (mix(m.hash, duty), &*m.host) > own).count() < count
+        };
+        is_fleet_known && !self.leaving && self.is_view_complete(now) && is_among_first()
+    }
+
     /// Returns whether this host is one of the `count` owners of `duty` in its data centre; false
     /// if it is shutting down. Always true while this host's view is incomplete, since doing such a
     /// duty twice is harmless.
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -26,6 +26,7 @@
 pub mod tick;
 pub mod topology;
 pub mod upstream;
+pub mod warmup;
 pub mod working_set;
 
 pub(crate) mod availability;
--- a/src/decide/registered.rs
+++ b/src/decide/registered.rs
@@ -156,6 +156,12 @@
         !is_late
     }
 
+    /// Returns whether a heartbeat of a process has been read before.
+    pub fn is_repeat(&self, name: &str, born: Option<u64>, sequence: Option<u64>) -> bool {
+        let row = self.find(name).map(|at| &self.rows[at]);
+        sequence.is_some() && row.is_ok_and(|r| r.born == born && r.sequence == sequence)
+    }
+
     /// Records that a registration has ended.
     pub fn remove(&mut self, name: &str) {
         if let Ok(at) = self.find(name) {
--- a/src/decide/service.rs
+++ b/src/decide/service.rs
@@ -4,6 +4,7 @@
 mod placement;
 mod reports;
 mod sharing;
+mod warmup;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -30,6 +31,7 @@
 use crate::decide::upstream::{
     self, AttemptReport, Row, State, UpstreamChange, UpstreamId, UpstreamOutcome,
 };
+use crate::decide::warmup::WarmUp;
 use crate::event::EventCode;
 use crate::time::Time;
 
@@ -86,6 +88,7 @@
     retry_budget: RetryBudget,
     reach: Reach,
     next_limit_update_at: Time,
+    next_warm_up_update_at: Time,
     /// Row indices of the upstreams open to the current request; kept to reuse its allocation.
     candidates: Vec<u32>,
     changes: Vec<UpstreamChange>,
@@ -140,6 +143,7 @@
             retry_budget: RetryBudget::new(now),
             reach: Reach::default(),
             next_limit_update_at: now,
+            next_warm_up_update_at: now,
             candidates: Vec::new(),
             changes: Vec::new(),
         };
@@ -183,7 +187,13 @@
         if rate != self.cfg.measure.probes_per_second {
             self.probe_budget = ProbeBudget::new(rate, self.host_info.fleet_size_max, now);
         }
+        let had_warm_up = self.has_warm_up();
         self.cfg = cfg;
+        match self.has_warm_up() {
+            true if !had_warm_up => self.doubt_warmth(now, true, |_| true),
+            true => {}
+            false => self.rows.iter_mut().for_each(|r| r.warm_up = WarmUp::default()),
+        }
         self.set_probe_rate();
         self.capacity.invalidate();
     }
@@ -196,10 +206,12 @@
         let mut sorted: Vec<(&str, SocketAddr)> =
             upstreams.iter().map(|u| (&*u.name, u.address)).collect();
         sorted.sort_unstable();
+        let mut returned: Vec<UpstreamId> = Vec::new();
         for row in &mut self.rows {
             let configured = sorted.binary_search(&(&*row.name, row.address)).is_ok();
             if configured && !row.configured {
                 row.readmit(now);
+                returned.push(row.id);
             }
             row.configured = configured;
             row.update_state(&mut self.changes);
@@ -217,9 +229,12 @@
                 (&**name, *address).cmp(&(&*upstream.name, upstream.address))
             });
             if found.is_err() {
+                returned.push(self.next_id.into());
                 self.add_upstream(upstream, has_live, now);
             }
         }
+        returned.sort_unstable();
+        self.doubt_warmth(now, false, |r| returned.binary_search(&r.id).is_ok());
         self.set_probe_rate();
         self.capacity.invalidate();
     }
@@ -308,7 +323,7 @@
             return Vec::new();
         }
         let budget = &mut self.probe_budget;
-        let live = self.rows.iter_mut().filter(|r| r.state == State::Live && !r.is_closed(now));
+        let live = self.rows.iter_mut().filter(|r| r.state == State::Live && r.is_askable(now));
         let chosen = live.choose_multiple(rng, REACH_PROBES).into_iter();
         let within_budget = chosen.filter_map(|row| {
             budget.try_take(now).then(|| {
@@ -346,7 +361,10 @@
         {
             return Vec::new();
         }
-        let chosen = if self.is_cut_off(now) {
+        let chosen = if self.is_doubt_due(now) {
+            self.next_probe_at = now + PROBE_INTERVAL;
+            self.doubtful_upstream(now)
+        } else if self.is_cut_off(now) {
             self.next_probe_at = now + PROBE_INTERVAL;
             probing::choose(&self.rows, self.last_request, now, |_| true)
         } else if self.uses_occupancy() {
@@ -497,6 +515,7 @@
             row.readmit(now);
             row.update_state(&mut self.changes);
         }
+        self.doubt_warmth(now, false, |r| *r.name == *name);
         self.capacity.invalidate();
     }
 
@@ -538,6 +557,11 @@
     /// upstream accordingly.
     fn update_health(&mut self, index: usize, outcome: UpstreamOutcome, now: Time) {
         self.rows[index].drain.observe_failure(outcome);
+        if outcome == UpstreamOutcome::ConnectFailed {
+            // Its process may have ended, and the next one may be cold.
+            let id = self.rows[index].id;
+            self.doubt_warmth(now, true, |r| r.id == id);
+        }
         if outcome != UpstreamOutcome::Cancelled {
             self.baseline.observe_attempt(!outcome.is_healthy());
         }
--- a/src/decide/service/admission.rs
+++ b/src/decide/service/admission.rs
@@ -51,7 +51,11 @@
         if self.misses_deadline(req, Duration::ZERO, now)
             || self.opens_at(now).is_none_or(|at| at >= req.deadline)
         {
-            return Admission::Refuse(self.refusal(Code::DeadlineTooClose));
+            let mut refusal = self.refusal(Code::DeadlineTooClose);
+            if self.has_warm_up() {
+                refusal.retry_after += now.until(self.resumes_at(now));
+            }
+            return Admission::Refuse(refusal);
         }
         if self.queue.ahead(req.priority) == 0
             && self.has_capacity(req, now)
@@ -280,7 +284,7 @@
         self.in_flight += 1;
         let row = upstream::find_mut(&mut self.rows, id)?;
         row.last_chosen = self.choice_count;
-        row.limit.take(now);
+        row.take_permit(now);
         row.begin_attempt(now);
         Some(target(row))
     }
--- a/src/decide/service/placement.rs
+++ b/src/decide/service/placement.rs
@@ -263,7 +263,7 @@
         let report_age = row.occupancy_age(now);
         let fresh = row.has_fresh_report(now);
         row.last_chosen = self.choice_count;
-        row.limit.take(now);
+        row.take_permit(now);
         row.begin_attempt(now);
         if let Some(attempt) = row.attempts.last_mut() {
             attempt.estimate = Some(AttemptEstimate {
@@ -400,11 +400,11 @@
         }
     }
 
-    /// Returns when the first upstream ends its pause: now, unless all have asked for one. Other
-    /// hosts may have room in rate limits, so those don't count.
-    fn resumes_at(&self, now: Time) -> Time {
+    /// Returns when the first upstream ends its pause and its warm-up leaves room: now, unless none
+    /// does. Other hosts may have room in rate limits, so those don't count.
+    pub(super) fn resumes_at(&self, now: Time) -> Time {
         let live = self.rows.iter().filter(|r| r.state == State::Live);
-        live.map(|r| r.health.paused_until()).min().map_or(now, |until| until.max(now))
+        live.map(|r| r.resumes_at(now)).min().map_or(now, |until| until.max(now))
     }
 
     /// Returns a refusal whose retry-after time is the expected time until the queue is empty,
--- a/src/decide/service/reports.rs
+++ b/src/decide/service/reports.rs
@@ -53,7 +53,8 @@
         };
         let mut best: Vec<(f32, usize)> = Vec::with_capacity(self.rows.len());
         for (index, row) in self.rows.iter().enumerate() {
-            if row.state == State::Live && !row.health.is_ejected(now) && !row.is_closed(now) {
+            let may_open = !row.is_closed(now) || row.warm_up.is_doubtful() && row.is_askable(now);
+            if row.state == State::Live && !row.health.is_ejected(now) && may_open {
                 let cost =
                     self.placement_cost(row, now) + working_set.connection_cost(&row.address);
                 best.push((cost + rng.random::<f32>() * CANDIDATE_SPREAD, index));
@@ -63,7 +64,8 @@
         best.truncate(self.availability.probe_count());
         let rows = &self.rows;
         let stale = best.into_iter().map(|(_, index)| index);
-        let stale: Vec<usize> = stale.filter(|&index| !rows[index].has_fresh_report(now)).collect();
+        let is_unsettled = |r: &Row| r.warm_up.is_doubtful() || !r.has_fresh_report(now);
+        let stale: Vec<usize> = stale.filter(|&index| is_unsettled(&rows[index])).collect();
         let mut out = Vec::with_capacity(stale.len());
         for index in stale {
             if !self.probe_budget.try_take(now) {
--- a/src/decide/share.rs
+++ b/src/decide/share.rs
@@ -25,6 +25,11 @@
         self.0 = None;
     }
 
+    /// Returns whether this host is an owner.
+    pub(crate) fn is_owned(&self) -> bool {
+        self.0.is_some()
+    }
+
     /// Returns when this host may send the next request, which may be a past time. `None` if it is not
     /// an owner or the rate is 0.
     pub(crate) fn opens_at(&self) -> Option<Time> {
--- a/src/decide/tick.rs
+++ b/src/decide/tick.rs
@@ -193,6 +193,29 @@
         }
     }
 
+    /// Updates which cold upstreams this host may send to. `is_owner` returns whether it is one of a
+    /// number of hosts that may send to an upstream, which is given by its service and its name, out of
+    /// `hosts` known ones, this one included.
+    pub fn update_warm_up(
+        &mut self,
+        hosts: usize,
+        now: Time,
+        is_owner: impl Fn(&str, &str, usize) -> bool,
+    ) {
+        for table in self.services.iter_mut().filter(|t| t.has_warm_up()) {
+            let service = table.cfg().name.clone();
+            table.update_warm_up(hosts, now, |upstream, owners| {
+                is_owner(&service, upstream, owners)
+            });
+        }
+    }
+
+    /// Takes the upstreams of a data centre for cold, see [`ServiceTable::distrust_warmth`].
+    pub fn distrust_warmth(&mut self, data_centre: &str, now: Time) {
+        self.services.iter_mut().for_each(|t| t.distrust_warmth(data_centre, now));
+        self.due.fill(Time::ZERO);
+    }
+
     /// Forgets the reports of a peer that died.
     pub fn forget_peer(&mut self, host: &str) {
         self.services.iter_mut().for_each(|s| s.forget_peer(host));
--- a/src/decide/upstream.rs
+++ b/src/decide/upstream.rs
@@ -12,6 +12,7 @@
 use crate::decide::health::Health;
 use crate::decide::limit::RateLimit;
 use crate::decide::load::{AttemptInFlight, PeerLoad, PeerReport};
+use crate::decide::warmup::WarmUp;
 use crate::event::EventCode;
 use crate::time::Time;
 
@@ -177,6 +178,7 @@
     pub(crate) last_chosen: u64,
     pub(crate) health: Health,
     pub(crate) limit: RateLimit,
+    pub(crate) warm_up: WarmUp,
 }
 
 impl Row {
@@ -205,6 +207,7 @@
             last_chosen: 0,
             health: Health::default(),
             limit: RateLimit::default(),
+            warm_up: WarmUp::default(),
         }
     }
 
@@ -215,15 +218,32 @@
     }
 
     /// Returns whether the upstream is to be sent nothing now: it has refused a request just now or
-    /// asked for a pause, or its rate limit leaves no room.
+    /// asked for a pause, or its rate limit or its warm-up leaves no room.
     pub(crate) fn is_closed(&self, now: Time) -> bool {
-        self.health.is_refusing(now) || self.limit.is_closed(now)
+        !self.is_askable(now) || self.warm_up.is_closed(now)
     }
 
-    /// Returns when the upstream may next be sent a request as far as pauses and its rate limit are
-    /// concerned, which may be a past time. `None` if this host may send it nothing.
+    /// Returns whether the upstream may be probed now: its warm-up aside, it is not to be sent nothing.
+    pub(crate) fn is_askable(&self, now: Time) -> bool {
+        !self.health.is_refusing(now) && !self.limit.is_closed(now)
+    }
+
+    /// Counts a request that this host sends to the upstream.
+    pub(crate) fn take_permit(&mut self, now: Time) {
+        self.limit.take(now);
+        self.warm_up.take(now);
+    }
+
+    /// Returns when the upstream may next be sent a request as far as pauses, its rate limit and its
+    /// warm-up are concerned, which may be a past time. `None` if this host may send it nothing.
     pub(crate) fn opens_at(&self, now: Time) -> Option<Time> {
-        Some(self.limit.opens_at(now)?.max(self.health.paused_until()))
+        Some(self.limit.opens_at(now)?.max(self.resumes_at(now)))
+    }
+
+    /// Returns when the pause that the upstream has asked for ends and its warm-up leaves room, which
+    /// may be a past time.
+    pub(crate) fn resumes_at(&self, now: Time) -> Time {
+        self.health.paused_until().max(self.warm_up.opens_at(now))
     }
 
     /// Updates the state from what is known, and adds a change of it to `changes`.
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -3,6 +3,8 @@
 //! All calls into the tables go through this module. It holds their lock for one decision at a
 //! time, and records the input and output of each decision for traces.
 
+mod warmup;
+
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -61,7 +63,12 @@
         self.recorder.record_at(now, || Entry::admit(service, req, &admission));
         let dispatch = match admission {
             Admission::Run(target) => Dispatch::Run(target),
-            Admission::Refuse(refusal) => Dispatch::Refuse(refusal),
+            Admission::Refuse(refusal) => {
+                if table.is_held_by_warm_up(now) {
+                    self.metrics.count_warm_up(service, false);
+                }
+                Dispatch::Refuse(refusal)
+            }
             Admission::Wait(ticket) => {
                 let rx = self.waiting.register(service, ticket);
                 Dispatch::Wait(Waiter::new(self, service, ticket, rx))
@@ -270,6 +277,11 @@
                 let duty = format!("limit/{service}/{upstream}");
                 members.is_among_owners(&duty, owners, is_searching, now)
             });
+            let known_hosts = members.known_hosts(may_have_peers).unwrap_or(1);
+            tables.update_warm_up(known_hosts, now, |service, upstream, owners| {
+                let duty = format!("warm-up/{service}/{upstream}");
+                members.is_among_known_owners(&duty, owners, is_searching, now)
+            });
             let output = tables.tick(now, rng, is_probe_owner);
             self.record_tick(&output, now);
             output
--- a/src/entry/admin/status.rs
+++ b/src/entry/admin/status.rs
@@ -48,6 +48,9 @@
         let name = &service.cfg().name;
         let in_flight = service.rows().iter().map(|r| u64::from(r.in_flight)).sum();
         node.metrics.set_service_gauges(name, node.waiting.count(name), in_flight);
+        if service.has_warm_up() {
+            node.metrics.set_cold_upstreams(name, service.cold_count(now));
+        }
     }
 }
 
--- a/src/event.rs
+++ b/src/event.rs
@@ -105,6 +105,10 @@
     UpstreamsUnreachable = 3014, "no upstream of the service responds";
     /// An upstream of the service responds to this host again.
     UpstreamsReachable = 3015, "upstreams of the service respond again";
+    /// An upstream is cold and gets few requests.
+    UpstreamCold = 3101, "upstream cold";
+    /// An upstream that was cold is warm.
+    UpstreamWarm = 3102, "upstream warm";
     /// A record version came into force.
     InForce = 4001, "record version in force";
     /// A newer record can't be read, so the old one stays in force.
--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -18,6 +18,7 @@
 use crate::decide::attempt::{AttemptNumber, AttemptOutcome};
 use crate::decide::poison::Fingerprints;
 use crate::decide::upstream::{AttemptReport, Occupancy, UpstreamOutcome};
+use crate::decide::warmup;
 use crate::event::{EventCode, Subject};
 use crate::forward::BufferedRequest;
 use crate::forward::connection::{ConnectError, Connection};
@@ -250,6 +251,9 @@
             self.log.mark_notable();
             self.node.metrics.count_limited_attempt(&self.service.name, number.get() > 1);
         }
+        if self.service.warm_up_per_second > 0.0 {
+            self.node.count_if_cold(&self.service.name, self.target.id);
+        }
         self.started = self.node.clock.now();
         let req =
             upstream_request(&self.node.header_names, request, &self.target, number, self.started);
@@ -376,6 +380,8 @@
     pub(crate) pause: Option<Duration>,
     /// The requests per second that the upstream takes from all hosts together.
     pub(crate) limit: Option<f64>,
+    /// How long the upstream stays cold; zero if it names no time.
+    pub(crate) cold: Duration,
 }
 
 impl LoadReport {
@@ -401,6 +407,7 @@
             .then(|| value(RETRY_AFTER.as_str()).and_then(parse_pause))
             .flatten(),
             limit: value(&service.limit_header).and_then(parse_limit),
+            cold: value(&service.warm_up_header).map_or(Duration::ZERO, parse_warm_up),
         }
     }
 }
@@ -414,6 +421,18 @@
     limit
 }
 
+/// Parses the milliseconds for which an upstream stays cold. If they are no number, it is taken for
+/// cold until it names one.
+fn parse_warm_up(text: &str) -> Duration {
+    match text.parse::<f64>().ok().filter(|ms| !ms.is_nan()) {
+        Some(millis) => warmup::duration(millis / 1_000.0),
+        None => {
+            log::debug!("an upstream names a warm-up time {text:?}");
+            warmup::UNKNOWN
+        }
+    }
+}
+
 /// Parses a `Retry-After` time in seconds, with or without fractions. A date is not supported, since
 /// it depends on two hosts' clocks.
 fn parse_pause(text: &str) -> Option<Duration> {
--- a/src/forward/probe.rs
+++ b/src/forward/probe.rs
@@ -48,6 +48,9 @@
             if load_report.limit.is_some() {
                 node.observe_limit(&service.name, &target, load_report.limit, start);
             }
+            if service.warm_up_per_second > 0.0 {
+                node.observe_warm_up(&service.name, &target, load_report.cold, start);
+            }
             if let Some(pause) = load_report.pause {
                 node.pause_upstream(&service.name, &target, pause);
             }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,7 +10,8 @@
 //! - Requests to one service: [`service`] holds its upstreams and its queue, [`admission`] the
 //!   decisions on a request, [`attempt`] the state machine of its retries and hedges, [`balancing`]
 //!   the policies, [`kinds`] the latency goals of callers, [`upstream`] the rows of the upstreams,
-//!   [`probing`] the budget for probes, and [`working_set`] the use of open connections.
+//!   [`limit`] and [`warmup`] what an upstream takes from all hosts, [`probing`] the budget for
+//!   probes, and [`working_set`] the use of open connections.
 //! - All services of a host: [`tick`] holds their tables, and [`matching`] finds the service of a
 //!   request.
 //! - Records: [`catalog`] decides which version is in force, [`config`] holds their contents, and
@@ -75,7 +76,7 @@
 pub use decide::{
     admission, attempt, balancing, catalog, digest, hosts, kinds, lapse, leaving, limit, matching,
     member, pause, poison, probing, reads, registered, service, startup, stored, tick, topology,
-    upstream, working_set,
+    upstream, warmup, working_set,
 };
 pub use time::{Clock, Time};
 
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -35,6 +35,7 @@
     probes: IntCounterVec,
     retries: IntCounterVec,
     limited_attempts: IntCounterVec,
+    warm_up: IntCounterVec,
     control_bytes: IntCounterVec,
     platform_calls: IntCounterVec,
     unlogged_requests: IntCounter,
@@ -45,6 +46,7 @@
     waiting: IntGaugeVec,
     in_flight: IntGaugeVec,
     cut_off: IntGaugeVec,
+    cold: IntGaugeVec,
 }
 
 impl Default for Metrics {
@@ -90,6 +92,11 @@
                 "Attempts sent to upstreams that had named a rate limit, by service and order",
                 &["service", "attempt"],
             ),
+            warm_up: counter(
+                "cornelferry_warm_up_requests_total",
+                "Attempts sent to cold upstreams, and requests refused on arrival as all are, by service",
+                &["service", "decision"],
+            ),
             control_bytes: counter(
                 "cornelferry_control_bytes_total",
                 "Bytes exchanged with other entry hosts",
@@ -120,6 +127,7 @@
                 "cornelferry_cut_off",
                 "1 while no upstream of the service responds to this host, else 0",
             ),
+            cold: gauge("cornelferry_cold_upstreams", "Upstreams that are taken for cold"),
             services: RwLock::default(),
             registry,
         }
@@ -178,6 +186,19 @@
         self.limited_attempts.with_label_values(&[&*self.service_label(service), order]).inc();
     }
 
+    /// Counts an attempt that is sent to a cold upstream, or a request that is refused because all
+    /// upstreams are cold.
+    pub(crate) fn count_warm_up(&self, service: &str, is_allowed: bool) {
+        let decision = if is_allowed { "allowed" } else { "denied" };
+        self.warm_up.with_label_values(&[&*self.service_label(service), decision]).inc();
+    }
+
+    /// Sets the gauge of a service's cold upstreams.
+    pub(crate) fn set_cold_upstreams(&self, service: &str, count: usize) {
+        let gauge = self.cold.with_label_values(&[&*self.service_label(service)]);
+        gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
     /// Counts a completed probe.
     pub(crate) fn count_probe(&self, service: &str, outcome: UpstreamOutcome) {
         let label = self.service_label(service);
--- a/src/peer/codec.rs
+++ b/src/peer/codec.rs
@@ -7,8 +7,8 @@
 
 use crate::decide::catalog::RecordKind;
 use crate::decide::digest::{
-    CatalogSummary, Digest, LeavingUpstream, RecordVersion, RelayedHeartbeat, RelayedReport,
-    UpstreamLimit, UpstreamLoad, UpstreamName,
+    CatalogSummary, ColdUpstream, Digest, LeavingUpstream, RecordVersion, RelayedHeartbeat,
+    RelayedReport, UpstreamLimit, UpstreamLoad, UpstreamName,
 };
 use crate::decide::member::Process;
 use crate::decide::poison::{Fingerprint, RequestEvent};
@@ -55,6 +55,7 @@
     write_loads(&digest.loads, &mut out);
     write_leaving_upstreams(&digest.leaving_upstreams, &mut out);
     write_limits(&digest.limits, &mut out);
+    write_cold(&digest.cold, &mut out);
     write_request_reports(&digest.request_reports, &mut out);
     if !digest.recent.is_empty() {
         write_versions(&digest.recent, out.init_recent(digest.recent.len() as u32));
@@ -85,6 +86,7 @@
         loads: digest.get_loads()?.iter().map(read_load).collect(),
         leaving_upstreams: digest.get_leaves()?.iter().map(read_leaving_upstream).collect(),
         limits: digest.get_limits()?.iter().map(read_limit).collect(),
+        cold: digest.get_cold()?.iter().map(read_cold).collect(),
         request_reports: digest.get_request_reports()?.iter().map(read_request_report).collect(),
         recent: read_versions(digest.get_recent()?)?,
     })
@@ -282,6 +284,23 @@
     }
 }
 
+fn write_cold(cold: &[ColdUpstream], out: &mut wire::digest::Builder<'_>) {
+    if cold.is_empty() {
+        return;
+    }
+    let mut rows = out.reborrow().init_cold(cold.len() as u32);
+    for (i, upstream) in cold.iter().enumerate() {
+        let mut row = rows.reborrow().get(i as u32);
+        row.set_upstream(upstream.upstream);
+        row.set_remaining_ms(age_millis(upstream.remaining));
+    }
+}
+
+fn read_cold(row: wire::cold::Reader<'_>) -> ColdUpstream {
+    let remaining = Duration::from_millis(row.get_remaining_ms().into());
+    ColdUpstream { upstream: row.get_upstream(), remaining }
+}
+
 fn write_request_reports(reports: &[RelayedReport], out: &mut wire::digest::Builder<'_>) {
     if reports.is_empty() {
         return;
--- a/src/peer/local.rs
+++ b/src/peer/local.rs
@@ -167,6 +167,18 @@
         tables.services().iter().flat_map(of_service).collect()
     }
 
+    /// Returns what to tell peers of cold upstreams.
+    pub(crate) fn cold_upstreams(&self, now: Time) -> Vec<(UpstreamName, Duration)> {
+        let tables = self.node.tables.lock();
+        let of_service = |table: &ServiceTable| {
+            let service = table.cfg().name.clone();
+            let name =
+                |name: &Arc<str>| UpstreamName { service: service.clone(), name: name.clone() };
+            table.cold_upstreams(now).map(|(n, cold)| (name(n), cold)).collect::<Vec<_>>()
+        };
+        tables.services().iter().flat_map(of_service).collect()
+    }
+
     /// Records which upstreams this host observes to be leaving. Withdraws the relayed observations
     /// of upstreams that no host has observed to be leaving for [`OBSERVATION_AGE_MAX`].
     pub(crate) fn update_observations(&self, now: Time) {
--- a/src/peer/tests.rs
+++ b/src/peer/tests.rs
@@ -19,8 +19,8 @@
 use crate::config::{Profile, Service, Treatment, Upstream};
 use crate::decide::catalog::{Body, Record, RecordKind};
 use crate::decide::digest::{
-    CatalogSummary, Digest, RecordVersion, RelayedHeartbeat, RelayedReport, UpstreamLimit,
-    UpstreamLoad, UpstreamName,
+    CatalogSummary, ColdUpstream, Digest, RecordVersion, RelayedHeartbeat, RelayedReport,
+    UpstreamLimit, UpstreamLoad, UpstreamName,
 };
 use crate::decide::hosts::{Host as ListedHost, Role};
 use crate::decide::member::{Heartbeat, MemberState, Process};
@@ -441,8 +441,12 @@
             took: Duration::from_millis(n % 100_000),
         }
     });
-    let tail = (vec(recent, 0..4), vec(limit, 0..4), vec(report, 0..4));
-    (head, lists, tail).prop_map(|(head, lists, (recent, limits, request_reports))| Digest {
+    let cold = (any::<u16>(), any::<u32>()).prop_map(|(upstream, remaining)| ColdUpstream {
+        upstream,
+        remaining: Duration::from_millis(remaining.into()),
+    });
+    let tail = (vec(recent, 0..4), vec(limit, 0..4), vec(cold, 0..4), vec(report, 0..4));
+    (head, lists, tail).prop_map(|(head, lists, (recent, limits, cold, request_reports))| Digest {
         stamp: Timestamp { millis: head.0, count: head.1 },
         heartbeat: head.2,
         left: head.3,
@@ -457,6 +461,7 @@
         upstreams: lists.2,
         loads: lists.3,
         limits,
+        cold,
         request_reports,
         recent,
     })
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -74,6 +74,8 @@
     name: Arc<str>,
     health_path: String,
     max_connections: u32,
+    #[serde(default, rename = "warmupPerS")]
+    warm_up_per_second: f64,
 }
 
 /// Decodes the document into its version and the routing that it describes.
@@ -137,6 +139,7 @@
             connections: self.max_connections.max(1),
             body_max_bytes,
             probe_before_send: true,
+            warm_up_per_second: self.warm_up_per_second.max(0.0),
             measure: ProbeConfig { path: self.health_path, ..ProbeConfig::default() },
             ..Service::default()
         };
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -18,6 +18,8 @@
 /// The upstream's load: requests running, requests waiting, slots, and the current service time in
 /// percent of the usual one.
 const LOAD: &str = "x-instance-load";
+/// Milliseconds for which the upstream stays cold, on its responses to probes.
+const COLD: &str = "x-cold-remaining-ms";
 /// Set by an upstream that did not run the request.
 const NOT_RUN: &str = "x-not-executed";
 /// The signature that proves that a response was made by an upstream.
@@ -45,6 +47,9 @@
     service.drain_header = LEAVING.to_owned();
     service.limit_header = LIMIT.to_owned();
     service.identity_header = UPSTREAM.to_owned();
+    if service.warm_up_per_second > 0.0 {
+        service.warm_up_header = COLD.to_owned();
+    }
     service.signature_header = SIGNATURE.to_owned();
     service.echo_header = REQUEST_ID.to_owned();
     service.instance_header = EXPECTED_UPSTREAM.to_owned();
--- a/src/platform/registration.rs
+++ b/src/platform/registration.rs
@@ -26,6 +26,18 @@
     /// The start of the process, in milliseconds since the Unix epoch.
     #[serde(default)]
     born: Option<u64>,
+    /// Seconds for which the upstream stays cold.
+    #[serde(default, rename = "coldRemainingS")]
+    cold_remaining_s: serde_json::Value,
+}
+
+/// What an upstream says of itself in each heartbeat, apart from what its record holds.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct Beat {
+    /// The number of the heartbeat.
+    pub(crate) sequence: Option<u64>,
+    /// Seconds for which the upstream stays cold, if it says so.
+    pub(crate) cold_seconds: Option<f64>,
 }
 
 #[derive(Deserialize)]
@@ -35,10 +47,10 @@
     Draining,
 }
 
-/// Decodes the registration under a key into the upstream and the number of its heartbeat. Returns
+/// Decodes the registration under a key into the upstream and its heartbeat. Returns
 /// `None` if the upstream can't be used: the key has
 /// another form, a field is missing or of another type, or the state is unknown.
-pub(crate) fn decode(key: &str, value: &[u8]) -> Option<(Host, Option<u64>)> {
+pub(crate) fn decode(key: &str, value: &[u8]) -> Option<(Host, Beat)> {
     let name = key.strip_prefix(PREFIX).filter(|id| !id.is_empty())?;
     let registration: Registration = serde_json::from_slice(value).ok()?;
     let host = Host {
@@ -56,5 +68,6 @@
         admin: None,
         born: registration.born,
     };
-    Some((host, registration.sequence))
+    let cold_seconds = registration.cold_remaining_s.as_f64();
+    Some((host, Beat { sequence: registration.sequence, cold_seconds }))
 }
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -37,6 +37,19 @@
     assert_eq!((service.connections, &*service.measure.path), (220, "/health"));
 }
 
+#[test]
+fn a_service_whose_upstreams_warm_up_says_so() {
+    let (_, routing) = config::decode(CONFIG.as_bytes()).expect("config");
+    let [plain, _] = &routing.services[..] else { panic!("two services") };
+    assert_eq!((plain.warm_up_per_second, &*plain.warm_up_header), (0.0, ""));
+    let text = CONFIG.replacen(r#""tls":false"#, r#""tls":false,"warmupS":12,"warmupPerS":7.8"#, 1);
+    let (_, routing) = config::decode(text.as_bytes()).expect("config");
+    let [warming, plain_still] = &routing.services[..] else { panic!("two services") };
+    assert_eq!(warming.warm_up_per_second, 7.8);
+    assert_eq!(warming.warm_up_header, "x-cold-remaining-ms");
+    assert_eq!(plain_still.warm_up_per_second, 0.0);
+}
+
 #[test]
 fn a_rule_of_unknown_kind_is_not_idempotent() {
     let text = CONFIG.replace(r#""kind":"idempotent""#, r#""kind":"of-another-release""#);
@@ -46,11 +59,16 @@
 
 #[test]
 fn a_registration_is_decoded_into_an_upstream() {
-    let (host, sequence) =
+    let (host, beat) =
         registration::decode("servers/i-7f3a91c2", REGISTRATION.as_bytes()).expect("registration");
     assert_eq!((&*host.name, host.slots, host.state), ("i-7f3a91c2", 6, State::Live));
     assert_eq!(host.service.as_deref(), Some("huvo11a"));
-    assert_eq!((host.born, sequence), (Some(1_796_342_400_000), Some(4)));
+    assert_eq!((host.born, beat.sequence), (Some(1_796_342_400_000), Some(4)));
+    assert_eq!(beat.cold_seconds, Some(0.0));
+    let cold = REGISTRATION.replace(r#""coldRemainingS":0"#, r#""coldRemainingS":7.25"#);
+    let (same, beat) =
+        registration::decode("servers/i-7f3a91c2", cold.as_bytes()).expect("registration");
+    assert_eq!((same, beat.cold_seconds), (host.clone(), Some(7.25)));
     let draining = REGISTRATION.replace("ready", "draining");
     let (host, _) =
         registration::decode("servers/i-7f3a91c2", draining.as_bytes()).expect("registration");
--- a/src/registry/follower.rs
+++ b/src/registry/follower.rs
@@ -17,6 +17,7 @@
     Reading, RegistrationVersion, SeenRegistrations, Step, next_version,
 };
 use crate::decide::upstream::State;
+use crate::decide::warmup;
 use crate::event::{EventCode, Subject};
 use crate::node::{Node, Phase};
 use crate::platform::{
@@ -62,6 +63,8 @@
     hosts_prefix: String,
     /// The registered entry hosts, sorted by name.
     entry_hosts: Vec<Arc<Host>>,
+    /// New heartbeats of upstreams that say how long these stay cold, which is no part of a record.
+    cold_reports: Vec<ColdReport>,
     missing_registrations: MissingRegistrations,
     seen: SeenRegistrations,
     /// Passes this host's own registration, if there is one, from the first full read to
@@ -77,6 +80,13 @@
     failing_since: Option<Instant>,
 }
 
+/// What an upstream's registration says on how long it stays cold.
+struct ColdReport {
+    name: Arc<str>,
+    born: Option<u64>,
+    remaining: Duration,
+}
+
 impl<'a> Follower<'a> {
     pub(super) fn new(
         node: &'a Arc<Node>,
@@ -90,6 +100,7 @@
             prefix: cfg.prefix.clone(),
             hosts_prefix: format!("{}{HOSTS_PREFIX}", cfg.prefix),
             entry_hosts: Vec::new(),
+            cold_reports: Vec::new(),
             missing_registrations: MissingRegistrations::default(),
             seen: SeenRegistrations::default(),
             own_registration: Some(own_registration),
@@ -281,6 +292,7 @@
         let records: Vec<Record> =
             changes.iter().filter_map(|c| self.changed_record(c, reading, now)).collect();
         self.offer(records);
+        self.apply_cold_reports(now);
         let mut has_changed = false;
         for change in changes {
             if change.value.is_some() {
@@ -295,6 +307,24 @@
         }
     }
 
+    /// Tells the service tables how long upstreams stay cold, unless the registration is of an earlier
+    /// process than the one in force.
+    fn apply_cold_reports(&mut self, now: Time) {
+        for report in std::mem::take(&mut self.cold_reports) {
+            let body = self
+                .node
+                .catalog
+                .lock()
+                .get(RecordKind::Host, &report.name)
+                .map(|r| r.body.clone());
+            let Some(Body::Host(host)) = body else { continue };
+            let Some(service) = host.service.as_ref().filter(|_| host.born == report.born) else {
+                continue;
+            };
+            self.node.observe_registered_warm_up(service, &host.name, report.remaining, now);
+        }
+    }
+
     /// Blocks the request that a key lists, if it lists one. An entry may outlast the answer that has
     /// cleared its request.
     fn apply_blocked_request(&self, key: &str, now: Time) {
@@ -373,16 +403,22 @@
             self.seen.remove(name);
             return self.mark_missing(name, now);
         };
-        let Some((host, sequence)) = registration::decode(&change.key, value) else {
+        let Some((host, beat)) = registration::decode(&change.key, value) else {
             self.seen.remove(name);
             // The earlier registration no longer exists, so the host is removed.
             log::info!("registry: {} is not a valid upstream registration", change.key);
             return self.deletion(name);
         };
         self.missing_registrations.mark_present(name);
-        if !self.seen.record(&host.name, host.born, sequence) {
+        let is_repeat = self.seen.is_repeat(name, host.born, beat.sequence);
+        if !self.seen.record(&host.name, host.born, beat.sequence) {
             return None;
         }
+        if let Some(seconds) = beat.cold_seconds.filter(|_| !is_repeat) {
+            let remaining = warmup::duration(seconds);
+            let (name, born) = (host.name.clone(), host.born);
+            self.cold_reports.push(ColdReport { name, born, remaining });
+        }
         let catalog = self.node.catalog.lock();
         let known = catalog.get(RecordKind::Host, name).map(|r| {
             let in_force = match &r.body {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -379,6 +379,8 @@
     check((0.0..=1.0).contains(&service.retry_share), "retry_share", "must be from 0 to 1");
     let probes = service.measure.probes_per_second;
     check(probes.is_finite() && probes >= 0.0, "measure/probes_per_second", "must be 0 or more");
+    let warm_up = service.warm_up_per_second;
+    check(warm_up.is_finite() && warm_up >= 0.0, "warm_up_per_second", "must be 0 or more");
     for (i, refusal) in service.refusals.iter().enumerate() {
         let is_error = (400..600).contains(&refusal.status);
         check(is_error, &format!("refusals/{i}/status"), "must be from 400 to 599");
