--- a/src/decide/warmup.rs
+++ b/src/decide/warmup.rs
@@ -23,6 +23,8 @@
 const PACE: f64 = 0.8;
 /// The requests that an owner may save up.
 const BURST: f64 = 1.0;
+/// How much longer an upstream is taken for cold than it has said, since it may round its words.
+const ROUNDING: Duration = Duration::from_millis(100);
 /// How much longer an upstream is taken for cold than a peer has told. What others tell of the same
 /// warm-up differs by less, so it is no news and doesn't go round in circles.
 const RELAY_TOLERANCE: Duration = Duration::from_secs(1);
@@ -193,7 +195,7 @@
     fn set_cold(&mut self, remaining: Duration, now: Time) {
         let remaining = remaining.min(REMAINING_MAX);
         if !remaining.is_zero() {
-            let until = now + remaining;
+            let until = now + remaining + ROUNDING;
             self.cold_until = self.cold_until.max(until);
             self.told_until = self.told_until.max(until);
             self.learned = now;
