--- a/tests/harness/signing.rs
+++ b/tests/harness/signing.rs
@@ -14,6 +14,9 @@
 /// The id of an upstream whose responses to probes have no end.
 pub const ENDLESS_HEALTH: &str = "u-endless-health";
 
+/// The id of an upstream that is cold for a minute by its responses to probes.
+pub const COLD_HEALTH: &str = "u-cold-health";
+
 /// The mark after which the rest of a response is repeated without end.
 pub const ENDLESS: &str = "<endless>";
 
@@ -79,9 +82,10 @@
                 "a".repeat(65_536)
             )
         } else if head.starts_with("get /health ") {
+            let cold = if id == COLD_HEALTH { "x-cold-remaining-ms: 60000\r\n" } else { "" };
             format!(
                 "HTTP/1.1 200 OK\r\nx-instance-id: {id}\r\nx-instance-load: 0,0,6,100\r\n\
-                 content-length: 0\r\n\r\n"
+                 {cold}content-length: 0\r\n\r\n"
             )
         } else if field(&head, "x-expect-instance") != id {
             "HTTP/1.1 421 Misdirected Request\r\nx-instance-id: other\r\n\
