--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -26,6 +26,7 @@
 pub mod tick;
 pub mod topology;
 pub mod upstream;
+pub mod warmup;
 pub mod working_set;
 
 pub(crate) mod availability;
@@ -42,3 +43,4 @@
 pub(crate) mod reach;
 pub(crate) mod relay;
 pub(crate) mod retry;
+pub(crate) mod share;
