Find the team of a request by its key

Cause: keys were passed on to upstreams, the name of a team was whatever a caller sent, teams and public routes of the config weren't read, and downloads counted as not idempotent. Change: the table of teams is built once for each version of the routing; a request that needs a key and has none that a team holds gets 401, or 503 where the host's routes may be outdated. The key never goes on, the team's name is set, and its priority takes precedence. A host that passes a request on names its team. Routing records carry a change id, so that the record of an earlier build, which knows no teams, never takes the place of one with teams. Traces and tools show no keys.

--- a/src/config.rs
+++ b/src/config.rs
@@ -243,6 +243,14 @@
     pub teams: Vec<Arc<Team>>,
 }
 
+impl Routing {
+    /// Returns the routing as it may be shown: without the keys of teams.
+    pub fn without_keys(&self) -> Routing {
+        let without_keys = |t: &Arc<Team>| Arc::new(Team { keys: Vec::new(), ..Team::clone(t) });
+        Routing { teams: self.teams.iter().map(without_keys).collect(), ..self.clone() }
+    }
+}
+
 /// A team: a customer whose callers share keys, a priority and an allowance.
 #[derive(Clone, Default, PartialEq, Serialize, Deserialize, JsonSchema, derive_more::Debug)]
 #[serde(deny_unknown_fields, default)]
--- a/src/decide/catalog.rs
+++ b/src/decide/catalog.rs
@@ -69,6 +69,22 @@
         (self.version, &self.change)
     }
 
+    /// Returns whether this is a routing record of a release that couldn't read teams, so that its
+    /// lack of teams means nothing.
+    pub(crate) fn is_of_earlier_format(&self) -> bool {
+        matches!(self.body, Body::Routing(_)) && self.change.is_empty()
+    }
+
+    /// Returns the record as it may be shown: without the keys of teams.
+    pub fn without_keys(&self) -> Record {
+        match &self.body {
+            Body::Routing(routing) if !routing.teams.is_empty() => {
+                Record { body: Body::Routing(Arc::new(routing.without_keys())), ..self.clone() }
+            }
+            _ => self.clone(),
+        }
+    }
+
     /// Returns the record's kind.
     pub fn kind(&self) -> RecordKind {
         match &self.body {
--- a/src/decide/matching.rs
+++ b/src/decide/matching.rs
@@ -7,6 +7,7 @@
 use wildmatch::WildMatch;
 
 use crate::config::{self, Profile, Routing, Service, Treatment};
+use crate::decide::teams::TeamTable;
 
 /// The routes, services and profiles in force, in matching order.
 #[derive(Debug, Default)]
@@ -15,6 +16,7 @@
     hosts: Vec<HostRoute>,
     routes: Vec<ServiceRoute>,
     head_max_bytes: Option<usize>,
+    teams: Arc<TeamTable>,
 }
 
 /// A route of one host name.
@@ -27,6 +29,7 @@
     /// same in later versions of the routes.
     kind: u64,
     treatment: Treatment,
+    is_public: bool,
     split: Split,
 }
 
@@ -89,6 +92,8 @@
     /// Identifies the kind of request: that of its route by host name, or 0 for all requests of a
     /// service that matched no such route.
     pub kind: u64,
+    /// Whether its requests need no key where there are teams.
+    pub is_public: bool,
 }
 
 impl Routes {
@@ -101,7 +106,7 @@
             let prefix = r.service.path_prefix.trim_end_matches('/').len();
             std::cmp::Reverse((!r.service.hosts.is_empty(), prefix))
         });
-        Routes { hosts: Vec::new(), routes, head_max_bytes: None }
+        Routes { routes, ..Routes::default() }
     }
 
     /// Adds routes by host name, which are matched before the others. `start` determines where this
@@ -115,6 +120,7 @@
             path_prefix: r.path_prefix.clone(),
             kind: XxHash64::oneshot(0, r.name.as_bytes()),
             treatment: r.treatment.clone(),
+            is_public: r.public,
             split: Split::new(&r.split, &services, start % SEQUENCE_START_MAX),
         };
         self.hosts = routing.routes.iter().map(route).collect();
@@ -126,6 +132,17 @@
         self
     }
 
+    /// Sets the teams of the callers.
+    #[must_use]
+    pub fn with_teams(self, teams: Arc<TeamTable>) -> Routes {
+        Routes { teams, ..self }
+    }
+
+    /// Returns the teams of the callers.
+    pub fn teams(&self) -> &Arc<TeamTable> {
+        &self.teams
+    }
+
     /// Returns the largest request head in bytes, if the routing limits it.
     pub fn head_max_bytes(&self) -> Option<usize> {
         self.head_max_bytes
@@ -152,6 +169,7 @@
                 service: route.split.next()?,
                 treatment: &route.treatment,
                 kind: route.kind,
+                is_public: route.is_public,
             });
         }
         let route = self.routes.iter().find(|r| is_served_by(&r.service, host, path))?;
@@ -159,7 +177,7 @@
             (methods.is_empty() || methods.iter().any(|m| m == method)) && pattern.matches(path)
         });
         let treatment = rule.map_or(&route.otherwise, |(_, _, treatment)| treatment);
-        Some(Match { service: &route.service, treatment, kind: 0 })
+        Some(Match { service: &route.service, treatment, kind: 0, is_public: false })
     }
 }
 
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -23,6 +23,7 @@
 pub mod service;
 pub mod startup;
 pub mod stored;
+pub mod teams;
 pub mod tick;
 pub mod topology;
 pub mod upstream;
--- a/src/decide/stored.rs
+++ b/src/decide/stored.rs
@@ -5,6 +5,7 @@
 use serde::Deserialize;
 
 use crate::decide::catalog::{Body, Record, RecordKind};
+use crate::decide::teams;
 use crate::settings::{Fault, profile_faults, service_faults};
 
 /// The value stored under a record's key.
@@ -52,7 +53,10 @@
     match &record.body {
         Body::Profile(p) => body_faults(is_named(&p.name), profile_faults(p, "")),
         Body::Service(s) => body_faults(is_named(&s.name), service_faults(s, "")),
-        Body::Routing(r) => r.services.iter().flat_map(|s| service_faults(s, "")).collect(),
+        Body::Routing(r) => {
+            let of_services = r.services.iter().flat_map(|s| service_faults(s, ""));
+            of_services.chain(teams::faults(&r.teams, "/teams")).collect()
+        }
         Body::Host(h) => body_faults(h.name == record.name, Vec::new()),
         Body::Deleted(_) => Vec::new(),
     }
--- /dev/null
+++ b/src/decide/teams/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of the search for the team of a request.
--- a/src/entry/handler.rs
+++ b/src/entry/handler.rs
@@ -111,6 +111,7 @@
         host: &node.settings.host,
         request: &request.id,
         service: &request.service.name,
+        team: request.team.as_ref().map(|t| &*t.name),
         in_time: response.code == Code::Answered && !is_late,
         now,
     };
@@ -136,8 +137,14 @@
         LogEntry { value: Some(code.number().into()), ..LogEntry::new(now, EventCode::Rejected) };
     let log = RequestLog::default();
     log.add(entry);
-    let summary =
-        RequestSummary { host: &node.settings.host, request: id, service: "", in_time: false, now };
+    let summary = RequestSummary {
+        host: &node.settings.host,
+        request: id,
+        service: NO_SERVICE,
+        team: None,
+        in_time: false,
+        now,
+    };
     request_log::log(&log.lines(&summary, 0, SystemTime::now()));
 }
 
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -13,10 +13,11 @@
 use xitca_web::body::{Body, RequestBody};
 use xitca_web::http::WebRequest;
 
-use crate::config::Service;
+use crate::config::{Service, Team};
 use crate::decide::kinds::LatencyGoal;
-use crate::decide::matching::Match;
+use crate::decide::matching::{Match, Routes};
 use crate::decide::poison::Fingerprints;
+use crate::decide::teams::UnknownKey;
 use crate::entry::socket::CallerConnection;
 use crate::error::Code;
 use crate::forward::BufferedRequest;
@@ -82,8 +83,12 @@
     let target = RequestTarget::new(&parts)?;
     let method = parts.method.as_str();
     let route = routes.find(&target.host, method, target.path.path());
-    let route = route.ok_or_else(|| no_route_code(node))?;
-    let (service, treatment) = (route.service.clone(), route.treatment.clone());
+    let route = route.ok_or_else(|| code_if_current(node, Code::NoService))?;
+    let team = find_team(node, &routes, &route, &parts.headers, is_relayed)?;
+    let (service, mut treatment) = (route.service.clone(), route.treatment.clone());
+    if let Some(priority) = team.as_ref().and_then(|t| t.priority) {
+        treatment.priority = priority;
+    }
     let time_left = time_left(&node.header_names, &parts.headers)?;
     let deadline = deadline(time_left, now, treatment.deadline_ms);
     let latency_goal = latency_goal(&route, time_left, now);
@@ -106,11 +111,15 @@
         return Err(Code::BodyCut);
     }
     let fingerprints = Fingerprints::new(parts.method.as_str(), &target.host, &target.path, &body);
+    let mut headers = upstream_headers(&node.header_names, parts.headers, id);
+    if !routes.teams().is_empty() {
+        set_team(&node.header_names, &mut headers, team.as_deref());
+    }
     Ok(BufferedRequest {
         id: id.clone(),
         fingerprints,
         is_relayed,
-        team: None,
+        team,
         service,
         treatment,
         deadline,
@@ -118,17 +127,44 @@
         method: parts.method,
         uri: Uri::from(target.path),
         log: Rc::default(),
-        headers: upstream_headers(&node.header_names, parts.headers, id),
+        headers,
         body,
         _memory: reservation,
     })
 }
 
-/// Returns why no route was found: there is none, or this host's routes may be outdated.
-fn no_route_code(node: &Node) -> Code {
+/// Returns why the routes in force reject a request: `code`, or that they may be outdated.
+fn code_if_current(node: &Node, code: Code) -> Code {
     let uses_registry = node.settings.registry.is_some();
     let is_current = !uses_registry || node.registry_freshness.is_current(node.clock.now());
-    if is_current { Code::NoService } else { Code::RoutesOutdated }
+    if is_current { code } else { Code::RoutesOutdated }
+}
+
+/// Returns the team of the caller, if there are teams and the request needs or has a key. A peer
+/// that passes a request on has found its team and names it.
+///
+/// # Errors
+///
+/// Returns [`Code::Unauthorized`] if the request lacks the key that it needs, or
+/// [`Code::RoutesOutdated`] if the teams may be outdated or differ from the peer's.
+fn find_team(
+    node: &Node,
+    routes: &Routes,
+    route: &Match<'_>,
+    headers: &HeaderMap,
+    is_relayed: bool,
+) -> Result<Option<Arc<Team>>, Code> {
+    let teams = routes.teams();
+    if is_relayed && let Some(name) = headers.get(header::RELAYED_TEAM) {
+        let team = teams.find_named(name.as_bytes()).ok_or(Code::RoutesOutdated)?;
+        return Ok(Some(team.clone()));
+    }
+    let keys = headers.get_all(&node.header_names.key);
+    match teams.identify(route.is_public, keys.iter().map(HeaderValue::as_bytes)) {
+        Ok(team) => Ok(team.cloned()),
+        Err(UnknownKey) if is_relayed => Err(Code::RoutesOutdated),
+        Err(UnknownKey) => Err(code_if_current(node, Code::Unauthorized)),
+    }
 }
 
 /// Returns whether a request announces a body.
@@ -282,3 +318,12 @@
     headers.insert(&names.request_id, id);
     headers
 }
+
+/// Removes the key and whatever the caller says of its team, and names the team that was found.
+fn set_team(names: &FieldNames, headers: &mut HeaderMap, team: Option<&Team>) {
+    header::remove_alike(headers, &names.key);
+    header::remove_alike(headers, &names.team);
+    if let Some(name) = team.and_then(|t| HeaderValue::from_bytes(t.name.as_bytes()).ok()) {
+        headers.insert(&names.team, name);
+    }
+}
--- a/src/error.rs
+++ b/src/error.rs
@@ -92,6 +92,8 @@
     Blocked = 2019, 503, NotRun, "upstreams have ended under copies of the request";
     /// No upstream of the service responds to this host, nor to the peers that were asked.
     UpstreamsUnreachable = 2020, 503, NotRun, "no upstream of the service responds to this host";
+    /// The request needs the key of a team, and has none that a team holds.
+    Unauthorized = 2021, 401, NotRun, "no team holds the request's key";
     /// The deadline passed after the request was sent.
     DeadlineAfterSend = 3001, 504, Unknown, "the deadline passed after the request was sent";
     /// The connection failed after a byte was sent.
--- a/src/forward/relay.rs
+++ b/src/forward/relay.rs
@@ -145,6 +145,10 @@
     let headers = req.headers_mut();
     headers.insert(&node.header_names.deadline, u64::try_from(left).unwrap_or(u64::MAX).into());
     headers.insert(header::ROUTES_VERSION, node.routes_version().into());
+    let team = request.team.as_ref().map(|t| HeaderValue::from_bytes(t.name.as_bytes()));
+    if let Some(Ok(name)) = team {
+        headers.insert(header::RELAYED_TEAM, name);
+    }
     req
 }
 
--- a/src/header.rs
+++ b/src/header.rs
@@ -20,24 +20,41 @@
 /// The version of the routes of the host that passes a request on. On requests between hosts.
 pub(crate) const ROUTES_VERSION: HeaderName =
     HeaderName::from_static("x-cornelferry-routes-version");
+/// The name of the caller's team, as the host that passes a request on has found it. On requests
+/// between hosts.
+pub(crate) const RELAYED_TEAM: HeaderName = HeaderName::from_static("x-cornelferry-relayed-team");
+/// The key of the caller's team. On requests from callers.
+pub const KEY: HeaderName = HeaderName::from_static("x-cornelferry-key");
+/// The name of the caller's team. On requests to upstreams.
+pub const TEAM: HeaderName = HeaderName::from_static("x-cornelferry-team");
 /// The caller's key that identifies repetitions of a request.
 pub const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
 
-/// Names of the header fields in which a deployment's callers and upstreams pass the request id and
-/// the deadline, and the form of `Retry-After` that the callers accept.
+/// Names of the header fields in which a deployment's callers and upstreams pass the request id, the
+/// deadline, the key and the name of the team, and the form of `Retry-After` that the callers accept.
 #[derive(Clone, Debug)]
 pub(crate) struct FieldNames {
     /// The request id, on requests and responses.
     pub(crate) request_id: HeaderName,
     /// Milliseconds until the deadline.
     pub(crate) deadline: HeaderName,
+    /// The key of the caller's team, on requests from callers.
+    pub(crate) key: HeaderName,
+    /// The name of the caller's team, on requests to upstreams.
+    pub(crate) team: HeaderName,
     /// Whether callers accept `Retry-After` with fractions of a second.
     pub(crate) fractional_retry_after: bool,
 }
 
 impl Default for FieldNames {
     fn default() -> FieldNames {
-        FieldNames { request_id: REQUEST_ID, deadline: DEADLINE, fractional_retry_after: false }
+        FieldNames {
+            request_id: REQUEST_ID,
+            deadline: DEADLINE,
+            key: KEY,
+            team: TEAM,
+            fractional_retry_after: false,
+        }
     }
 }
 
@@ -48,10 +65,17 @@
     /// # Panics
     ///
     /// Panics if a string is not a valid lower-case header field name.
-    pub(crate) const fn new(request_id: &'static str, deadline: &'static str) -> FieldNames {
+    pub(crate) const fn new(
+        request_id: &'static str,
+        deadline: &'static str,
+        key: &'static str,
+        team: &'static str,
+    ) -> FieldNames {
         FieldNames {
             request_id: HeaderName::from_static(request_id),
             deadline: HeaderName::from_static(deadline),
+            key: HeaderName::from_static(key),
+            team: HeaderName::from_static(team),
             fractional_retry_after: true,
         }
     }
@@ -85,3 +109,13 @@
     }
     headers.remove(EXPECT);
 }
+
+/// Removes the fields with a name, also where it is written with `_` for `-`: some upstreams read
+/// both alike.
+pub(crate) fn remove_alike(headers: &mut HeaderMap, name: &HeaderName) {
+    let alike = |other: &&HeaderName| other.as_str().replace('_', "-") == name.as_str();
+    let dropped: Vec<HeaderName> = headers.keys().filter(alike).cloned().collect();
+    for name in dropped {
+        headers.remove(name);
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,8 +11,8 @@
 //!   decisions on a request, [`attempt`] the state machine of its retries and hedges, [`balancing`]
 //!   the policies, [`kinds`] the latency goals of callers, [`upstream`] the rows of the upstreams,
 //!   [`probing`] the budget for probes, and [`working_set`] the use of open connections.
-//! - All services of a host: [`tick`] holds their tables, and [`matching`] finds the service of a
-//!   request.
+//! - All services of a host: [`tick`] holds their tables, [`matching`] finds the service of a
+//!   request, and [`teams`] the team of its caller.
 //! - Records: [`catalog`] decides which version is in force, [`config`] holds their contents, and
 //!   [`stored`] parses them.
 //! - The fleet: [`member`] decides which hosts are alive and who owns a duty, [`topology`] which
@@ -74,8 +74,8 @@
 
 pub use decide::{
     admission, attempt, balancing, catalog, digest, hosts, kinds, lapse, leaving, limit, matching,
-    member, pause, poison, probing, reads, registered, service, startup, stored, tick, topology,
-    upstream, working_set,
+    member, pause, poison, probing, reads, registered, service, startup, stored, teams, tick,
+    topology, upstream, working_set,
 };
 pub use time::{Clock, Time};
 
--- a/src/node.rs
+++ b/src/node.rs
@@ -9,7 +9,7 @@
 use tokio::sync::watch;
 
 use crate::claim::Claims;
-use crate::config::Service;
+use crate::config::{Service, Team};
 use crate::decide::catalog::{Body, Catalog, OfferOutcome, Record, RecordKind};
 use crate::decide::digest::RecordVersion;
 use crate::decide::hosts::{Host, HostList};
@@ -20,6 +20,7 @@
 use crate::decide::reads::ReadSchedule;
 use crate::decide::relay::{RelayPeer, RelayPeers};
 use crate::decide::service::HostInfo;
+use crate::decide::teams::TeamTable;
 use crate::decide::tick::ServiceTables;
 use crate::entry::waiting::WaitingRequests;
 use crate::event::{EventCode, RingBuffer, Subject};
@@ -180,7 +181,8 @@
         if outcomes.contains(&OfferOutcome::InForce) {
             let mut routes = Routes::new(&catalog.services(), &catalog.profiles());
             if let Some(routing) = catalog.routing() {
-                routes = routes.with_routing(routing, rand::random());
+                let teams = self.team_table(&routing.teams);
+                routes = routes.with_routing(routing, rand::random()).with_teams(teams);
             }
             *self.routes.write() = Arc::new(routes);
         }
@@ -195,6 +197,15 @@
         outcomes
     }
 
+    /// Returns the table of the teams in a routing record, which is built once for each version.
+    fn team_table(&self, teams: &[Arc<Team>]) -> Arc<TeamTable> {
+        let current = self.routes().teams().clone();
+        match current.is_of(teams) {
+            true => current,
+            false => Arc::new(TeamTable::new(teams, rand::random())),
+        }
+    }
+
     /// Returns the routes in force.
     pub(crate) fn routes(&self) -> Arc<Routes> {
         self.routes.read().clone()
@@ -348,6 +359,9 @@
 
     /// Offers a record to the catalog, and records the event if it is to be named.
     fn offer_one(&self, catalog: &mut Catalog, record: Record, is_named: bool) -> OfferOutcome {
+        if self.settings.registry.is_some() && record.is_of_earlier_format() {
+            return OfferOutcome::Unreadable;
+        }
         let outcome = catalog.offer(record.clone());
         let code = match outcome {
             OfferOutcome::InForce => EventCode::InForce,
@@ -359,7 +373,8 @@
             let subject = Subject { record: Some(name.into()), ..Subject::default() };
             self.events.record(code, subject, Some(record.version));
         }
-        self.recorder.record(|| TraceEntry::Offer { record: record.clone(), offered: outcome });
+        self.recorder
+            .record(|| TraceEntry::Offer { record: record.without_keys(), offered: outcome });
         if outcome == OfferOutcome::InForce {
             let (kind, name) = (record.kind(), record.name.clone());
             self.change_feed.publish(RecordVersion { kind, name, version: record.version });
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -3,8 +3,13 @@
 use std::sync::Arc;
 
 use serde::Deserialize;
+use serde_json::Value;
 
-use crate::config::{Priority, ProbeConfig, Route, Routing, Service, Treatment, WeightedService};
+use crate::config::{
+    Priority, ProbeConfig, Route, Routing, Service, Team, Treatment, WeightedService,
+};
+use crate::decide::teams;
+use crate::document::Fault;
 use crate::platform::headers;
 
 /// Key of the document in the registry.
@@ -16,6 +21,9 @@
     limits: Limits,
     listeners: Vec<Listener>,
     clusters: Vec<Cluster>,
+    /// The teams, decoded by [`decode_teams`]: an error of the parser would quote keys.
+    #[serde(default)]
+    tenants: Value,
 }
 
 #[derive(Deserialize)]
@@ -40,6 +48,8 @@
     latency_goal_s: f64,
     #[serde(default)]
     priority: u32,
+    #[serde(default)]
+    public: bool,
     r#match: Match,
     action: Action,
 }
@@ -47,6 +57,7 @@
 #[derive(Clone, Copy, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "snake_case")]
 enum RequestKind {
+    #[serde(alias = "download")]
     Idempotent,
     #[serde(other)]
     NonIdempotent,
@@ -76,13 +87,26 @@
     max_connections: u32,
 }
 
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Tenant {
+    name: Arc<str>,
+    #[serde(default)]
+    api_keys: Vec<Arc<str>>,
+    priority: Option<u32>,
+    rate_per_s: Option<f64>,
+    burst: Option<f64>,
+}
+
 /// Decodes the document into its version and the routing that it describes.
 ///
 /// # Errors
 ///
-/// Returns an error if the value is not a valid document.
-pub(crate) fn decode(value: &[u8]) -> Result<(u64, Routing), serde_json::Error> {
-    let document: Document = serde_json::from_slice(value)?;
+/// Returns the first fault if the value is not a valid document. No fault contains a key.
+pub(crate) fn decode(value: &[u8]) -> Result<(u64, Routing), Fault> {
+    let document: Document =
+        serde_json::from_slice(value).map_err(|e| Fault::new("", &e.to_string()))?;
+    let teams = decode_teams(document.tenants)?;
     let body_max = document.limits.max_body_bytes;
     let services = document.clusters.into_iter().map(|c| c.into_service(body_max));
     let routes = document.listeners.into_iter().flat_map(Listener::into_routes);
@@ -90,7 +114,7 @@
         routes: routes.collect(),
         services: services.collect(),
         head_max_bytes: document.limits.max_header_bytes,
-        teams: Vec::new(),
+        teams,
     };
     Ok((document.version, routing))
 }
@@ -124,7 +148,44 @@
                 objective_ms: millis(self.latency_goal_s),
             },
             split,
-            public: false,
+            public: self.public,
+        }
+    }
+}
+
+/// Decodes the list of teams.
+fn decode_teams(value: Value) -> Result<Vec<Arc<Team>>, Fault> {
+    let tenants = match value {
+        Value::Null => Vec::new(),
+        Value::Array(tenants) => tenants,
+        _ => return Err(malformed("/tenants".to_owned())),
+    };
+    let decode = |(i, value): (usize, Value)| match Tenant::deserialize(value) {
+        Ok(tenant) => Ok(Arc::new(tenant.into_team())),
+        Err(_) => Err(malformed(format!("/tenants/{i}"))),
+    };
+    let teams = tenants.into_iter().enumerate().map(decode).collect::<Result<Vec<_>, _>>()?;
+    match teams::faults(&teams, "/tenants").into_iter().next() {
+        Some(fault) => {
+            let pointer = fault.pointer.replace("/keys/", "/apiKeys/");
+            Err(Fault { pointer: pointer.replace("/per_second", "/ratePerS"), ..fault })
+        }
+        None => Ok(teams),
+    }
+}
+
+fn malformed(pointer: String) -> Fault {
+    Fault::new(&pointer, "malformed")
+}
+
+impl Tenant {
+    fn into_team(self) -> Team {
+        Team {
+            name: self.name,
+            keys: self.api_keys,
+            priority: self.priority.map(priority),
+            per_second: self.rate_per_s.unwrap_or(0.0),
+            burst: self.burst.unwrap_or(0.0),
         }
     }
 }
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -7,6 +7,10 @@
 const REQUEST_ID: &str = "x-attempt-id";
 /// Milliseconds until the deadline, on requests from callers and to upstreams.
 const DEADLINE: &str = "x-deadline-ms";
+/// The key of the caller's team.
+const KEY: &str = "x-key";
+/// The name of the caller's team, on requests to upstreams.
+const TEAM: &str = "x-tenant-name";
 /// Id of the upstream that a request is addressed to.
 const EXPECTED_UPSTREAM: &str = "x-expect-instance";
 /// Id of the upstream that sent a response.
@@ -28,9 +32,9 @@
 /// one. It comes without [`NOT_RUN`].
 const MISDIRECTED_STATUS: u16 = 421;
 
-/// Returns the names of the header fields on callers' requests.
+/// Returns the names of the header fields on requests.
 pub(crate) fn names() -> FieldNames {
-    FieldNames::new(REQUEST_ID, DEADLINE)
+    FieldNames::new(REQUEST_ID, DEADLINE, KEY, TEAM)
 }
 
 /// Sets a service's refusals, load format and header names to those of the platform's upstreams.
--- a/src/registry/follower.rs
+++ b/src/registry/follower.rs
@@ -54,6 +54,10 @@
 /// The random factor on that time.
 const PEER_CONFIRMATION_SPREAD: std::ops::RangeInclusive<f64> = 0.25..=1.0;
 
+/// The change id of routing records that this release decodes. Earlier releases leave it empty, and
+/// decode a config without its teams. Of two records of one version, the greater id wins.
+const ROUTING_FORMAT: &str = "1";
+
 /// The state of the task that reads the registry and applies its changes to the node.
 pub(super) struct Follower<'a> {
     node: &'a Arc<Node>,
@@ -468,7 +472,11 @@
 }
 
 fn record(name: &str, version: u64, body: Body) -> Record {
-    Record { name: name.into(), version, change: "".into(), author: "".into(), body }
+    let change = match body {
+        Body::Routing(_) => ROUTING_FORMAT,
+        _ => "",
+    };
+    Record { name: name.into(), version, change: change.into(), author: "".into(), body }
 }
 
 #[cfg(test)]
--- a/src/request_log.rs
+++ b/src/request_log.rs
@@ -78,6 +78,8 @@
     pub(crate) host: &'a str,
     pub(crate) request: &'a str,
     pub(crate) service: &'a str,
+    /// The name of the caller's team, if there are teams.
+    pub(crate) team: Option<&'a str>,
     /// Whether an upstream answered the request, and in time.
     pub(crate) in_time: bool,
     pub(crate) now: Time,
@@ -146,6 +148,9 @@
     };
     set("request", json!(summary.request));
     set("service", json!(summary.service));
+    if let Some(team) = summary.team {
+        set("team", json!(team));
+    }
     if let Some(upstream) = &entry.upstream {
         set("upstream", json!(upstream));
     }
--- a/src/request_log/tests.rs
+++ b/src/request_log/tests.rs
@@ -11,7 +11,7 @@
 const NOW: Time = Time::from_millis(10_000);
 
 fn summary(in_time: bool) -> RequestSummary<'static> {
-    RequestSummary { host: "entry-1", request: "r-1", service: "s", in_time, now: NOW }
+    RequestSummary { host: "entry-1", request: "r-1", service: "s", team: None, in_time, now: NOW }
 }
 
 fn request_log(codes: &[EventCode]) -> RequestLog {
--- a/src/tool/document.rs
+++ b/src/tool/document.rs
@@ -64,7 +64,7 @@
     let value = match body {
         Body::Profile(p) => serde_json::to_value(p),
         Body::Service(s) => serde_json::to_value(s),
-        Body::Routing(r) => serde_json::to_value(r),
+        Body::Routing(r) => serde_json::to_value(r.without_keys()),
         Body::Host(h) => serde_json::to_value(h),
         Body::Deleted(_) => return String::new(),
     };
--- a/src/trace/hooks.rs
+++ b/src/trace/hooks.rs
@@ -25,7 +25,7 @@
         let rx = self.recorder.start()?;
         self.recorder.record(|| Entry::Header(self.trace_header()));
         for record in catalog.records() {
-            let (record, offered) = (record.clone(), OfferOutcome::InForce);
+            let (record, offered) = (record.without_keys(), OfferOutcome::InForce);
             self.recorder.record(|| Entry::Offer { record, offered });
         }
         tables.services().iter().for_each(|table| self.record_table(table));
