Test the search for teams, and keep catalogs of two releases equal

Cause: the change id of routing records is new, so that hosts of two releases would have compared catalogs every second. Change: the fingerprint of a catalog leaves that id out. The treatment under a team's priority is a decision of its own. Tests of the table, of faults, of damaged configs and of the property that only the holder of a key is found.

--- a/src/decide/catalog.rs
+++ b/src/decide/catalog.rs
@@ -168,11 +168,18 @@
         &self.unreadable
     }
 
-    /// Returns a hash over kind, name, version and change id of every record in force.
+    /// Returns a hash over kind, name, version and change id of every record in force. The change id
+    /// of a routing record names only the release that decoded it and is left out, so that hosts of
+    /// two releases don't compare their catalogs again and again.
     pub fn fingerprint(&self) -> u64 {
         let mut hasher = XxHash64::default();
-        let identity = |r: &Record| (r.kind(), r.name.clone(), r.version, r.change.clone());
-        self.records.iter().for_each(|r| identity(r).hash(&mut hasher));
+        for record in &self.records {
+            let change = match record.kind() {
+                RecordKind::Routing => "",
+                _ => &*record.change,
+            };
+            (record.kind(), &*record.name, record.version, change).hash(&mut hasher);
+        }
         hasher.finish()
     }
 
--- a/src/decide/teams.rs
+++ b/src/decide/teams.rs
@@ -7,7 +7,7 @@
 use derive_more::Display;
 use twox_hash::XxHash64;
 
-use crate::config::Team;
+use crate::config::{Team, Treatment};
 use crate::document::Fault;
 
 /// The highest rate and the largest burst of a team. Anything beyond is a mistake.
@@ -112,6 +112,12 @@
     }
 }
 
+/// Returns the treatment of a request on a route: the team's priority takes precedence.
+pub fn treatment(route: &Treatment, team: Option<&Team>) -> Treatment {
+    let priority = team.and_then(|t| t.priority).unwrap_or(route.priority);
+    Treatment { priority, ..route.clone() }
+}
+
 impl fmt::Debug for TeamTable {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("TeamTable")
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -17,7 +17,7 @@
 use crate::decide::kinds::LatencyGoal;
 use crate::decide::matching::{Match, Routes};
 use crate::decide::poison::Fingerprints;
-use crate::decide::teams::UnknownKey;
+use crate::decide::teams::{self, UnknownKey};
 use crate::entry::socket::CallerConnection;
 use crate::error::Code;
 use crate::forward::BufferedRequest;
@@ -85,10 +85,8 @@
     let route = routes.find(&target.host, method, target.path.path());
     let route = route.ok_or_else(|| code_if_current(node, Code::NoService))?;
     let team = find_team(node, &routes, &route, &parts.headers, is_relayed)?;
-    let (service, mut treatment) = (route.service.clone(), route.treatment.clone());
-    if let Some(priority) = team.as_ref().and_then(|t| t.priority) {
-        treatment.priority = priority;
-    }
+    let service = route.service.clone();
+    let treatment = teams::treatment(route.treatment, team.as_deref());
     let time_left = time_left(&node.header_names, &parts.headers)?;
     let deadline = deadline(time_left, now, treatment.deadline_ms);
     let latency_goal = latency_goal(&route, time_left, now);
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -16,6 +16,15 @@
 {"name":"huvo11a","healthPath":"/health","maxConnections":220,"protocol":"h1","tls":false},
 {"name":"wuno96b","healthPath":"/health","maxConnections":220,"protocol":"h1","tls":false}]}"#;
 
+const TENANTS: &str = r#""tenants":[
+{"name":"huka270","apiKeys":["rjvz48wuakn2ftimaj3n","r26tta828m82thhkmgjq"],"priority":0,"ratePerS":283,
+"burst":29.5},{"name":"kiva112","apiKeys":["w5m1cn02bq8x7e4tzy6d"]},{"name":"mote7","apiKeys":[]}],"#;
+
+/// The config with teams.
+fn config_with_teams() -> String {
+    CONFIG.replacen(r#""limits""#, &format!(r#"{TENANTS}"limits""#), 1)
+}
+
 const REGISTRATION: &str = r#"{"service":"huvo11a","address":"10.128.0.9:8080","zone":"palermo",
 "version":"v1","slots":6,"state":"ready","coldRemainingS":0,"sequence":4,"born":1796342400000}"#;
 
@@ -44,6 +53,58 @@
     assert!(routing.routes.iter().all(|r| !r.treatment.idempotent));
 }
 
+#[test]
+fn a_download_is_idempotent() {
+    let text = CONFIG.replace(r#""kind":"non_idempotent""#, r#""kind":"download""#);
+    let (_, routing) = config::decode(text.as_bytes()).expect("config");
+    assert!(routing.routes.iter().all(|r| r.treatment.idempotent && r.treatment.hedge));
+}
+
+#[test]
+fn teams_and_public_routes_are_decoded() {
+    let (_, routing) = config::decode(CONFIG.as_bytes()).expect("config");
+    assert!(routing.teams.is_empty() && routing.routes.iter().all(|r| !r.public));
+    let text = config_with_teams().replacen(r#""priority":2"#, r#""priority":2,"public":true"#, 1);
+    let (_, routing) = config::decode(text.as_bytes()).expect("config");
+    let public: Vec<bool> = routing.routes.iter().map(|r| r.public).collect();
+    assert_eq!(public, [false, true]);
+    let [large, plain, keyless] = &routing.teams[..] else { panic!("three teams") };
+    assert_eq!((&*large.name, large.priority), ("huka270", Some(Priority::Urgent)));
+    assert_eq!((large.per_second, large.burst), (283.0, 29.5));
+    assert_eq!(*large.keys[1], *"r26tta828m82thhkmgjq");
+    assert_eq!((plain.priority, plain.per_second, plain.keys.len()), (None, 0.0, 1));
+    assert_eq!((&*keyless.name, keyless.keys.len()), ("mote7", 0));
+}
+
+#[test]
+fn a_config_with_faulty_teams_is_rejected_with_the_place_and_without_keys() {
+    let replaced = |from: &str, to: &str| {
+        let text = config_with_teams();
+        assert!(text.contains(from), "{from}");
+        text.replacen(from, to, 1)
+    };
+    let cases = [
+        (replaced("w5m1cn02bq8x7e4tzy6d", "rjvz48wuakn2ftimaj3n"), "/tenants/1/apiKeys/0"),
+        (replaced("r26tta828m82thhkmgjq", ""), "/tenants/0/apiKeys/1"),
+        (replaced("r26tta828m82thhkmgjq", r"w5m1cn02bq8x7e4tzy6d\u0000"), "/tenants/0/apiKeys/1"),
+        (replaced(r#"["w5m1cn02bq8x7e4tzy6d"]"#, r#""w5m1cn02bq8x7e4tzy6d""#), "/tenants/1"),
+        (replaced(r#"["w5m1cn02bq8x7e4tzy6d"]"#, r#"{"w5m1cn02bq8x7e4tzy6d":1}"#), "/tenants/1"),
+        (replaced(r#""priority":0"#, r#""priority":"w5m1cn02bq8x7e4tzy6d""#), "/tenants/0"),
+        (replaced("283", "-1"), "/tenants/0/ratePerS"),
+        (replaced("283", "1e300"), "/tenants/0/ratePerS"),
+        (replaced("283", "1e999"), "/"),
+        (replaced("29.5", "-0.1"), "/tenants/0/burst"),
+        (replaced("kiva112", "huka270"), "/tenants/1/name"),
+        (replaced(r#""tenants":["#, r#""tenants":"w5m1cn02bq8x7e4tzy6d","other":["#), "/tenants"),
+    ];
+    for (text, pointer) in cases {
+        let fault = config::decode(text.as_bytes()).expect_err("a fault");
+        assert_eq!(fault.pointer, pointer, "{fault}");
+        assert!(!fault.to_string().contains("w5m1cn02bq8x7e4tzy6d"), "{fault}");
+        assert!(!fault.to_string().contains("rjvz48wuakn2ftimaj3n"), "{fault}");
+    }
+}
+
 #[test]
 fn a_registration_is_decoded_into_an_upstream() {
     let (host, sequence) =
@@ -88,4 +149,35 @@
         let _ = config::decode(&bytes);
         let _ = config::decode(&bytes[..at]);
     }
+
+    #[test]
+    fn a_damaged_list_of_teams_never_panics_nor_gives_a_key_to_two(at in 0..TENANTS.len(), byte: u8) {
+        let text = config_with_teams();
+        let at = at + text.find(TENANTS).expect("teams");
+        let mut bytes = text.into_bytes();
+        bytes[at] = byte;
+        if let Ok((_, routing)) = config::decode(&bytes) {
+            let mut keys: Vec<&str> =
+                routing.teams.iter().flat_map(|t| &t.keys).map(|k| &**k).collect();
+            let count = keys.len();
+            keys.sort_unstable();
+            keys.dedup();
+            prop_assert_eq!(keys.len(), count);
+            prop_assert!(keys.iter().all(|k| !k.is_empty()));
+        }
+    }
+
+    #[test]
+    fn any_lists_of_keys_are_decoded_or_rejected_as_a_whole(
+        lists in proptest::collection::vec(proptest::collection::vec("[ab]{0,2}", 0..4), 0..4),
+    ) {
+        let tenant = |(i, keys)| serde_json::json!({"name": format!("t{i}"), "apiKeys": keys});
+        let tenants: Vec<_> = lists.iter().enumerate().map(tenant).collect();
+        let list = format!(r#""tenants":{},"limits""#, serde_json::json!(tenants));
+        let text = CONFIG.replacen(r#""limits""#, &list, 1);
+        let mut keys: Vec<&String> = lists.iter().flatten().collect();
+        keys.sort_unstable();
+        let is_valid = keys.iter().all(|k| !k.is_empty()) && keys.windows(2).all(|k| k[0] != k[1]);
+        prop_assert_eq!(config::decode(text.as_bytes()).is_ok(), is_valid);
+    }
 }
