--- a/src/registry/follower/tests.rs
+++ b/src/registry/follower/tests.rs
@@ -1,7 +1,14 @@
-//! Tests of how changes of the registry are applied.
+//! Tests of how changes of the registry are applied, and of routing records of two releases.
 
-use super::latest_changes;
-use crate::platform::Change;
+use std::sync::Arc;
+
+use super::{latest_changes, record};
+use crate::config::{Routing, Treatment};
+use crate::decide::catalog::{Body, Catalog, OfferOutcome, Record, RecordKind};
+use crate::decide::stored::{self, StoredRecord};
+use crate::node::Node;
+use crate::platform::{Change, config};
+use crate::settings::Settings;
 
 fn change(key: &str, value: Option<&str>) -> Change {
     Change { key: key.to_owned(), value: value.map(|v| v.as_bytes().to_vec()), lease: None }
@@ -21,3 +28,140 @@
     ];
     assert_eq!(latest_changes(&changes), [&changes[3], &changes[4]]);
 }
+
+const CONFIG: &str = r#"{"version":7,"limits":{"maxHeaderBytes":16384,"maxBodyBytes":65536},
+"tenants":[{"name":"huka270","apiKeys":["rjvz48wuakn2ftimaj3n"]}],
+"listeners":[{"host":"ficu95.example","rules":[{"name":"r-1","kind":"download","public":true,
+"match":{"pathPrefix":"/pufi791/"},"action":{"service":"huvo11a","timeoutS":0.8,"maxAttempts":2}}]}],
+"clusters":[{"name":"huvo11a","healthPath":"/health","maxConnections":220}]}"#;
+
+/// The record that the release before teams (4ac8a18) makes of [`CONFIG`], as it was recorded there.
+const EARLIER_RECORD: &str = include_str!("earlier-record.json");
+
+/// The routing record as the release before teams reads it.
+#[derive(serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+struct EarlierRouting {
+    #[serde(rename = "routes")]
+    _routes: Vec<EarlierRoute>,
+    #[serde(rename = "services")]
+    _services: serde_json::Value,
+    #[serde(rename = "head_max_bytes")]
+    _head_max_bytes: u64,
+}
+
+#[derive(serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+#[expect(dead_code, reason = "only the names of its fields count")]
+struct EarlierRoute {
+    name: String,
+    host: String,
+    path_prefix: String,
+    treatment: Treatment,
+    split: serde_json::Value,
+}
+
+fn node(registry: &str) -> Arc<Node> {
+    let settings = format!(
+        r#"{{"host": "x", "data_centre": "dc", "caller": "127.0.0.1:0", "admin": "127.0.0.1:0"{registry}}}"#
+    );
+    Node::new(Settings::parse(&settings).expect("settings"))
+}
+
+fn own_record() -> Record {
+    let (version, routing) = config::decode(CONFIG.as_bytes()).expect("config");
+    record(config::KEY, version, Body::Routing(Arc::new(routing)))
+}
+
+fn earlier_record() -> Record {
+    match stored::read(RecordKind::Routing, config::KEY, EARLIER_RECORD.as_bytes()) {
+        StoredRecord::Readable(record) => record,
+        StoredRecord::Unreadable(unreadable) => panic!("{unreadable:?}"),
+    }
+}
+
+/// Returns the number of teams in force.
+fn teams(node: &Node) -> usize {
+    node.catalog.lock().routing().map_or(0, |r| r.teams.len())
+}
+
+/// Guards against a host that lets every key through: a peer of the release before passes on the
+/// same or a newer version of the config without its teams.
+#[test]
+fn a_record_of_an_earlier_release_never_replaces_or_precedes_one_with_teams() {
+    let newer = Record { version: 8, ..earlier_record() };
+    let node = node(r#", "registry": {"address": "127.0.0.1:3"}"#);
+    for record in [earlier_record(), newer.clone()] {
+        assert_eq!(node.offer(vec![record]), [OfferOutcome::Unreadable]);
+        assert!(node.catalog.lock().routing().is_none());
+    }
+    assert_eq!(node.offer(vec![own_record()]), [OfferOutcome::InForce]);
+    for record in [earlier_record(), newer] {
+        assert_eq!(node.offer(vec![record]), [OfferOutcome::Unreadable]);
+        assert_eq!((teams(&node), node.routes_version()), (1, 7));
+        assert!(!node.routes().teams().is_empty());
+    }
+}
+
+#[test]
+fn of_two_records_of_one_version_the_one_with_teams_wins() {
+    let (own, earlier) = (own_record(), earlier_record());
+    assert!(own.precedence() > earlier.precedence());
+    for records in [[own.clone(), earlier.clone()], [earlier, own]] {
+        let mut catalog = Catalog::default();
+        for record in records {
+            catalog.offer(record);
+        }
+        assert_eq!(catalog.routing().map(|r| r.teams.len()), Some(1));
+    }
+}
+
+/// Guards against hosts of two releases that compare their catalogs as long as both run.
+#[test]
+fn catalogs_of_two_releases_are_equal() {
+    let fingerprint = |record| {
+        let mut catalog = Catalog::default();
+        catalog.offer(record);
+        catalog.fingerprint()
+    };
+    assert_eq!(fingerprint(own_record()), fingerprint(earlier_record()));
+}
+
+/// An earlier release keeps its own record instead of one with teams. Records without teams and
+/// public routes are passed on to it as before.
+#[test]
+fn an_earlier_release_can_not_read_a_record_with_teams() {
+    let Body::Routing(routing) = own_record().body else { panic!("a routing") };
+    let is_readable = |routing: &Routing| {
+        serde_json::from_value::<EarlierRouting>(serde_json::to_value(routing).expect("JSON"))
+            .is_ok()
+    };
+    let mut plain = Routing::clone(&routing);
+    plain.teams.clear();
+    assert!(!is_readable(&routing) && !is_readable(&plain), "teams, and public routes");
+    plain.routes[0].public = false;
+    assert!(is_readable(&plain));
+}
+
+#[test]
+fn a_record_with_faulty_teams_is_unreadable() {
+    let Body::Routing(routing) = own_record().body else { panic!("a routing") };
+    let mut routing = Routing::clone(&routing);
+    routing.teams.push(routing.teams[0].clone());
+    let record = Record { body: Body::Routing(Arc::new(routing)), ..own_record() };
+    let json = serde_json::to_vec(&record).expect("JSON");
+    let read = stored::read(RecordKind::Routing, config::KEY, &json);
+    assert!(matches!(read, StoredRecord::Unreadable(_)), "{read:?}");
+}
+
+#[test]
+fn a_record_is_shown_without_keys() {
+    let record = own_record();
+    assert_eq!(record.without_keys().precedence(), record.precedence());
+    let Body::Routing(routing) = &record.body else { panic!("a routing") };
+    assert_eq!(routing.teams[0].keys.len(), 1);
+    let shown = serde_json::to_string(&record.without_keys()).expect("JSON");
+    for text in [shown, format!("{record:?}")] {
+        assert!(text.contains("huka270") && !text.contains("rjvz48wuakn2ftimaj3n"), "{text}");
+    }
+}
--- a/src/tool/tests.rs
+++ b/src/tool/tests.rs
@@ -10,7 +10,8 @@
 use super::document;
 use super::explain;
 use super::publish::{self, Draft, HISTORY_VERSIONS, VersionInForce};
-use crate::decide::catalog::{Record, RecordKind};
+use crate::config::{Routing, Team};
+use crate::decide::catalog::{Body, Record, RecordKind};
 use crate::decide::stored::{self, StoredRecord};
 use crate::error::{Code, Error};
 use crate::settings;
@@ -185,3 +186,11 @@
     assert_eq!(explanation.missing, ["step 2 of 3"]);
     assert!(explain::explain("r-9", &[]).lines.is_empty());
 }
+
+#[test]
+fn a_routing_is_shown_without_keys() {
+    let team = Team { name: "harbour".into(), keys: vec!["secret".into()], ..Team::default() };
+    let routing = Routing { teams: vec![Arc::new(team)], ..Routing::default() };
+    let text = document::text(&Body::Routing(Arc::new(routing)));
+    assert!(text.contains("harbour") && !text.contains("secret"), "{text}");
+}
