Test keys learnt from peers, ten thousand keys, and the team in log lines

Cause: these were covered by neither unit tests nor daemons. Change: the tests; field names are compared without copies.

--- a/src/header.rs
+++ b/src/header.rs
@@ -113,7 +113,8 @@
 /// Removes the fields with a name, also where it is written with `_` for `-`: some upstreams read
 /// both alike.
 pub(crate) fn remove_alike(headers: &mut HeaderMap, name: &HeaderName) {
-    let alike = |other: &&HeaderName| other.as_str().replace('_', "-") == name.as_str();
+    let dashed = |b| if b == b'_' { b'-' } else { b };
+    let alike = |other: &&HeaderName| other.as_str().bytes().map(dashed).eq(name.as_str().bytes());
     let dropped: Vec<HeaderName> = headers.keys().filter(alike).cloned().collect();
     for name in dropped {
         headers.remove(name);
--- a/src/request_log/tests.rs
+++ b/src/request_log/tests.rs
@@ -42,6 +42,17 @@
         let line: Value = serde_json::from_str(line).expect("JSON");
         assert_eq!((line["step"].as_u64(), line["steps"].as_u64()), (Some(i as u64 + 1), Some(3)));
         assert_eq!(line["request"], "r-1");
+        assert!(line.get("team").is_none());
+    }
+}
+
+#[test]
+fn lines_of_a_request_under_a_key_name_its_team() {
+    let log = request_log(&[EventCode::Accepted, EventCode::Refused]);
+    let summary = RequestSummary { team: Some("harbour"), ..summary(false) };
+    for line in log.lines(&summary, 1, SystemTime::UNIX_EPOCH) {
+        let line: Value = serde_json::from_str(&line).expect("JSON");
+        assert_eq!(line["team"], "harbour");
     }
 }
 
--- a/tests/keys.rs
+++ b/tests/keys.rs
@@ -327,6 +327,56 @@
     ports.find(is_free).expect("a port that is free on all addresses")
 }
 
+/// Two hosts that know each other, each with a registry of its own.
+struct Pair {
+    hosts: Vec<Daemon>,
+    /// The address at which the second one takes requests of the first.
+    relay: SocketAddr,
+}
+
+fn start_pair(registries: &[Arc<Registry>; 2]) -> Pair {
+    let addresses = [Ipv4Addr::new(127, 0, 0, 2), Ipv4Addr::new(127, 0, 0, 3)];
+    let (peer_port, relay_port) = (common_port(&addresses), common_port(&addresses));
+    let start = |i: usize| {
+        let mut settings = settings(registries[i].address);
+        settings["host"] = json!(format!("entry-{i}"));
+        settings["peer"] = json!(SocketAddr::from((addresses[i], peer_port)));
+        settings["relay_port"] = json!(relay_port);
+        settings["peers"] = json!([{
+            "host": format!("entry-{}", 1 - i), "data_centre": "a",
+            "address": SocketAddr::from((addresses[1 - i], peer_port)),
+        }]);
+        Daemon::run(&settings)
+    };
+    let hosts: Vec<Daemon> = (0..2).map(start).collect();
+    wait_until("the hosts know each other", || hosts.iter().all(|d| live_peers(d) == 1));
+    Pair { hosts, relay: SocketAddr::from((addresses[1], relay_port)) }
+}
+
+/// A host without a path to the registry learns of added, moved and withdrawn keys from its peer.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_host_without_the_registry_learns_of_keys_from_a_peer() {
+    let (upstream, heads) = upstream("u-1");
+    let config = config_with_keys(3, (&[HARBOUR_KEY], &[SALT_KEY]));
+    let registries = [
+        start_registry(&config, &[("u-1", &upstream)]).await,
+        start_registry(&config, &[("u-1", &upstream)]).await,
+    ];
+    let Pair { hosts, .. } = start_pair(&registries);
+    registries[0].set_refusing(true);
+    registries[1].put("op/config", &config_with_keys(5, (&[SALT_KEY], &[HARBOUR_SECOND_KEY])));
+    let start = Instant::now();
+    let (added, withdrawn) = ([("x-key", HARBOUR_SECOND_KEY)], [("x-key", HARBOUR_KEY)]);
+    while call(hosts[0].caller, "/book/7", &added).await.status() != 200 {
+        assert!(start.elapsed() < harness::TIMEOUT, "the added key stays unknown");
+    }
+    assert_eq!(field(&last(&heads), "x-tenant-name"), "salt");
+    assert_eq!(code(&call(hosts[0].caller, "/book/7", &[("x-key", SALT_KEY)]).await), 1000);
+    assert_eq!(field(&last(&heads), "x-tenant-name"), "harbour");
+    let refused = code(&call(hosts[0].caller, "/book/7", &withdrawn).await);
+    assert!([UNAUTHORIZED, ROUTES_OUTDATED].contains(&refused), "{refused}");
+}
+
 /// A request that a host passes on to a peer keeps its team; the peer gets no key.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_relayed_request_keeps_its_team() {
@@ -343,22 +393,7 @@
     let registries =
         [start_registry(&config, &[]).await, start_registry(&config, &[("u-1", &reachable)]).await];
     registries[0].put("servers/u-1", &unreachable);
-    let addresses = [Ipv4Addr::new(127, 0, 0, 2), Ipv4Addr::new(127, 0, 0, 3)];
-    let (peer_port, relay_port) = (common_port(&addresses), common_port(&addresses));
-    let hosts: Vec<Daemon> = (0..2)
-        .map(|i| {
-            let mut settings = settings(registries[i].address);
-            settings["host"] = json!(format!("entry-{i}"));
-            settings["peer"] = json!(SocketAddr::from((addresses[i], peer_port)));
-            settings["relay_port"] = json!(relay_port);
-            settings["peers"] = json!([{
-                "host": format!("entry-{}", 1 - i), "data_centre": "a",
-                "address": SocketAddr::from((addresses[1 - i], peer_port)),
-            }]);
-            Daemon::run(&settings)
-        })
-        .collect();
-    wait_until("the hosts know each other", || hosts.iter().all(|d| live_peers(d) == 1));
+    let Pair { hosts, relay } = start_pair(&registries);
     let fields = [("x-key", SALT_KEY), ("x-tenant-name", "harbour")];
     let start = Instant::now();
     while event_count(&hosts[0], UNREACHABLE) == 0 {
@@ -377,7 +412,6 @@
     }
     assert_eq!(code(&call(hosts[0].caller, "/book/7", &[]).await), UNAUTHORIZED);
     // The peer refuses a team that it doesn't know, and asks for a key where none is named.
-    let relay = SocketAddr::from((addresses[1], relay_port));
     for (team, expected) in [("salt", 1000), ("harbour", 1000), ("other", ROUTES_OUTDATED)] {
         let fields = [("x-cornelferry-relayed-team", team), ("x-cornelferry-routes-version", "3")];
         assert_eq!(code(&call(relay, "/book/7", &fields).await), expected, "{team}");
@@ -498,3 +532,19 @@
     }
     assert!(logs().contains(r#""team":"harbour""#), "the logs name the team");
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn ten_thousand_keys_come_into_force() {
+    let (upstream, heads) = upstream("u-1");
+    let key = |i: usize| format!("{i:05}kuakn2ftimaj3n");
+    let many: Vec<String> = (0..10_000).map(key).collect();
+    let many: Vec<&str> = many.iter().map(String::as_str).collect();
+    let fleet = Fleet::start(&config_with_keys(3, KEYS), &[("u-1", &upstream)]).await;
+    fleet.registry.put("op/config", &config_with_keys(4, (&many, &[SALT_KEY])));
+    for (key, team) in [(many[0], "harbour"), (many[9_999], "harbour"), (SALT_KEY, "salt")] {
+        fleet.wait_for("/book/7", &[("x-key", key)], 200).await;
+        assert_eq!(field(&last(&heads), "x-tenant-name"), team);
+    }
+    let unknown = key(10_000);
+    assert_eq!(code(&fleet.call("/book/7", &[("x-key", &unknown)]).await), UNAUTHORIZED);
+}
