--- a/src/decide/catalog.rs
+++ b/src/decide/catalog.rs
@@ -69,6 +69,22 @@
         (self.version, &self.change)
     }
 
+    /// Returns whether this is a routing record of a release that couldn't read teams, so that its
+    /// lack of teams means nothing.
+    pub(crate) fn is_of_earlier_format(&self) -> bool {
+        matches!(self.body, Body::Routing(_)) && self.change.is_empty()
+    }
+
+    /// Returns the record as it may be shown: without the keys of teams.
+    pub fn without_keys(&self) -> Record {
+        match &self.body {
+            Body::Routing(routing) if !routing.teams.is_empty() => {
+                Record { body: Body::Routing(Arc::new(routing.without_keys())), ..self.clone() }
+            }
+            _ => self.clone(),
+        }
+    }
+
     /// Returns the record's kind.
     pub fn kind(&self) -> RecordKind {
         match &self.body {
@@ -152,11 +168,18 @@
         &self.unreadable
     }
 
-    /// Returns a hash over kind, name, version and change id of every record in force.
+    /// Returns a hash over kind, name, version and change id of every record in force. The change id
+    /// of a routing record names only the release that decoded it and is left out, so that hosts of
+    /// two releases don't compare their catalogs again and again.
     pub fn fingerprint(&self) -> u64 {
         let mut hasher = XxHash64::default();
-        let identity = |r: &Record| (r.kind(), r.name.clone(), r.version, r.change.clone());
-        self.records.iter().for_each(|r| identity(r).hash(&mut hasher));
+        for record in &self.records {
+            let change = match record.kind() {
+                RecordKind::Routing => "",
+                _ => &*record.change,
+            };
+            (record.kind(), &*record.name, record.version, change).hash(&mut hasher);
+        }
         hasher.finish()
     }
 
