Allowances of teams over all hosts

Cause: a team may send so many requests a second to all hosts together, and nothing bounded them. A request beyond the allowance gets 429 with the time until its team has room.

--- /dev/null
+++ b/src/decide/allowance/inquiry.rs
@@ -0,0 +1,141 @@
+//! The way of a question to the owner of an allowance.
+
+use std::sync::Arc;
+
+use crate::decide::allowance::ownership::{Ownership, Role};
+use crate::decide::allowance::{Limit, Reply};
+use crate::time::Time;
+
+/// The number of times that a question may be passed on. One that has been passed on so often is
+/// answered by the host that gets it.
+pub(crate) const HOPS_MAX: u8 = 2;
+/// The number of hosts that one host asks for one question.
+const TRIES_MAX: u32 = 5;
+/// The number of hosts that are asked to pass a question on.
+const DETOURS_MAX: usize = 2;
+
+/// The reason why a host gave no reply.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum AskError {
+    /// It accepts no connections: its process has ended.
+    Ended,
+    /// It hasn't replied in time, or can't be reached.
+    Silent,
+}
+
+/// The next step of an inquiry.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Step {
+    /// Ask a host, with this number of hops.
+    Ask(Arc<str>, u8),
+    /// The inquiry is finished.
+    Done(Reply),
+}
+
+/// The host that was asked last.
+#[derive(Clone, Debug)]
+enum Asked {
+    /// The one that may have kept the allowance before this host.
+    Predecessor(Arc<str>),
+    Owner(Arc<str>),
+    /// One that is to pass the question on to the owner.
+    Intermediary,
+}
+
+/// A question about an allowance, on its way to the owner.
+#[derive(Debug)]
+pub(crate) struct Inquiry {
+    team: Arc<str>,
+    limit: Option<Limit>,
+    wanted: u32,
+    hops: u8,
+    tries: u32,
+    asked: Option<Asked>,
+    /// The hosts that may yet be asked to pass it on.
+    detours: Vec<Arc<str>>,
+}
+
+impl Inquiry {
+    /// Creates an inquiry for `wanted` tokens that has been passed on `hops` times. `limit` is the
+    /// allowance as this host knows it.
+    pub(crate) fn new(team: Arc<str>, limit: Option<Limit>, wanted: u32, hops: u8) -> Inquiry {
+        Inquiry { team, limit, wanted, hops, tries: 0, asked: None, detours: Vec::new() }
+    }
+
+    /// Returns the first step, or the next one after what a host has replied changes who the owner
+    /// is.
+    pub(crate) fn next(&mut self, ownership: &mut Ownership, now: Time) -> Step {
+        self.tries += 1;
+        let may_ask = self.hops < HOPS_MAX && self.tries <= TRIES_MAX;
+        match ownership.role(&self.team, self.limit, now) {
+            Role::Owner => Step::Done(self.grant(ownership, now)),
+            Role::Successor(before) if may_ask => {
+                self.asked = Some(Asked::Predecessor(before.clone()));
+                Step::Ask(before, HOPS_MAX)
+            }
+            Role::Other(owner) if may_ask => {
+                self.asked = Some(Asked::Owner(owner.clone()));
+                Step::Ask(owner, self.hops + 1)
+            }
+            Role::None if self.limit.is_some() => Step::Done(Reply::NotOwner),
+            // A successor is an owner in a moment, and one without the team's record may get it.
+            Role::Other(_) | Role::Successor(_) | Role::None => Step::Done(Reply::Unreachable),
+        }
+    }
+
+    /// Returns the next step after a host has replied, or hasn't.
+    pub(crate) fn on_reply(
+        &mut self,
+        reply: Result<Reply, AskError>,
+        ownership: &mut Ownership,
+        now: Time,
+    ) -> Step {
+        if let Ok(Reply::Granted(grant)) = reply {
+            return Step::Done(Reply::Granted(grant));
+        }
+        match self.asked.take() {
+            None => Step::Done(Reply::Unreachable),
+            // It may be granting to others.
+            Some(Asked::Predecessor(_)) if reply == Err(AskError::Silent) => {
+                Step::Done(Reply::Unreachable)
+            }
+            Some(Asked::Predecessor(before)) => {
+                if reply == Err(AskError::Ended) {
+                    ownership.set_ended(&before, now);
+                }
+                ownership.end_handover(&self.team, now);
+                self.next(ownership, now)
+            }
+            Some(Asked::Owner(owner)) => match reply {
+                Err(AskError::Ended) => {
+                    ownership.set_ended(&owner, now);
+                    self.next(ownership, now)
+                }
+                Ok(Reply::NotOwner) => {
+                    ownership.set_not_owner(&owner, now);
+                    self.next(ownership, now)
+                }
+                Err(AskError::Silent) if self.hops == 0 => {
+                    self.detours = ownership.intermediaries(&owner, now);
+                    self.detours.truncate(DETOURS_MAX);
+                    self.next_detour()
+                }
+                _ => Step::Done(Reply::Unreachable),
+            },
+            Some(Asked::Intermediary) => self.next_detour(),
+        }
+    }
+
+    fn next_detour(&mut self) -> Step {
+        let Some(host) = self.detours.pop() else { return Step::Done(Reply::Unreachable) };
+        self.asked = Some(Asked::Intermediary);
+        Step::Ask(host, 1)
+    }
+
+    fn grant(&self, ownership: &mut Ownership, now: Time) -> Reply {
+        match self.limit {
+            Some(limit) => ownership.grant(&self.team, limit, self.wanted, now),
+            None => Reply::NotOwner,
+        }
+    }
+}
--- /dev/null
+++ b/src/decide/allowance/tests.rs
@@ -0,0 +1,511 @@
+//! Tests of allowances on a fleet in memory: hosts are plain structs, messages are function calls,
+//! and time passes in steps.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use super::{Arrival, Ask, AskError, Asker, FleetView, Inquiry, Limit, Ownership, Reply, Step};
+use crate::config::Team;
+use crate::time::Time;
+
+/// The time between two steps.
+const STEP: Duration = Duration::from_millis(10);
+/// The time over which the rule on allowances adds up requests.
+const WINDOW: Duration = Duration::from_secs(5);
+/// The steps after which a host looks at the fleet again.
+const UPDATE_STEPS: u64 = 20;
+/// The time after which a host that is silent counts as dead.
+const DEAD_AFTER: Duration = Duration::from_millis(4_000);
+/// The longest time that news takes to a host.
+const NEWS_DELAY_MS: u64 = 600;
+/// The time after which a host that has started has heard of all others.
+const FIRST_NEWS_DELAY: Duration = Duration::from_millis(100);
+/// The time in which a host that has started owns nothing.
+const SETTLE_TIME: Duration = Duration::from_millis(1_000);
+
+/// The state of a host.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum State {
+    /// Its process runs since then.
+    Up(Time),
+    /// Its process has ended, and connections to it are refused.
+    Ended,
+    /// It is there but runs nothing.
+    Frozen,
+}
+
+struct Host {
+    name: Arc<str>,
+    ownership: Ownership,
+    asker: Asker,
+    state: State,
+    /// Grows with each start.
+    incarnation: u64,
+    /// The part of the network that it is in.
+    island: u8,
+    /// How late news reaches it.
+    delay: Duration,
+    /// What it knows of each host, in order.
+    beliefs: Vec<Belief>,
+    pauses: u64,
+}
+
+/// What a host knows of another.
+#[derive(Clone, Copy)]
+struct Belief {
+    /// The incarnation of the process that it knows; 0 for none.
+    incarnation: u64,
+    /// Since when it could have heard of the other's present process.
+    since: Option<Time>,
+    /// When it last heard of it.
+    last: Time,
+}
+
+struct Fleet {
+    hosts: Vec<Host>,
+    team: Arc<Team>,
+    now: Time,
+    rng: SmallRng,
+    /// Requests that wait: host, number, and until when.
+    waiting: Vec<(usize, u64, Time)>,
+    /// When requests were let pass.
+    passed: Vec<Time>,
+    /// The time after which each refused request may return.
+    refused: Vec<Duration>,
+}
+
+fn team(per_second: f64, burst: f64) -> Arc<Team> {
+    Arc::new(Team { name: "chapters".into(), per_second, burst, ..Team::default() })
+}
+
+impl Fleet {
+    /// Starts a fleet and lets it run until its owner has settled.
+    fn start(hosts: usize, team: Arc<Team>, seed: u64) -> Fleet {
+        let mut fleet = Fleet {
+            hosts: Vec::new(),
+            team,
+            now: Time::ZERO,
+            rng: SmallRng::seed_from_u64(seed),
+            waiting: Vec::new(),
+            passed: Vec::new(),
+            refused: Vec::new(),
+        };
+        fleet.grow(hosts);
+        fleet.run(10.0, |_, _| 0);
+        fleet
+    }
+
+    fn grow(&mut self, count: usize) {
+        for _ in 0..count {
+            let name: Arc<str> = format!("host-{}", self.hosts.len()).into();
+            self.hosts.push(Host {
+                ownership: Ownership::new(name.clone()),
+                name,
+                asker: Asker::default(),
+                state: State::Up(self.now),
+                incarnation: self.now.as_micros() + self.rng.random_range(0..1_000),
+                island: 0,
+                beliefs: Vec::new(),
+                delay: Duration::from_millis(self.rng.random_range(0..NEWS_DELAY_MS)),
+                pauses: 0,
+            });
+        }
+    }
+
+    fn kill(&mut self, host: usize) {
+        self.hosts[host].state = State::Ended;
+        self.waiting.retain(|(h, _, _)| *h != host);
+    }
+
+    fn restart(&mut self, host: usize) {
+        let name = self.hosts[host].name.clone();
+        let at = &mut self.hosts[host];
+        at.state = State::Up(self.now);
+        at.incarnation = self.now.as_micros();
+        (at.ownership, at.asker) = (Ownership::new(name), Asker::default());
+        at.beliefs.clear();
+    }
+
+    fn freeze(&mut self, host: usize) {
+        self.hosts[host].state = State::Frozen;
+    }
+
+    fn wake(&mut self, host: usize) {
+        let at = &mut self.hosts[host];
+        at.pauses += 1;
+        at.state = State::Up(Time::ZERO);
+    }
+
+    /// Moves a host to another part of the network.
+    fn cut(&mut self, host: usize, island: u8) {
+        self.hosts[host].island = island;
+    }
+
+    fn is_up(&self, host: usize) -> bool {
+        matches!(self.hosts[host].state, State::Up(_))
+    }
+
+    fn can_reach(&self, from: usize, to: usize) -> bool {
+        self.hosts[from].island == self.hosts[to].island
+    }
+
+    /// Updates what a host knows of another, and returns whether it takes it to be alive. News
+    /// reaches it late, and a host counts as dead after [`DEAD_AFTER`] of silence.
+    fn hear(&mut self, from: usize, to: usize) -> bool {
+        let is_reachable = self.is_up(to) && self.can_reach(from, to);
+        let now = self.now;
+        let delay = match self.hosts[from].state {
+            State::Up(since) if now.since(since) < SETTLE_TIME => FIRST_NEWS_DELAY,
+            _ => self.hosts[from].delay,
+        };
+        let incarnation = self.hosts[to].incarnation;
+        let beliefs = &mut self.hosts[from].beliefs;
+        if beliefs.len() <= to {
+            beliefs.resize(to + 1, Belief { incarnation: 0, since: None, last: Time::ZERO });
+        }
+        let belief = &mut beliefs[to];
+        let is_alive = |b: &Belief| b.incarnation > 0 && now.since(b.last) < DEAD_AFTER + delay;
+        belief.since = is_reachable.then(|| belief.since.unwrap_or(now));
+        if let Some(since) = belief.since {
+            if belief.incarnation == incarnation && is_alive(belief) {
+                belief.last = now;
+            } else if now.since(since) >= delay {
+                (belief.incarnation, belief.last) = (incarnation, now);
+            }
+        }
+        is_alive(belief)
+    }
+
+    fn update(&mut self, host: usize) {
+        let others = (0..self.hosts.len()).filter(|h| *h != host);
+        let (alive, rest): (Vec<usize>, Vec<usize>) = others.partition(|h| self.hear(host, *h));
+        let is_ended =
+            |h: &&usize| matches!(self.hosts[**h].state, State::Ended) && self.can_reach(host, **h);
+        let own = &self.hosts[host];
+        let State::Up(since) = own.state else { return };
+        let of = |h: usize| {
+            let known = own.beliefs.get(h).map_or(own.incarnation, |b| b.incarnation);
+            let incarnation = if h == host { own.incarnation } else { known };
+            (incarnation, self.hosts[h].name.clone())
+        };
+        let view = FleetView {
+            ended: rest.iter().filter(is_ended).map(|h| self.hosts[*h].name.clone()).collect(),
+            known: self.hosts.len(),
+            alive: alive.into_iter().chain([host]).map(of).collect(),
+            may_own: self.now.since(since) >= SETTLE_TIME,
+            pauses: own.pauses,
+        };
+        let teams = [self.team.clone()];
+        self.hosts[host].ownership.update(view, &teams, self.now);
+    }
+
+    fn inquire(&mut self, host: usize, ask: &Ask, hops: u8) -> Reply {
+        let limit = Limit::of(&self.team);
+        let mut inquiry = Inquiry::new(ask.team.clone(), limit, ask.wanted, hops);
+        let mut step = inquiry.next(&mut self.hosts[host].ownership, self.now);
+        loop {
+            match step {
+                Step::Done(reply) => return reply,
+                Step::Ask(name, hops) => {
+                    let to = self.hosts.iter().position(|h| h.name == name).unwrap();
+                    let reply = match self.hosts[to].state {
+                        _ if !self.can_reach(host, to) => Err(AskError::Silent),
+                        State::Ended => Err(AskError::Ended),
+                        State::Frozen => Err(AskError::Silent),
+                        State::Up(_) => Ok(self.inquire(to, ask, hops)),
+                    };
+                    step = inquiry.on_reply(reply, &mut self.hosts[host].ownership, self.now);
+                }
+            }
+        }
+    }
+
+    fn ask(&mut self, host: usize) {
+        let now = self.now;
+        for ask in self.hosts[host].asker.take_asks(now) {
+            let reply = self.inquire(host, &ask, 0);
+            let Fleet { hosts, rng, .. } = self;
+            let known = hosts.len();
+            let asker = &mut hosts[host].asker;
+            let spread = || rng.random::<f64>();
+            let released = match reply {
+                Reply::Granted(grant) => asker.answer(&ask.team, grant, now, spread),
+                _ => asker.fail(&ask.team, known, now + STEP * 5, now, spread),
+            };
+            for (number, decision) in released {
+                self.waiting.retain(|(h, n, _)| (*h, *n) != (host, number));
+                match decision {
+                    None => self.passed.push(now),
+                    Some(after) => self.refused.push(after),
+                }
+            }
+        }
+    }
+
+    fn arrive(&mut self, host: usize) {
+        if !self.is_up(host) {
+            return;
+        }
+        let (now, spread) = (self.now, self.rng.random());
+        let limit = Limit::of(&self.team).unwrap();
+        let deadline = now + Duration::from_secs(2);
+        let asker = &mut self.hosts[host].asker;
+        match asker.arrive(&self.team, limit, deadline, now, spread) {
+            Arrival::Granted => self.passed.push(now),
+            Arrival::Refused(after) => self.refused.push(after),
+            Arrival::Wait(number, until) => self.waiting.push((host, number, until)),
+        }
+    }
+
+    /// Lets time pass. `requests` returns how many requests arrive at a host in a step.
+    fn run(&mut self, seconds: f64, mut requests: impl FnMut(usize, &mut SmallRng) -> usize) {
+        let end = self.now + Duration::from_secs_f64(seconds);
+        while self.now < end {
+            self.now = self.now + STEP;
+            let step = self.now.as_micros() / STEP.as_micros() as u64;
+            for host in 0..self.hosts.len() {
+                if !self.is_up(host) {
+                    continue;
+                }
+                if (step + host as u64).is_multiple_of(UPDATE_STEPS) {
+                    self.update(host);
+                }
+                for _ in 0..requests(host, &mut self.rng) {
+                    self.arrive(host);
+                }
+                self.ask(host);
+            }
+            let now = self.now;
+            let over: Vec<_> = self.waiting.extract_if(.., |(_, _, until)| *until <= now).collect();
+            for (host, number, _) in over {
+                let asker = &mut self.hosts[host].asker;
+                self.refused.extend(asker.abandon(&self.team.name, number, now, 0.5));
+            }
+        }
+    }
+
+    /// Returns the most requests that passed within a window.
+    fn most_in_window(&self) -> usize {
+        let mut first = 0;
+        let mut most = 0;
+        for (i, at) in self.passed.iter().enumerate() {
+            while at.since(self.passed[first]) > WINDOW {
+                first += 1;
+            }
+            most = most.max(i + 1 - first);
+        }
+        most
+    }
+
+    fn assert_within(&self, limit: &Team) {
+        let bound = (limit.per_second * WINDOW.as_secs_f64() + limit.burst) * 1.1 + 20.0;
+        let most = self.most_in_window() as f64;
+        assert!(most <= bound, "{most} requests in a window, bound {bound}");
+    }
+}
+
+/// Returns how many requests a host gets in a step, at a rate a second for all hosts together.
+fn spread_over(hosts: usize, per_second: f64) -> impl FnMut(usize, &mut SmallRng) -> usize {
+    move |_, rng| draw(per_second * STEP.as_secs_f64() / hosts as f64, rng)
+}
+
+/// Returns a whole number whose mean is `mean`.
+fn draw(mean: f64, rng: &mut SmallRng) -> usize {
+    mean as usize + usize::from(rng.random_bool(mean.fract()))
+}
+
+const RATES: [(f64, f64); 4] = [(283.0, 283.0), (40.0, 40.0), (3.0, 3.0), (100.0, 0.0)];
+
+#[test]
+fn flood_at_one_host_is_served_up_to_the_allowance() {
+    for (rate, burst) in RATES {
+        let mut fleet = Fleet::start(30, team(rate, burst), 1);
+        fleet.run(30.0, |host, rng| match host {
+            7 => draw(rate / 1.6 * 7.5 * 0.01, rng),
+            _ => 0,
+        });
+        fleet.assert_within(&team(rate, burst));
+        let share = fleet.passed.len() as f64 / (rate * 30.0 + burst);
+        assert!(share >= 0.95, "{share} served at {rate}");
+    }
+}
+
+#[test]
+fn flood_at_all_hosts_is_served_up_to_the_allowance() {
+    for (rate, burst) in RATES {
+        let mut fleet = Fleet::start(60, team(rate, burst), 2);
+        fleet.run(30.0, spread_over(60, rate / 1.6 * 7.5));
+        fleet.assert_within(&team(rate, burst));
+        let share = fleet.passed.len() as f64 / (rate * 30.0 + burst);
+        assert!(share >= 0.95, "{share} served at {rate}");
+    }
+}
+
+#[test]
+fn flood_that_changes_hosts_is_served_up_to_the_allowance() {
+    for (rate, burst) in RATES {
+        let mut fleet = Fleet::start(30, team(rate, burst), 3);
+        for round in 0..30 {
+            let rush = draw_at(round % 30, rate / 1.6 * 7.5);
+            fleet.run(1.0, rush);
+        }
+        fleet.assert_within(&team(rate, burst));
+        let share = fleet.passed.len() as f64 / (rate * 30.0 + burst);
+        assert!(share >= 0.95, "{share} served at {rate}");
+    }
+}
+
+fn draw_at(at: usize, per_second: f64) -> impl FnMut(usize, &mut SmallRng) -> usize {
+    move |host, rng| if host == at { draw(per_second * STEP.as_secs_f64(), rng) } else { 0 }
+}
+
+#[test]
+fn team_below_its_limit_loses_nothing() {
+    for (rate, burst) in [(283.0, 283.0), (40.0, 40.0), (3.0, 6.0)] {
+        let mut fleet = Fleet::start(60, team(rate, burst), 4);
+        // Clumps of half the burst, on top of nothing.
+        for _ in 0..20 {
+            let clump = (burst / 2.0) as usize;
+            let at = fleet.rng.random_range(0..60);
+            let mut sent = 0;
+            fleet.run(clump as f64 / (rate * 0.6), |host, _| {
+                let is_due = host == at && sent == 0;
+                sent += usize::from(is_due);
+                if is_due { clump } else { 0 }
+            });
+        }
+        fleet.run(1.0, |_, _| 0);
+        assert!(fleet.refused.is_empty(), "{} refused at {rate}", fleet.refused.len());
+    }
+}
+
+#[test]
+fn team_below_its_limit_loses_nothing_when_hosts_end_and_return() {
+    let mut fleet = Fleet::start(60, team(283.0, 283.0), 5);
+    for round in 0..6 {
+        fleet.kill(round * 9);
+        fleet.run(2.0, spread_over(60, 170.0));
+        fleet.restart(round * 9);
+        fleet.run(6.0, spread_over(60, 170.0));
+    }
+    assert!(fleet.refused.is_empty(), "{} refused", fleet.refused.len());
+}
+
+#[test]
+fn retry_after_is_about_the_time_until_the_refused_have_room() {
+    let mut fleet = Fleet::start(30, team(100.0, 100.0), 6);
+    fleet.run(20.0, spread_over(30, 400.0));
+    // 300 a second are refused, which have room three seconds later.
+    let mean = fleet.refused.iter().sum::<Duration>().as_secs_f64() / fleet.refused.len() as f64;
+    assert!((1.0..5.0).contains(&mean), "mean of {mean} s");
+    let (min, max) = (fleet.refused.iter().min().unwrap(), fleet.refused.iter().max().unwrap());
+    assert!(*max >= *min * 2, "{min:?} to {max:?}");
+}
+
+#[test]
+fn lowered_limit_binds_one_window_later() {
+    let mut fleet = Fleet::start(30, team(200.0, 200.0), 7);
+    fleet.run(5.0, spread_over(30, 900.0));
+    fleet.team = team(50.0, 50.0);
+    fleet.run(5.0, spread_over(30, 900.0));
+    fleet.passed.clear();
+    fleet.run(10.0, spread_over(30, 900.0));
+    fleet.assert_within(&team(50.0, 50.0));
+    assert!(fleet.passed.len() as f64 >= 50.0 * 10.0 * 0.95);
+}
+
+/// A fault of a test run.
+#[derive(Clone, Copy, Debug)]
+enum Fault {
+    Kill(usize),
+    KillHalf,
+    KillAll,
+    Restart,
+    Freeze(usize),
+    Wake,
+    CutThird,
+    CutHalf,
+    CutOne(usize),
+    Heal,
+    Grow,
+    Nothing,
+}
+
+fn fault() -> impl Strategy<Value = Fault> {
+    prop_oneof![
+        (0..24_usize).prop_map(Fault::Kill),
+        Just(Fault::KillHalf),
+        Just(Fault::KillAll),
+        Just(Fault::Restart),
+        (0..24_usize).prop_map(Fault::Freeze),
+        Just(Fault::Wake),
+        Just(Fault::CutThird),
+        Just(Fault::CutHalf),
+        (0..24_usize).prop_map(Fault::CutOne),
+        Just(Fault::Heal),
+        Just(Fault::Grow),
+        Just(Fault::Nothing),
+    ]
+}
+
+fn apply(fleet: &mut Fleet, fault: Fault) {
+    let count = fleet.hosts.len();
+    match fault {
+        Fault::Kill(host) => fleet.kill(host % count),
+        Fault::KillHalf => (0..count).step_by(2).for_each(|h| fleet.kill(h)),
+        Fault::KillAll => (0..count).for_each(|h| fleet.kill(h)),
+        Fault::Restart => {
+            for host in 0..count {
+                if matches!(fleet.hosts[host].state, State::Ended) {
+                    fleet.restart(host);
+                }
+            }
+        }
+        Fault::Freeze(host) => {
+            if fleet.is_up(host % count) {
+                fleet.freeze(host % count);
+            }
+        }
+        Fault::Wake => {
+            for host in 0..count {
+                if matches!(fleet.hosts[host].state, State::Frozen) {
+                    fleet.wake(host);
+                }
+            }
+        }
+        Fault::CutThird => (0..count).step_by(3).for_each(|h| fleet.cut(h, 1)),
+        Fault::CutHalf => (0..count).step_by(2).for_each(|h| fleet.cut(h, 1)),
+        Fault::CutOne(host) => fleet.cut(host % count, 2),
+        Fault::Heal => (0..count).for_each(|h| fleet.cut(h, 0)),
+        Fault::Grow if count < 42 => fleet.grow(18),
+        Fault::Grow | Fault::Nothing => {}
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 48,
+        rng_seed: RngSeed::Fixed(27),
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn never_over_the_allowance_whatever_fails(
+        seed: u64,
+        faults in proptest::collection::vec((fault(), 0.3..6.0_f64), 1..6),
+        rate in prop_oneof![Just(283.0), Just(40.0), Just(3.0)],
+    ) {
+        let mut fleet = Fleet::start(24, team(rate, rate), seed);
+        fleet.run(1.0, spread_over(24, rate * 4.7));
+        for (fault, seconds) in faults {
+            apply(&mut fleet, fault);
+            fleet.run(seconds, spread_over(24, rate * 4.7));
+        }
+        fleet.assert_within(&team(rate, rate));
+    }
+}
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -4,6 +4,7 @@
 //! current time and the random generator are arguments.
 
 pub mod admission;
+pub(crate) mod allowance;
 pub mod attempt;
 pub mod balancing;
 pub(crate) mod bucket;
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -272,7 +272,7 @@
             {
                 tables.set_known_hosts(u32::try_from(known).unwrap_or(u32::MAX));
             }
-            let is_searching = may_have_peers && now.since(Time::ZERO) < LONE_AFTER;
+            let is_searching = self.is_looking_for_peers(now);
             tables.update_limits(now, |service, upstream, owners| {
                 let duty = format!("limit/{service}/{upstream}");
                 members.is_among_owners(&duty, owners, is_searching, now)
@@ -306,6 +306,11 @@
         output.probes
     }
 
+    /// Returns whether a host that knows no peers waits before it takes itself for the only one.
+    pub(crate) fn is_looking_for_peers(&self, now: Time) -> bool {
+        self.may_have_peers(now) && now.since(Time::ZERO) < LONE_AFTER
+    }
+
     /// Returns whether there may be other hosts though none is known: the settings name seeds, or this
     /// host has not had the time to find contacts in the registry. Hosts that start together find
     /// none until the first of them has registered.
--- a/src/entry/admin/status.rs
+++ b/src/entry/admin/status.rs
@@ -2,13 +2,14 @@
 
 use std::time::Duration;
 
+use crate::decide::allowance::TeamStatus;
 use crate::decide::catalog::{Catalog, RecordKind};
 use crate::decide::member::{Member, MemberState};
 use crate::decide::service::ServiceTable;
 use crate::decide::upstream::Row;
 use crate::node::{self, Node};
 use crate::status::{
-    EventStatus, MemberStatus, Phase, ProbeUsage, RecordStatus, ServiceStatus, Status,
+    EventStatus, MemberStatus, Phase, ProbeUsage, RecordStatus, ServiceStatus, Status, TeamAtLimit,
     UpstreamStatus,
 };
 use crate::time::Time;
@@ -27,10 +28,22 @@
         records,
         services,
         members,
+        teams_at_limit: teams_at_limit(node, now),
         events: events(node),
     }
 }
 
+fn teams_at_limit(node: &Node, now: Time) -> Vec<TeamAtLimit> {
+    let teams = node.allowances.with_asker(|asker| asker.at_limit(now));
+    let status = |t: TeamStatus| TeamAtLimit {
+        team: t.team,
+        per_second: t.per_second,
+        granted: t.granted,
+        refused: t.refused,
+    };
+    teams.into_iter().map(status).collect()
+}
+
 /// Updates the gauges among a host's metrics.
 pub(crate) fn update_gauges(node: &Node) {
     let now = node.clock.now();
--- a/src/entry/handler.rs
+++ b/src/entry/handler.rs
@@ -11,8 +11,8 @@
 
 use crate::claim;
 use crate::decide::startup;
-use crate::entry::request;
 use crate::entry::socket::{CALLER_CONNECTION, CallerConnection};
+use crate::entry::{allowance, request};
 use crate::error::{Code, Outcome};
 use crate::event::{EventCode, Subject};
 use crate::forward::response::{ProxyBody, ProxyResponse};
@@ -81,7 +81,12 @@
         ..LogEntry::new(start, EventCode::Accepted)
     });
     node.events.record(EventCode::Accepted, subject.clone(), time_left);
-    let running = driver::run(node, request, caller.disconnected());
+    let running = async {
+        match allowance::check(node, request).await {
+            Some(refusal) => refusal,
+            None => driver::run(node, request, caller.disconnected()).await,
+        }
+    };
     let response = match request.is_relayed {
         // The host that passes it on holds the claim.
         true => running.await,
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -1,6 +1,7 @@
 //! The caller side and the admin listener.
 
 pub(crate) mod admin;
+pub(crate) mod allowance;
 pub(crate) mod handler;
 pub(crate) mod listener;
 pub(crate) mod request;
--- a/src/error.rs
+++ b/src/error.rs
@@ -94,6 +94,8 @@
     UpstreamsUnreachable = 2020, 503, NotRun, "no upstream of the service responds to this host";
     /// The request needs the key of a team, and has none that a team holds.
     Unauthorized = 2021, 401, NotRun, "no team holds the request's key";
+    /// The request is beyond what its team may send to all hosts together.
+    BeyondAllowance = 2022, 429, NotRun, "the team's allowance is used up";
     /// The deadline passed after the request was sent.
     DeadlineAfterSend = 3001, 504, Unknown, "the deadline passed after the request was sent";
     /// The connection failed after a byte was sent.
--- a/src/event.rs
+++ b/src/event.rs
@@ -75,6 +75,8 @@
     RetryDenied = 2012, "no further attempt, retry budget spent";
     /// The request is passed on to a peer, as this host reaches none of its upstreams.
     Relayed = 2013, "request passed on to a peer";
+    /// A request is beyond its team's allowance.
+    BeyondAllowance = 2014, "request refused, team's allowance used up";
     /// An upstream is leaving and gets no new requests.
     UpstreamLeaving = 3001, "upstream leaving";
     /// An upstream was ejected for a time.
@@ -133,6 +135,8 @@
     PeerLeft = 6003, "peer left";
     /// A link to a peer was silent and is being replaced.
     PeerLinkReplaced = 6004, "peer link replaced";
+    /// Requests of a team are refused because its allowance is used up.
+    TeamAtLimit = 7001, "team at its limit";
 }
 
 /// Lowest number of the events of single requests.
@@ -156,7 +160,8 @@
         match self {
             EventCode::Accepted => "deadline_ms",
             EventCode::Sent => "attempt",
-            EventCode::Refused => "retry_after_ms",
+            EventCode::Refused | EventCode::BeyondAllowance => "retry_after_ms",
+            EventCode::TeamAtLimit => "refused",
             EventCode::AttemptAnswered => "took_ms",
             EventCode::UpstreamPaused => "pause_ms",
             EventCode::UpstreamLimited => "per_1000_s",
@@ -181,13 +186,14 @@
 /// The objects that an event concerns. Fields that don't apply are `None`.
 #[derive(Clone, Debug, Default, Display, PartialEq, Eq, Serialize, Deserialize)]
 #[display(
-    "{}{}{}{}{}{}",
+    "{}{}{}{}{}{}{}",
     field("request", request),
     field("fingerprint", fingerprint),
     field("service", service),
     field("upstream", upstream),
     field("record", record),
-    field("peer", peer)
+    field("peer", peer),
+    field("team", team)
 )]
 #[serde(default)]
 pub struct Subject {
@@ -209,6 +215,9 @@
     /// The peer host name.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub peer: Option<Arc<str>>,
+    /// The team name.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub team: Option<Arc<str>>,
 }
 
 /// Returns ` name=value`, or an empty string without a value.
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -15,9 +15,9 @@
 use crate::logs;
 use crate::store::http::CallCounter;
 
-/// Maximum number of services with a label of their own; the rest share [`OTHER`].
-const SERVICE_LABELS_MAX: usize = 256;
-/// The label of the services beyond [`SERVICE_LABELS_MAX`].
+/// Maximum number of services, and of teams, with a label of their own; the rest share [`OTHER`].
+const LABELS_MAX: usize = 256;
+/// The label of the services and teams beyond [`LABELS_MAX`].
 const OTHER: &str = "other";
 /// Upper bounds of the latency histogram's buckets, in seconds.
 const LATENCY_BUCKETS: &[f64] =
@@ -29,6 +29,10 @@
     registry: Registry,
     /// Services with a label of their own, sorted by name.
     services: RwLock<Vec<Arc<str>>>,
+    /// Teams with a label of their own, sorted by name.
+    teams: RwLock<Vec<Arc<str>>>,
+    allowance_requests: IntCounterVec,
+    allowance_asks: IntCounterVec,
     requests: IntCounterVec,
     latency: HistogramVec,
     attempts: IntCounterVec,
@@ -128,7 +132,18 @@
                 "1 while no upstream of the service responds to this host, else 0",
             ),
             cold: gauge("cornelferry_cold_upstreams", "Upstreams that are taken for cold"),
+            allowance_requests: counter(
+                "cornelferry_allowance_requests_total",
+                "Requests of teams with an allowance, by team and decision",
+                &["team", "decision"],
+            ),
+            allowance_asks: counter(
+                "cornelferry_allowance_asks_total",
+                "Questions to owners of allowances, by whether an owner answered",
+                &["result"],
+            ),
             services: RwLock::default(),
+            teams: RwLock::default(),
             registry,
         }
     }
@@ -199,6 +214,19 @@
         gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
     }
 
+    /// Counts a request of a team with an allowance.
+    pub(crate) fn count_allowance(&self, team: &str, is_granted: bool) {
+        let decision = if is_granted { "granted" } else { "refused" };
+        let label = label(&self.teams, team);
+        self.allowance_requests.with_label_values(&[&*label, decision]).inc();
+    }
+
+    /// Counts a question to the owner of an allowance.
+    pub(crate) fn count_allowance_ask(&self, is_answered: bool) {
+        let result = if is_answered { "answered" } else { "unreachable" };
+        self.allowance_asks.with_label_values(&[result]).inc();
+    }
+
     /// Counts a completed probe.
     pub(crate) fn count_probe(&self, service: &str, outcome: UpstreamOutcome) {
         let label = self.service_label(service);
@@ -243,23 +271,29 @@
         TextEncoder::new().encode_to_string(&self.registry.gather()).unwrap_or_default()
     }
 
-    /// Returns the label of a service: its name, or [`OTHER`] if [`SERVICE_LABELS_MAX`] services
-    /// already have labels.
+    /// Returns the label of a service: its name, or [`OTHER`] if [`LABELS_MAX`] services already have
+    /// labels.
     fn service_label(&self, name: &str) -> Arc<str> {
-        let known = |services: &[Arc<str>]| {
-            services.binary_search_by(|s| (**s).cmp(name)).map(|at| services[at].clone())
-        };
-        if let Ok(label) = known(&self.services.read()) {
-            return label;
-        }
-        let mut services = self.services.write();
-        match services.binary_search_by(|s| (**s).cmp(name)) {
-            Ok(at) => services[at].clone(),
-            Err(_) if services.len() >= SERVICE_LABELS_MAX => OTHER.into(),
-            Err(at) => {
-                services.insert(at, name.into());
-                services[at].clone()
-            }
+        label(&self.services, name)
+    }
+}
+
+/// Returns the label of a name: the name itself, or [`OTHER`] if [`LABELS_MAX`] others already have
+/// labels.
+fn label(labels: &RwLock<Vec<Arc<str>>>, name: &str) -> Arc<str> {
+    let known = |labels: &[Arc<str>]| {
+        labels.binary_search_by(|s| (**s).cmp(name)).map(|at| labels[at].clone())
+    };
+    if let Ok(label) = known(&labels.read()) {
+        return label;
+    }
+    let mut labels = labels.write();
+    match labels.binary_search_by(|s| (**s).cmp(name)) {
+        Ok(at) => labels[at].clone(),
+        Err(_) if labels.len() >= LABELS_MAX => OTHER.into(),
+        Err(at) => {
+            labels.insert(at, name.into());
+            labels[at].clone()
         }
     }
 }
--- a/src/node.rs
+++ b/src/node.rs
@@ -22,6 +22,7 @@
 use crate::decide::service::HostInfo;
 use crate::decide::teams::TeamTable;
 use crate::decide::tick::ServiceTables;
+use crate::entry::allowance::Allowances;
 use crate::entry::waiting::WaitingRequests;
 use crate::event::{EventCode, RingBuffer, Subject};
 use crate::forward::memory::MemoryBudget;
@@ -90,6 +91,8 @@
     /// The peers that could not help with requests that this host passed on.
     pub(crate) relay_peers: Mutex<RelayPeers>,
     pub(crate) pause_detector: Mutex<PauseDetector>,
+    /// The allowances of teams.
+    pub(crate) allowances: Allowances,
     /// The age of this host's copy of the registry.
     pub(crate) registry_freshness: RegistryFreshness,
     /// The names of the header fields that callers and upstreams use.
@@ -147,6 +150,7 @@
             poison_requests: Mutex::default(),
             relay_peers: Mutex::default(),
             pause_detector: Mutex::default(),
+            allowances: Allowances::new(settings.host.clone()),
             registry_freshness: RegistryFreshness::new(ReadSchedule::new(apply_time(&settings))),
             header_names: match settings.registry {
                 Some(_) => platform::headers::names(),
@@ -183,6 +187,7 @@
             if let Some(routing) = catalog.routing() {
                 let teams = self.team_table(&routing.teams);
                 routes = routes.with_routing(routing, rand::random()).with_teams(teams);
+                self.allowances.set_routing(routing, routing_version(&catalog));
             }
             *self.routes.write() = Arc::new(routes);
         }
@@ -213,9 +218,7 @@
 
     /// Returns the version of the routes that the platform's store holds; 0 if there are none.
     pub(crate) fn routes_version(&self) -> u64 {
-        let catalog = self.catalog.lock();
-        let record = catalog.records().iter().find(|r| r.kind() == RecordKind::Routing);
-        record.map_or(0, |r| r.version)
+        routing_version(&self.catalog.lock())
     }
 
     /// Chooses the peer to which a request is passed on.
@@ -401,6 +404,12 @@
     }
 }
 
+/// Returns the version of the routes in a catalog; 0 if there are none.
+fn routing_version(catalog: &Catalog) -> u64 {
+    let record = catalog.records().iter().find(|r| r.kind() == RecordKind::Routing);
+    record.map_or(0, |r| r.version)
+}
+
 /// Returns the time within which a change of the registry must be in force on every host.
 fn apply_time(settings: &Settings) -> Duration {
     let seconds = settings.registry.as_ref().map_or(DEFAULT_APPLY_S, |r| r.apply_s);
--- a/src/peer/accept.rs
+++ b/src/peer/accept.rs
@@ -20,6 +20,10 @@
 /// The time without a digest from the peer after which a connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(3_000);
 
+/// The time without a question about allowances after which a connection that serves for them is
+/// closed. Longer than the time after which the peer closes it.
+const IDLE_TIMEOUT_ASKS: Duration = Duration::from_secs(40);
+
 /// The time between two checks for an idle connection.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(1_000);
 
@@ -58,9 +62,15 @@
     session.close();
 }
 
-/// Completes once no digest has arrived from the peer for [`IDLE_TIMEOUT`].
+/// Completes once no digest has arrived from the peer for [`IDLE_TIMEOUT`], nor a question about
+/// allowances for [`IDLE_TIMEOUT_ASKS`].
 async fn wait_until_idle(session: &Session) {
-    while session.local.node.clock.now().since(session.last_digest()) < IDLE_TIMEOUT {
+    let is_in_use = || {
+        let now = session.local.node.clock.now();
+        now.since(session.last_digest()) < IDLE_TIMEOUT
+            || session.last_ask().is_some_and(|at| now.since(at) < IDLE_TIMEOUT_ASKS)
+    };
+    while is_in_use() {
         sleep(IDLE_CHECK_INTERVAL).await;
     }
 }
@@ -87,7 +97,8 @@
             _ = changes.changed() => {}
             _ = freshness.changed() => {}
         }
-        if !session.has_unsent_changes() && !session.is_registry_ahead() {
+        let is_for_digests = session.last_ask().is_none();
+        if !is_for_digests || !session.has_unsent_changes() && !session.is_registry_ahead() {
             continue;
         }
         let Ok(client) = session.client() else { return };
--- a/src/peer/links.rs
+++ b/src/peer/links.rs
@@ -128,6 +128,12 @@
         self.0 = neighbours.iter().map(|h| (h.clone(), since(h))).collect();
         local.forget_exchanges(now.before(EXCHANGES_KEPT));
         let mut members = local.node.members.lock();
+        let is_heard = |(host, _): &&(Arc<str>, Time)| {
+            let dead_after = members.dead_after();
+            local.last_exchange(host).is_some_and(|t| now.since(t) < dead_after)
+        };
+        let is_cut_off = self.0.iter().filter(is_heard).count() * 2 < self.0.len();
+        local.is_cut_off.set(is_cut_off);
         if !members.is_large() {
             return;
         }
@@ -137,10 +143,7 @@
             |host: &str, since| last_sign(host, since).is_some_and(|t| now.since(t) >= dead_after);
         let silent = self.0.iter().filter(|(host, since)| is_silent(host, *since));
         let silent: Vec<&Arc<str>> = silent.map(|(host, _)| host).collect();
-        let is_heard = |(host, _): &&(Arc<str>, Time)| {
-            local.last_exchange(host).is_some_and(|t| now.since(t) < dead_after)
-        };
-        if self.0.iter().filter(is_heard).count() * 2 < self.0.len() {
+        if is_cut_off {
             return;
         }
         let declared: Vec<bool> =
--- a/src/peer/local.rs
+++ b/src/peer/local.rs
@@ -16,6 +16,7 @@
 use crate::decide::service::ServiceTable;
 use crate::decide::upstream::UpstreamSummary;
 use crate::node::{Node, Phase};
+use crate::peer::allowance;
 use crate::peer::traffic::TrafficBudget;
 use crate::time::Time;
 
@@ -45,6 +46,10 @@
     pub(crate) unreadable: RefCell<Vec<RecordVersion>>,
     /// Observations of leaving upstreams, from this host and its peers.
     pub(crate) observations: RefCell<LeavingObservations>,
+    /// The connections to the owners of allowances.
+    pub(crate) allowance_links: allowance::Links,
+    /// Whether this host hears from less than half of its neighbours, so that it may be cut off.
+    pub(crate) is_cut_off: Cell<bool>,
     sent_bytes: IntCounter,
     received_bytes: IntCounter,
     /// The peers that have begun exchanges, with the time of the last one, sorted by name.
@@ -73,6 +78,8 @@
             fetches: RefCell::default(),
             unreadable: RefCell::default(),
             observations: RefCell::default(),
+            allowance_links: allowance::Links::default(),
+            is_cut_off: Cell::default(),
             sent_bytes: node.metrics.control_bytes("sent"),
             received_bytes: node.metrics.control_bytes("received"),
             incoming_exchanges: RefCell::default(),
@@ -95,16 +102,20 @@
         log::warn!("peers know a newer incarnation of host {:?}; incarnation raised", process.host);
     }
 
-    /// Counts bytes sent to peers.
-    pub(crate) fn count_sent(&self, bytes: usize) {
+    /// Counts bytes sent to peers. Those of digests are charged to the traffic budget.
+    pub(crate) fn count_sent(&self, bytes: usize, is_for_digests: bool) {
         self.sent_bytes.inc_by(bytes as u64);
-        self.traffic.spend(bytes);
+        if is_for_digests {
+            self.traffic.spend(bytes);
+        }
     }
 
-    /// Counts bytes received from peers.
-    pub(crate) fn count_received(&self, bytes: usize) {
+    /// Counts bytes received from peers. Those of digests are charged to the traffic budget.
+    pub(crate) fn count_received(&self, bytes: usize, is_for_digests: bool) {
         self.received_bytes.inc_by(bytes as u64);
-        self.traffic.spend(bytes);
+        if is_for_digests {
+            self.traffic.spend(bytes);
+        }
     }
 
     /// Returns this host's heartbeat counter. It starts at 1, since 0 stands for no heartbeat.
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -16,6 +16,7 @@
 use crate::node::Node;
 
 mod accept;
+mod allowance;
 mod codec;
 mod dial;
 pub(crate) mod feed;
@@ -49,6 +50,7 @@
 async fn serve(node: Arc<Node>, listener: TcpListener, address: SocketAddr) {
     let local = Rc::new(local::LocalState::new(node, address));
     spawn_local(links::maintain(local.clone()));
+    spawn_local(allowance::maintain(local.clone()));
     accept::run(local, listener).await;
 }
 
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -5,9 +5,9 @@
 use capnp::Error;
 
 use crate::decide::digest::published_versions;
-use crate::peer::codec;
 use crate::peer::peer_capnp::peer;
 use crate::peer::session::Session;
+use crate::peer::{allowance, codec};
 
 /// The size limit of the records in one response, in bytes. A first record that alone is larger is
 /// sent all the same.
@@ -32,6 +32,23 @@
         Ok(())
     }
 
+    async fn allowances(
+        self: Rc<Self>,
+        params: peer::AllowancesParams,
+        mut results: peer::AllowancesResults,
+    ) -> Result<(), Error> {
+        let params = params.get()?;
+        let asks: Result<Vec<_>, Error> =
+            params.get_asks()?.iter().map(allowance::read_ask).collect();
+        self.0.record_ask();
+        let replies = allowance::serve(&self.0.local, asks?, params.get_routes()).await;
+        let mut out = results.get().init_grants(replies.len() as u32);
+        for (i, reply) in replies.into_iter().enumerate() {
+            allowance::write_reply(reply, out.reborrow().get(i as u32));
+        }
+        Ok(())
+    }
+
     async fn nudge(
         self: Rc<Self>,
         _: peer::NudgeParams,
--- a/src/peer/session.rs
+++ b/src/peer/session.rs
@@ -70,6 +70,8 @@
     encoder: RefCell<DeltaEncoder>,
     decoder: RefCell<DeltaDecoder>,
     last_digest: Cell<Time>,
+    /// When a question about allowances last came.
+    last_ask: Rc<Cell<Option<Time>>>,
     /// The sequence number of the newest entry of the change feed sent to the peer.
     sent_seq: Cell<u64>,
     /// Versions that the peer has announced, which are therefore not announced to it.
@@ -112,10 +114,14 @@
     ) -> (Rc<Session>, RpcTask) {
         let _ = stream.set_nodelay(true);
         let (reader, writer) = stream.into_split();
-        let counter = local.clone();
-        let reader = InspectReader::new(reader, move |buf| counter.count_received(buf.len()));
-        let counter = local.clone();
-        let writer = InspectWriter::new(writer, move |buf| counter.count_sent(buf.len()));
+        let last_ask: Rc<Cell<Option<Time>>> = Rc::default();
+        let (counter, asked) = (local.clone(), last_ask.clone());
+        let count_received =
+            move |buf: &[u8]| counter.count_received(buf.len(), asked.get().is_none());
+        let reader = InspectReader::new(reader, count_received);
+        let (counter, asked) = (local.clone(), last_ask.clone());
+        let count_sent = move |buf: &[u8]| counter.count_sent(buf.len(), asked.get().is_none());
+        let writer = InspectWriter::new(writer, count_sent);
         let writer = BufWriter::new(writer).compat_write();
         let network = twoparty::VatNetwork::new(reader.compat(), writer, side, reader_options());
         let session = Rc::new(Session {
@@ -133,6 +139,7 @@
             encoder: RefCell::default(),
             decoder: RefCell::default(),
             last_digest: Cell::new(local.node.clock.now()),
+            last_ask,
             sent_seq: Cell::new(0),
             announced: RefCell::default(),
         });
@@ -168,6 +175,16 @@
         self.last_digest.get()
     }
 
+    /// Records a question about allowances, which makes this a connection that serves for them.
+    pub(crate) fn record_ask(&self) {
+        self.last_ask.set(Some(self.local.node.clock.now()));
+    }
+
+    /// Returns when a question about allowances last came, on a connection that serves for them.
+    pub(crate) fn last_ask(&self) -> Option<Time> {
+        self.last_ask.get()
+    }
+
     /// Returns whether the change feed has entries that the peer hasn't been sent.
     pub(crate) fn has_unsent_changes(&self) -> bool {
         self.local.node.change_feed.since(u64::MAX).0 > self.sent_seq.get()
--- a/src/request_log.rs
+++ b/src/request_log.rs
@@ -15,6 +15,7 @@
 use serde_json::{Map, Value, json};
 
 use crate::decide::admission::PlacementEstimate;
+use crate::decide::allowance::TeamStatus;
 use crate::decide::bucket::TokenBucket;
 use crate::decide::poison::Fingerprint;
 use crate::decide::retry::RetryUsage;
@@ -46,6 +47,8 @@
     pub(crate) retry_usage: Option<RetryUsage>,
     /// The request's fingerprint, on the entry of its acceptance.
     pub(crate) fingerprint: Option<Fingerprint>,
+    /// The use of the team's allowance, on the entry of a refusal by it.
+    pub(crate) allowance: Option<Box<TeamStatus>>,
 }
 
 impl LogEntry {
@@ -60,6 +63,7 @@
             slowdown: None,
             retry_usage: None,
             fingerprint: None,
+            allowance: None,
         }
     }
 }
@@ -160,6 +164,13 @@
     if let Some(slowdown) = entry.slowdown {
         set("slowdown", json!(round_to_hundredths(slowdown)));
     }
+    if let Some(usage) = &entry.allowance {
+        set("team", json!(usage.team));
+        set("per_second", json!(usage.per_second));
+        set("granted_here", json!(usage.granted));
+        set("refused_here", json!(usage.refused));
+        set("answer_age_ms", json!(usage.answer_age.map(millis)));
+    }
     if let Some(usage) = entry.retry_usage {
         set("retries_counted", json!(usage.retries));
         set("requests_counted", json!(usage.requests.floor()));
--- a/src/status.rs
+++ b/src/status.rs
@@ -27,6 +27,10 @@
     pub services: Vec<ServiceStatus>,
     /// The peers that it knows, sorted by name.
     pub members: Vec<MemberStatus>,
+    /// The teams of which it has refused requests in the last seconds, as they were beyond their
+    /// allowances, sorted by name.
+    #[serde(skip_serializing_if = "Vec::is_empty", default)]
+    pub teams_at_limit: Vec<TeamAtLimit>,
     /// The size of its event ring buffer.
     pub events: EventStatus,
 }
@@ -142,3 +146,16 @@
     /// Number of events that it has dropped.
     pub dropped: u64,
 }
+
+/// A team of which a host has refused requests of late, as they were beyond its allowance.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct TeamAtLimit {
+    /// Its name.
+    pub team: Arc<str>,
+    /// Requests per second that it may send to all hosts together.
+    pub per_second: f64,
+    /// Number of its requests that this host has let pass since its start.
+    pub granted: u64,
+    /// Number of its requests that this host has refused since its start.
+    pub refused: u64,
+}
--- a/src/tool/status.rs
+++ b/src/tool/status.rs
@@ -35,6 +35,9 @@
     println!("{}\n", host_table(&hosts));
     println!("{}\n", record_table(&hosts));
     println!("{}", upstream_table(&hosts));
+    if hosts.iter().any(|h| !h.teams_at_limit.is_empty()) {
+        println!("\n{}", team_table(&hosts));
+    }
     Ok(())
 }
 
@@ -153,6 +156,25 @@
     out
 }
 
+/// Returns a table with a row for each team at its limit and each host that has refused requests of
+/// it.
+fn team_table(hosts: &[Status]) -> Table {
+    let header = ["TEAM AT ITS LIMIT", "PER SECOND", "SEEN BY", "GRANTED", "REFUSED"];
+    let mut out = table::with_header(&header);
+    for host in hosts {
+        for team in &host.teams_at_limit {
+            out.add_row([
+                team.team.to_string(),
+                team.per_second.to_string(),
+                host.host.to_string(),
+                team.granted.to_string(),
+                team.refused.to_string(),
+            ]);
+        }
+    }
+    out
+}
+
 fn upstream_row(host: &Status, service: &ServiceStatus, u: &UpstreamStatus) -> [String; 8] {
     let or_dash = |n: Option<u64>, unit: &str| n.map_or("-".to_owned(), |n| format!("{n}{unit}"));
     [
