Tests of allowances over sockets; a new owner gains nothing while it hands over

Cause: after a change of the owner, the new one gained tokens while it still passed questions on to the one before, and a lapse of an owner's state counted as ownership. Change: tokens are gained from the end of the handover on.

--- a/src/decide/allowance/bucket.rs
+++ b/src/decide/allowance/bucket.rs
@@ -62,9 +62,10 @@
         }
     }
 
-    /// Gains nothing for the time up to `now`, in which this host was not the owner.
-    pub(super) fn resume(&mut self, now: Time) {
-        self.refilled = self.refilled.max(now);
+    /// Gains tokens from `at` on, and none for the time before, in which another host may have been
+    /// the owner.
+    pub(super) fn resume(&mut self, at: Time) {
+        self.refilled = at;
     }
 
     fn refill(&mut self, limit: Limit, now: Time) {
--- a/src/decide/allowance/ownership.rs
+++ b/src/decide/allowance/ownership.rs
@@ -140,7 +140,8 @@
             return owner.filter(|o| *o != self.host).map_or(Role::None, Role::Other);
         };
         let at = found.unwrap_or_else(|at| {
-            let bucket = Bucket::start(limit.scaled(self.part()), now);
+            let mut bucket = Bucket::start(limit.scaled(self.part()), now);
+            bucket.resume(now + HANDOVER_TIME);
             let is_doubtful = self.lost.is_some_and(|at| now.since(at) < CAUTION_TIME);
             let owned = Owned {
                 team: team.into(),
@@ -152,19 +153,28 @@
             self.owned.insert(at, owned);
             at
         });
-        if self.owned[at].lapsed.take().is_some() {
-            self.owned[at].bucket.resume(now);
+        let owned = &mut self.owned[at];
+        if owned.lapsed.take().is_some() {
+            owned.bucket.resume(now.max(owned.handover_until));
         }
         match self.owner(team, &[&self.host], now) {
             Some(before) if now < self.owned[at].handover_until => Role::Successor(before.clone()),
-            _ => Role::Owner,
+            Some(_) => Role::Owner,
+            None => {
+                self.end_handover(team, now);
+                Role::Owner
+            }
         }
     }
 
     /// Ends the handover of an allowance to this host.
     pub(crate) fn end_handover(&mut self, team: &str, now: Time) {
         if let Ok(at) = self.owned.binary_search_by(|o| (*o.team).cmp(team)) {
-            self.owned[at].handover_until = now;
+            let owned = &mut self.owned[at];
+            if now < owned.handover_until {
+                owned.handover_until = now;
+                owned.bucket.resume(now);
+            }
         }
     }
 
@@ -192,7 +202,7 @@
 
     /// Returns whether this host keeps any allowance.
     pub(crate) fn keeps_any(&self) -> bool {
-        !self.owned.is_empty()
+        self.owned.iter().any(|o| o.lapsed.is_none())
     }
 
     /// Returns the hosts that may reach the owner of an allowance where this host doesn't.
--- a/src/decide/allowance/tests.rs
+++ b/src/decide/allowance/tests.rs
@@ -108,7 +108,7 @@
                 name,
                 asker: Asker::default(),
                 state: State::Up(self.now),
-                incarnation: self.now.as_micros() + self.rng.random_range(0..1_000),
+                incarnation: self.now.as_micros() + self.rng.random_range(1..1_000),
                 island: 0,
                 beliefs: Vec::new(),
                 delay: Duration::from_millis(self.rng.random_range(0..NEWS_DELAY_MS)),
--- a/src/entry/allowance.rs
+++ b/src/entry/allowance.rs
@@ -18,6 +18,7 @@
 use crate::forward::response::ProxyResponse;
 use crate::node::Node;
 use crate::request_log::LogEntry;
+use crate::time::Time;
 
 /// Receives the decision on a request that waits.
 type Waiter = oneshot::Sender<Option<Duration>>;
@@ -113,23 +114,23 @@
 pub(crate) async fn check(node: &Node, request: &BufferedRequest) -> Option<ProxyResponse> {
     let team = request.team.as_ref().filter(|_| !request.is_relayed)?;
     let limit = Limit::of(team)?;
-    let retry_after = decide(node, request, team, limit).await;
+    let retry_after = decide(node, team, limit, request.deadline).await;
     node.metrics.count_allowance(&team.name, retry_after.is_none());
     Some(refuse(node, request, team, retry_after?))
 }
 
-/// Returns the time after which a request may return, or `None` if it may run.
-async fn decide(
+/// Returns the time after which a request of a team may return, or `None` if it may run.
+pub(crate) async fn decide(
     node: &Node,
-    request: &BufferedRequest,
-    team: &Arc<Team>,
+    team: &Team,
     limit: Limit,
+    deadline: Time,
 ) -> Option<Duration> {
     let allowances = &node.allowances;
     let now = node.clock.now();
     let (number, until, rx) = {
         let mut requests = allowances.requests.lock();
-        let arrival = requests.asker.arrive(team, limit, request.deadline, now, rand::random());
+        let arrival = requests.asker.arrive(team, limit, deadline, now, rand::random());
         match arrival {
             Arrival::Granted => return None,
             Arrival::Refused(after) => return Some(after),
--- a/src/peer/tests.rs
+++ b/src/peer/tests.rs
@@ -32,6 +32,8 @@
 use crate::settings::{Peer, Settings};
 use crate::time::Time;
 
+mod allowance;
+
 /// The timeout of [`wait_until`].
 const TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -58,6 +60,7 @@
         .unwrap();
         settings.host = name.into();
         settings.peers = peers.to_vec();
+        settings.peer = Some(announced);
         let node = Node::new(settings);
         let (stop, stopped) = oneshot::channel::<()>();
         let thread_node = node.clone();
