Owners of allowances after half of the hosts have ended, and with differing routes

Cause: where half of the hosts end at once, many of the others hear less than half of their neighbours and would have owned nothing; an owner that didn't know a team's limit yet would have granted all for as long as it couldn't read the routes. Change: a host owns nothing if it hears less than a quarter of its neighbours; without a limit a host is not the owner, unless its routes are newer. Hosts without such teams wait for a change of the routes alone.

--- a/src/decide/allowance/inquiry.rs
+++ b/src/decide/allowance/inquiry.rs
@@ -10,7 +10,7 @@
 /// answered by the host that gets it.
 pub(crate) const HOPS_MAX: u8 = 2;
 /// The number of hosts that one host asks for one question.
-const TRIES_MAX: u32 = 5;
+const TRIES_MAX: u32 = 8;
 /// The number of hosts that are asked to pass a question on.
 const DETOURS_MAX: usize = 2;
 
@@ -46,7 +46,7 @@
 #[derive(Debug)]
 pub(crate) struct Inquiry {
     team: Arc<str>,
-    limit: Option<Limit>,
+    limit: Limit,
     wanted: u32,
     hops: u8,
     tries: u32,
@@ -58,7 +58,7 @@
 impl Inquiry {
     /// Creates an inquiry for `wanted` tokens that has been passed on `hops` times. `limit` is the
     /// allowance as this host knows it.
-    pub(crate) fn new(team: Arc<str>, limit: Option<Limit>, wanted: u32, hops: u8) -> Inquiry {
+    pub(crate) fn new(team: Arc<str>, limit: Limit, wanted: u32, hops: u8) -> Inquiry {
         Inquiry { team, limit, wanted, hops, tries: 0, asked: None, detours: Vec::new() }
     }
 
@@ -68,7 +68,7 @@
         self.tries += 1;
         let may_ask = self.hops < HOPS_MAX && self.tries <= TRIES_MAX;
         match ownership.role(&self.team, self.limit, now) {
-            Role::Owner => Step::Done(self.grant(ownership, now)),
+            Role::Owner => Step::Done(ownership.grant(&self.team, self.limit, self.wanted, now)),
             Role::Successor(before) if may_ask => {
                 self.asked = Some(Asked::Predecessor(before.clone()));
                 Step::Ask(before, HOPS_MAX)
@@ -77,9 +77,9 @@
                 self.asked = Some(Asked::Owner(owner.clone()));
                 Step::Ask(owner, self.hops + 1)
             }
-            Role::None if self.limit.is_some() => Step::Done(Reply::NotOwner),
-            // A successor is an owner in a moment, and one without the team's record may get it.
-            Role::Other(_) | Role::Successor(_) | Role::None => Step::Done(Reply::Unreachable),
+            // A successor is the owner in a moment.
+            Role::Other(_) | Role::Successor(_) => Step::Done(Reply::Unreachable),
+            Role::None => Step::Done(Reply::NotOwner),
         }
     }
 
@@ -131,11 +131,4 @@
         self.asked = Some(Asked::Intermediary);
         Step::Ask(host, 1)
     }
-
-    fn grant(&self, ownership: &mut Ownership, now: Time) -> Reply {
-        match self.limit {
-            Some(limit) => ownership.grant(&self.team, limit, self.wanted, now),
-            None => Reply::NotOwner,
-        }
-    }
 }
--- a/src/decide/allowance/ownership.rs
+++ b/src/decide/allowance/ownership.rs
@@ -115,7 +115,9 @@
         self.elders = view.alive.iter().map(|(_, host)| host.clone()).collect();
         self.view = view;
         for team in teams {
-            self.role(&team.name, Limit::of(team), now);
+            if let Some(limit) = Limit::of(team) {
+                self.role(&team.name, limit, now);
+            }
         }
         self.owned.retain(|o| teams.binary_search_by(|t| t.name.cmp(&o.team)).is_ok());
     }
@@ -126,11 +128,10 @@
     }
 
     /// Returns what this host is to the allowance of a team, and begins or ceases to keep it.
-    pub(crate) fn role(&mut self, team: &str, limit: Option<Limit>, now: Time) -> Role {
+    pub(crate) fn role(&mut self, team: &str, limit: Limit, now: Time) -> Role {
         let owner = self.owner(team, &[], now).cloned();
         let found = self.owned.binary_search_by(|o| (*o.team).cmp(team));
-        let is_owner = self.view.may_own && owner.as_ref() == Some(&self.host);
-        let (Some(limit), true) = (limit, is_owner) else {
+        if !self.view.may_own || owner.as_ref() != Some(&self.host) {
             if let Ok(at) = found {
                 let lapsed = *self.owned[at].lapsed.get_or_insert(now);
                 if now.since(lapsed) > LAPSE_MAX {
@@ -138,7 +139,7 @@
                 }
             }
             return owner.filter(|o| *o != self.host).map_or(Role::None, Role::Other);
-        };
+        }
         let at = found.unwrap_or_else(|at| {
             let mut bucket = Bucket::start(limit.scaled(self.part()), now);
             bucket.resume(now + HANDOVER_TIME);
--- a/src/decide/allowance/tests.rs
+++ b/src/decide/allowance/tests.rs
@@ -205,7 +205,7 @@
     }
 
     fn inquire(&mut self, host: usize, ask: &Ask, hops: u8) -> Reply {
-        let limit = Limit::of(&self.team);
+        let limit = Limit::of(&self.team).unwrap();
         let mut inquiry = Inquiry::new(ask.team.clone(), limit, ask.wanted, hops);
         let mut step = inquiry.next(&mut self.hosts[host].ownership, self.now);
         loop {
--- a/src/entry/allowance.rs
+++ b/src/entry/allowance.rs
@@ -10,7 +10,7 @@
 
 use crate::config::{Routing, Team};
 use crate::decide::allowance::{
-    Arrival, Asker, FleetView, Inquiry, Limit, Ownership, Release, Reply, Step,
+    Arrival, Asker, FleetView, Grant, Inquiry, Limit, Ownership, Release, Reply, Step,
 };
 use crate::error::Code;
 use crate::event::{EventCode, Subject};
@@ -32,7 +32,7 @@
     version: AtomicU64,
     pub(crate) ownership: Mutex<Ownership>,
     requests: Mutex<Requests>,
-    /// Notified when there is a question to ask.
+    /// Notified when there is a question to ask, and when the teams may have changed.
     pub(crate) asked: Notify,
 }
 
@@ -63,6 +63,7 @@
         self.requests.lock().asker.retain(&teams);
         *self.teams.write() = Arc::new(teams);
         self.version.store(version, Ordering::Relaxed);
+        self.asked.notify_one();
     }
 
     /// Returns the teams that have an allowance, sorted by name.
@@ -179,9 +180,12 @@
         ownership.update(view, &allowances.teams(), now);
     }
     for ask in allowances.with_asker(|asker| asker.take_asks(now)) {
-        let limit = allowances.limit(&ask.team);
-        let mut inquiry = Inquiry::new(ask.team.clone(), limit, ask.wanted, 0);
-        let step = inquiry.next(&mut ownership, now);
+        let step = match allowances.limit(&ask.team) {
+            Some(limit) => {
+                Inquiry::new(ask.team.clone(), limit, ask.wanted, 0).next(&mut ownership, now)
+            }
+            None => Step::Done(Reply::Granted(Grant::unlimited(ask.wanted))),
+        };
         allowances.decide(|asker| match step {
             Step::Done(Reply::Granted(grant)) => {
                 asker.answer(&ask.team, grant, now, rand::random::<f64>)
--- a/src/peer/allowance.rs
+++ b/src/peer/allowance.rs
@@ -110,6 +110,10 @@
         for ask in allowances.with_asker(|asker| asker.take_asks(now)) {
             spawn_local(ask_owner(local.clone(), ask));
         }
+        if teams.is_empty() {
+            allowances.asked.notified().await;
+            continue;
+        }
         let wait = allowances.with_asker(|asker| asker.next_ask()).map(|at| now.until(at));
         tokio::select! {
             () = allowances.asked.notified() => {}
@@ -136,7 +140,14 @@
 /// Follows a question to the owner of its allowance, and returns the owner's reply.
 async fn inquire(local: &Rc<LocalState>, ask: Ask, hops: u8) -> Reply {
     let node = &local.node;
-    let limit = node.allowances.limit(&ask.team);
+    let Some(limit) = node.allowances.limit(&ask.team) else {
+        // The routes have changed since the request came.
+        return if hops == 0 {
+            Reply::Granted(Grant::unlimited(ask.wanted))
+        } else {
+            Reply::NotOwner
+        };
+    };
     let mut inquiry = Inquiry::new(ask.team.clone(), limit, ask.wanted, hops);
     let mut step = inquiry.next(&mut node.allowances.ownership.lock(), node.clock.now());
     loop {
@@ -242,9 +253,9 @@
 pub(crate) async fn serve(local: &Rc<LocalState>, asks: Vec<(Ask, u8)>, routes: u64) -> Vec<Reply> {
     let allowances = &local.node.allowances;
     let answer = async |(ask, hops): (Ask, u8)| {
-        let is_unknown = allowances.limit(&ask.team).is_none() && routes > allowances.version();
-        match is_unknown {
-            // The limit is newer than this host's routes; it will know it in a moment.
+        let is_lifted = allowances.limit(&ask.team).is_none() && routes < allowances.version();
+        match is_lifted {
+            // The peer will know in a moment.
             true => Reply::Granted(Grant::unlimited(ask.wanted)),
             false => inquire(local, ask, hops).await,
         }
--- a/src/peer/links.rs
+++ b/src/peer/links.rs
@@ -32,6 +32,10 @@
 /// the neighbours may not know that this host is back.
 const INCOMING_TIMEOUT_AFTER_START: Duration = Duration::from_millis(300);
 
+/// A host that hears from less than its neighbours divided by this number owns no allowance. It is
+/// less than half, since half of the hosts may end at once.
+const CUT_OFF_DIVISOR: usize = 4;
+
 /// The time for which one unreachable host is dialled before the next one is.
 const RECONNECT_SLICE: Duration = Duration::from_millis(1_000);
 
@@ -132,8 +136,8 @@
             let dead_after = members.dead_after();
             local.last_exchange(host).is_some_and(|t| now.since(t) < dead_after)
         };
-        let is_cut_off = self.0.iter().filter(is_heard).count() * 2 < self.0.len();
-        local.is_cut_off.set(is_cut_off);
+        let heard = self.0.iter().filter(is_heard).count();
+        local.is_cut_off.set(heard * CUT_OFF_DIVISOR < self.0.len());
         if !members.is_large() {
             return;
         }
@@ -143,7 +147,7 @@
             |host: &str, since| last_sign(host, since).is_some_and(|t| now.since(t) >= dead_after);
         let silent = self.0.iter().filter(|(host, since)| is_silent(host, *since));
         let silent: Vec<&Arc<str>> = silent.map(|(host, _)| host).collect();
-        if is_cut_off {
+        if heard * 2 < self.0.len() {
             return;
         }
         let declared: Vec<bool> =
--- a/src/peer/local.rs
+++ b/src/peer/local.rs
@@ -48,7 +48,7 @@
     pub(crate) observations: RefCell<LeavingObservations>,
     /// The connections to the owners of allowances.
     pub(crate) allowance_links: allowance::Links,
-    /// Whether this host hears from less than half of its neighbours, so that it may be cut off.
+    /// Whether this host hears from so few of its neighbours that it is probably cut off.
     pub(crate) is_cut_off: Cell<bool>,
     sent_bytes: IntCounter,
     received_bytes: IntCounter,
