Open fewer connections in the key tests, and notice daemons that have ended

Cause: repeated runs of tests/keys.rs failed now and then: a daemon that couldn't bind a port had ended, and the harness asked another program at that port for as long as its timeout, then failed before it looked whether its daemon lives. The tests opened a connection for each of up to 2,000 requests in a row, whose ports stay in use for a time. Change: the harness looks for the end of its daemon first, the timeout stays; loops keep a connection or pause.

--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -129,10 +129,11 @@
         let mut daemon = Daemon { child, caller, admin, peer };
         let start = Instant::now();
         while daemon.readiness() != Some(200) || !daemon.is_serving() {
-            assert!(start.elapsed() < TIMEOUT, "the daemon does not become ready");
+            // If another program has taken a port, asking it may have lasted as long as the timeout.
             if daemon.child.try_wait().expect("wait").is_some() {
                 return None;
             }
+            assert!(start.elapsed() < TIMEOUT, "the daemon does not become ready");
             std::thread::sleep(Duration::from_millis(5));
         }
         Some(daemon)
--- a/tests/keys.rs
+++ b/tests/keys.rs
@@ -305,14 +305,17 @@
     let config = config_with_keys(3, KEYS);
     let fleet = Fleet::start(&config, &[("u-1", &bad), ("u-2", &good)]).await;
     let fields = [("x-key", SALT_KEY)];
+    let mut caller = Caller::connect(fleet.daemon.caller).await.expect("connect");
     // Earns the retries that a host of a fleet lacks after its start.
     for _ in 0..100 {
-        assert_eq!(code(&fleet.call("/book/load/7", &fields).await), 1000);
+        let res = caller.send(request("/book/load/7", &fields)).await.expect("response");
+        assert_eq!(code(&res), 1000);
     }
     IS_FAILING.store(true, Ordering::SeqCst);
     let runs_before = bad.runs();
     for _ in 0..2_000 {
-        assert_eq!(code(&fleet.call("/book/load/7", &fields).await), 1000);
+        let res = caller.send(request("/book/load/7", &fields)).await.expect("response");
+        assert_eq!(code(&res), 1000);
         if bad.runs() > runs_before {
             let head = last(&heads);
             assert_eq!(field(&head, "x-tenant-name"), "salt", "{head}");
@@ -371,6 +374,7 @@
     let (added, withdrawn) = ([("x-key", HARBOUR_SECOND_KEY)], [("x-key", HARBOUR_KEY)]);
     while call(hosts[0].caller, "/book/7", &added).await.status() != 200 {
         assert!(start.elapsed() < harness::TIMEOUT, "the added key stays unknown");
+        tokio::time::sleep(Duration::from_millis(20)).await;
     }
     assert_eq!(field(&last(&heads), "x-tenant-name"), "salt");
     assert_eq!(code(&call(hosts[0].caller, "/book/7", &[("x-key", SALT_KEY)]).await), 1000);
@@ -401,6 +405,7 @@
     while event_count(&hosts[0], UNREACHABLE) == 0 {
         call(hosts[0].caller, "/book/read/7", &fields).await;
         assert!(start.elapsed() < harness::TIMEOUT, "the host doesn't notice that it is cut off");
+        tokio::time::sleep(Duration::from_millis(20)).await;
     }
     for (path, fields, team) in
         [("/book/7", &fields[..], "salt"), ("/open/7", &fields[..], "salt"), ("/open/7", &[], "")]
@@ -459,10 +464,10 @@
         let get = b"GET /readyz HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n";
         let start = Instant::now();
         while !send_raw(admin, get).is_ok_and(|r| status_of(&r) == Some(200)) {
-            assert!(start.elapsed() < harness::TIMEOUT, "the daemon does not become ready");
             if daemon.child.try_wait().expect("wait").is_some() {
                 return None;
             }
+            assert!(start.elapsed() < harness::TIMEOUT, "the daemon does not become ready");
             std::thread::sleep(Duration::from_millis(5));
         }
         Some(daemon)
@@ -525,6 +530,7 @@
     let start = Instant::now();
     while call(daemon.caller, "/book/7", &[("x-key", HARBOUR_SECOND_KEY)]).await.status() != 401 {
         assert!(start.elapsed() < harness::TIMEOUT, "the key is not withdrawn");
+        tokio::time::sleep(Duration::from_millis(20)).await;
     }
     wait_until("the trace contains the newest config", || {
         trace.lock().expect("trace").contains(r#""version":7,"#)
