Shed load by what it costs callers

Where upstreams report their occupancy, a request that could not meet its objective was refused while any other could, though it might be served late; work decided nothing, and a team that sent most got most. With limits.shedding set to least-cost, priority, deadline, work and recent service of kinds and teams decide. The default leaves everything as it was.

--- a/src/decide/availability.rs
+++ b/src/decide/availability.rs
@@ -10,6 +10,8 @@
 const INITIAL_SLOWDOWN: f32 = 2.0;
 /// Share of upstreams with a free slot at nominal speed before any report.
 const INITIAL_FREE_SHARE: f32 = 0.5;
+/// Share of upstreams with a free slot at nominal speed below which such slots are scarce.
+const SCARCE_SHARE: f32 = 0.3;
 /// Weight of a new report: about the reciprocal of the probes that a host of a small fleet sends in
 /// a second.
 const GAIN: f32 = 1.0 / 24.0;
@@ -45,6 +47,11 @@
         self.slowdown
     }
 
+    /// Returns whether few upstreams have a free slot at nominal speed.
+    pub(crate) fn is_scarce(&self) -> bool {
+        self.free_share < SCARCE_SHARE
+    }
+
     /// Returns how many upstreams to probe so that one of them probably has a free slot at nominal
     /// speed.
     pub(crate) fn probe_count(&self) -> usize {
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -21,6 +21,7 @@
 pub mod reads;
 pub mod registered;
 pub mod service;
+pub mod shedding;
 pub mod startup;
 pub mod stored;
 pub mod teams;
--- a/src/decide/service.rs
+++ b/src/decide/service.rs
@@ -4,6 +4,7 @@
 mod placement;
 mod reports;
 mod sharing;
+mod shedding;
 mod warmup;
 
 use std::net::SocketAddr;
@@ -28,6 +29,7 @@
 use crate::decide::queue::Queue;
 use crate::decide::reach::Reach;
 use crate::decide::retry::{RetryBudget, RetryLimits};
+use crate::decide::shedding::{Load, Shedding};
 use crate::decide::upstream::{
     self, AttemptReport, Row, State, UpstreamChange, UpstreamId, UpstreamOutcome,
 };
@@ -77,6 +79,9 @@
     concurrency: Concurrency,
     availability: Availability,
     work_rate: placement::WorkRate,
+    shedding: Shedding,
+    /// What shedding by cost depends on; not updated otherwise.
+    shedding_load: Load,
     capacity: Capacity,
     queue: Queue,
     /// Requests that a more urgent one evicted from the queue and that are yet to be refused.
@@ -134,6 +139,8 @@
             concurrency: Concurrency::default(),
             availability: Availability::default(),
             work_rate: placement::WorkRate::default(),
+            shedding: Shedding::default(),
+            shedding_load: Load::default(),
             capacity: Capacity::default(),
             queue: Queue::default(),
             evicted: Vec::new(),
--- a/src/decide/service/placement.rs
+++ b/src/decide/service/placement.rs
@@ -16,6 +16,7 @@
 use crate::decide::kinds::{LatencyGoal, RequestEstimate};
 use crate::decide::load::AttemptEstimate;
 use crate::decide::queue::QueuedRequest;
+use crate::decide::shedding::Shedding;
 use crate::decide::upstream::{self, Row, State, UpstreamId};
 use crate::error::Code;
 use crate::time::Time;
@@ -31,13 +32,13 @@
 /// Age after which a probe without response no longer counts as pending.
 const PROBE_AGE_MAX: Duration = Duration::from_millis(500);
 /// Number of failures to place a queued request after which a release stops trying.
-const FAILED_TRIES_MAX: usize = 6;
+pub(super) const FAILED_TRIES_MAX: usize = 6;
 /// Multiple of the expected time after which an attempt may be hedged.
 const HEDGE_DELAY_FACTOR: f32 = 1.8;
 /// Random factor on the retry-after time, so that refused callers don't return together.
-const RETRY_AFTER_SPREAD: std::ops::Range<f32> = 0.6..1.6;
+pub(super) const RETRY_AFTER_SPREAD: std::ops::Range<f32> = 0.6..1.6;
 /// Bounds of the retry-after time, before the random factor.
-const RETRY_AFTER_RANGE: std::ops::RangeInclusive<Duration> =
+pub(super) const RETRY_AFTER_RANGE: std::ops::RangeInclusive<Duration> =
     Duration::from_millis(40)..=Duration::from_secs(2);
 /// Time constant (decay by a factor of e) of the rate at which work is started.
 const RATE_TIME_CONSTANT: Duration = Duration::from_secs(1);
@@ -143,6 +144,9 @@
         now: Time,
         rng: &mut impl Rng,
     ) -> Admission {
+        if self.shedding == Shedding::LeastCost {
+            return self.admit_by_cost(req, now, rng);
+        }
         let estimate = self.estimate_request(req, now);
         if self.opens_at(now).is_none_or(|at| at + estimate.work >= req.deadline) {
             return Admission::Refuse(self.refusal_by_occupancy(Code::DeadlineTooClose, now, rng));
@@ -167,6 +171,9 @@
         now: Time,
         rng: &mut impl Rng,
     ) -> Vec<(Ticket, Admission)> {
+        if self.shedding == Shedding::LeastCost {
+            return self.release_by_cost(now, rng);
+        }
         let mut out = Vec::new();
         self.refuse_by_occupancy(now, rng, &mut out);
         let mut requests = self.queued_requests(now);
@@ -219,7 +226,7 @@
     }
 
     /// Returns the estimate that was made when the request arrived, or makes it now.
-    fn estimate_request(&mut self, req: &Request, now: Time) -> RequestEstimate {
+    pub(super) fn estimate_request(&mut self, req: &Request, now: Time) -> RequestEstimate {
         let time_left = now.until(req.deadline);
         let goal = req.latency_goal.unwrap_or(LatencyGoal {
             kind: 0,
@@ -232,7 +239,7 @@
 
     /// Starts a request at the upstream with the least cost if that is expected to respond within
     /// the request's objective, or within its deadline if the objective can't be met any more.
-    fn try_start(
+    pub(super) fn try_start(
         &mut self,
         req: &Request,
         estimate: RequestEstimate,
@@ -257,6 +264,9 @@
         now: Time,
     ) -> Option<Target> {
         self.work_rate.record_start(estimate.work, now);
+        if self.shedding == Shedding::LeastCost {
+            self.shedding_load.record_start(estimate.work, now);
+        }
         self.choice_count += 1;
         self.in_flight += 1;
         let row = upstream::find_mut(&mut self.rows, placement.id)?;
--- a/src/decide/tick.rs
+++ b/src/decide/tick.rs
@@ -10,6 +10,7 @@
 use crate::decide::digest::UpstreamName;
 use crate::decide::limit::{LimitChange, LimitObservation};
 use crate::decide::service::{HostInfo, ServiceTable};
+use crate::decide::shedding::Shedding;
 use crate::decide::upstream::UpstreamChange;
 use crate::time::Time;
 
@@ -17,6 +18,7 @@
 #[derive(Debug)]
 pub struct ServiceTables {
     host_info: HostInfo,
+    shedding: Shedding,
     live_peers: u32,
     /// Number of entry hosts that are known, this one included; `None` for a fleet whose size the
     /// settings limit.
@@ -57,6 +59,7 @@
     pub fn new(host_info: HostInfo) -> ServiceTables {
         ServiceTables {
             host_info,
+            shedding: Shedding::default(),
             live_peers: 0,
             known_hosts: None,
             services: Vec::new(),
@@ -144,6 +147,7 @@
             Err(index) => {
                 let mut table = ServiceTable::new(cfg, self.host_info.clone(), now);
                 table.set_live_peers(self.live_peers);
+                table.set_shedding(self.shedding);
                 self.services.insert(index, table);
                 self.due.insert(index, Time::ZERO);
             }
@@ -155,6 +159,13 @@
         self.live_peers
     }
 
+    /// Sets how requests are chosen that are delayed or refused where upstreams report their
+    /// occupancy.
+    pub fn set_shedding(&mut self, shedding: Shedding) {
+        self.shedding = shedding;
+        self.services.iter_mut().for_each(|s| s.set_shedding(shedding));
+    }
+
     /// Sets the number of live peers.
     pub fn set_live_peers(&mut self, live_peers: u32) {
         self.live_peers = live_peers;
--- a/src/node.rs
+++ b/src/node.rs
@@ -123,6 +123,8 @@
         let call_counter = || metrics.call_counter();
         let claims = platform.map(|cfg| Claims::connect(cfg, &settings.host, call_counter()));
         let kv_client = platform.map(|cfg| Arc::new(Client::connect(cfg, call_counter())));
+        let mut tables = ServiceTables::new(host_info.clone());
+        tables.set_shedding(settings.limits.shedding);
         let node = Node {
             clock,
             events: Arc::new(RingBuffer::new(settings.limits.events, hlc.clone())),
@@ -133,7 +135,7 @@
                 host_info.host.clone(),
                 host_info.data_centre.clone(),
             )),
-            tables: Mutex::new(ServiceTables::new(host_info)),
+            tables: Mutex::new(tables),
             waiting: WaitingRequests::default(),
             hlc,
             change_feed: ChangeFeed::default(),
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -9,6 +9,7 @@
 
 use crate::config::{Profile, Service, Treatment};
 use crate::decide::balancing::Policy;
+use crate::decide::shedding::Shedding;
 use crate::document::SocketAddrSchema;
 pub use crate::document::{Fault, invalid_document, parse_document};
 use crate::error::{Code, Error};
@@ -220,6 +221,8 @@
     pub connect_timeout_ms: u64,
     /// Maximum number of requests that wait for a slot, over all services.
     pub waiting: usize,
+    /// How requests are chosen that are delayed or refused where upstreams report their occupancy.
+    pub shedding: Shedding,
     /// Maximum total size of the request and response bodies in memory, in bytes.
     pub body_bytes: u64,
     /// Capacity of the event ring buffer.
@@ -240,6 +243,7 @@
             proof_age_ms: 200,
             connect_timeout_ms: 250,
             waiting: 4_096,
+            shedding: Shedding::default(),
             body_bytes: 32 << 20,
             events: 8_192,
             headers: 64,
--- a/src/trace/hooks.rs
+++ b/src/trace/hooks.rs
@@ -91,6 +91,7 @@
             fleet_size_max: self.settings.fleet_size_max,
             policy: self.settings.policy,
             waiting_max: self.settings.limits.waiting,
+            shedding: self.settings.limits.shedding,
         };
         Header { format: FORMAT, host, limits: InvariantLimits::default() }
     }
--- a/src/trace/mod.rs
+++ b/src/trace/mod.rs
@@ -30,6 +30,7 @@
 use crate::decide::balancing::Policy;
 use crate::decide::catalog::{OfferOutcome, Record};
 use crate::decide::service::HostInfo;
+use crate::decide::shedding::Shedding;
 use crate::decide::upstream::{AttemptReport, Occupancy, State, UpstreamSummary};
 use crate::error::{Code, Outcome};
 use crate::event::Event;
@@ -281,6 +282,9 @@
     pub policy: Policy,
     /// Maximum number of requests that may wait in one service.
     pub waiting_max: usize,
+    /// How requests were chosen that were delayed or refused.
+    #[serde(default, skip_serializing_if = "Shedding::is_default")]
+    pub shedding: Shedding,
 }
 
 impl From<RecordedHost> for HostInfo {
--- a/src/trace/rerun.rs
+++ b/src/trace/rerun.rs
@@ -80,11 +80,13 @@
 
 impl<'a> Rerun<'a> {
     fn new(header: &'a Header, seed: u64) -> Rerun<'a> {
+        let mut tables = ServiceTables::new(header.host.clone().into());
+        tables.set_shedding(header.host.shedding);
         Rerun {
             header,
             rng: SmallRng::seed_from_u64(seed),
             catalog: Catalog::default(),
-            tables: ServiceTables::new(header.host.clone().into()),
+            tables,
             leaving: LeavingTracker::default(),
             probe_budgets: ProbeBudgets::default(),
             attempts: Vec::new(),
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -4,6 +4,7 @@
 use std::process::Command;
 
 use cornelferry::settings::Settings;
+use cornelferry::shedding::Shedding;
 use proptest::prelude::*;
 use serde_json::{Value, json};
 
@@ -101,6 +102,19 @@
     assert!(reason("host", json!(["x".repeat(100_000)])).chars().count() < 300);
 }
 
+#[test]
+fn shedding_is_by_objective_unless_set() {
+    let parse = |limits: Value| {
+        let mut document = valid_settings();
+        document["limits"] = limits;
+        Settings::parse(&document.to_string()).map(|settings| settings.limits.shedding)
+    };
+    assert_eq!(parse(json!({})), Ok(Shedding::Objective));
+    assert_eq!(parse(json!({"shedding": "least-cost"})), Ok(Shedding::LeastCost));
+    let faults = parse(json!({"shedding": "least"})).expect_err("a fault");
+    assert_eq!(faults[0].pointer, "/limits/shedding");
+}
+
 #[test]
 fn deeply_nested_documents_are_rejected() {
     for text in ["[".repeat(100_000), "{\"a\":".repeat(100_000)] {
