--- a/src/forward/driver.rs
+++ b/src/forward/driver.rs
@@ -92,7 +92,7 @@
     let req = request.admission_request(node.clock.now());
     match node.admit(&request.service.name, &req) {
         Ok(Dispatch::Run(target)) => Ok(target),
-        Ok(Dispatch::Refuse(refusal)) => Err(refusal_response(node, request, &refusal)),
+        Ok(Dispatch::Refuse(refusal)) => Err(shed_response(node, request, &refusal)),
         Ok(Dispatch::Wait(waiter)) => wait_for_admission(node, request, waiter, disconnected).await,
         Err(code) => Err(Box::new(ProxyResponse::local(code))),
     }
@@ -105,11 +105,12 @@
     disconnected: Pin<&mut impl Future<Output = ()>>,
 ) -> Result<Target, Box<ProxyResponse>> {
     record(node, request, EventCode::Queued);
+    count_shed(node, request, None);
     tokio::select! {
         biased;
         admission = waiter.decision() => match admission {
             Some(Admission::Run(target)) => Ok(target),
-            Some(Admission::Refuse(refusal)) => Err(refusal_response(node, request, &refusal)),
+            Some(Admission::Refuse(refusal)) => Err(shed_response(node, request, &refusal)),
             _ => Err(Box::new(ProxyResponse::local(Code::Overloaded))),
         },
         () = sleep_until(node.clock.instant(request.deadline).into()) => {
@@ -128,6 +129,16 @@
     refusal_response(node, request, &refusal)
 }
 
+/// Counts and returns the response to a request that admission has refused.
+fn shed_response(node: &Node, request: &BufferedRequest, refusal: &Refusal) -> Box<ProxyResponse> {
+    count_shed(node, request, Some(refusal.code));
+    refusal_response(node, request, refusal)
+}
+
+fn count_shed(node: &Node, request: &BufferedRequest, refused: Option<Code>) {
+    node.metrics.count_shed(&request.service.name, request.treatment.priority, refused);
+}
+
 fn refusal_response(
     node: &Node,
     request: &BufferedRequest,
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -10,6 +10,7 @@
     TextEncoder,
 };
 
+use crate::config::Priority;
 use crate::decide::upstream::UpstreamOutcome;
 use crate::error::{Code, Outcome};
 use crate::logs;
@@ -34,6 +35,7 @@
     attempts: IntCounterVec,
     probes: IntCounterVec,
     retries: IntCounterVec,
+    shed: IntCounterVec,
     limited_attempts: IntCounterVec,
     warm_up: IntCounterVec,
     control_bytes: IntCounterVec,
@@ -87,6 +89,11 @@
                 "Retries and hedges that were sent, and retries that the retry budget denied, by service",
                 &["service", "decision"],
             ),
+            shed: counter(
+                "cornelferry_shed_total",
+                "Requests that waited for a slot or were refused, by service, priority and reason",
+                &["service", "priority", "reason"],
+            ),
             limited_attempts: counter(
                 "cornelferry_limited_attempts_total",
                 "Attempts sent to upstreams that had named a rate limit, by service and order",
@@ -180,6 +187,21 @@
         self.retries.with_label_values(&[&*self.service_label(service), decision]).inc();
     }
 
+    /// Counts a request that waits for a slot, or that is refused with a code.
+    pub(crate) fn count_shed(&self, service: &str, priority: Priority, refused: Option<Code>) {
+        let reason = match refused {
+            None => "waits",
+            Some(Code::Overloaded) => "overloaded",
+            Some(Code::DeadlineTooClose) => "deadline",
+            Some(Code::WaitedTooLong) => "waited",
+            Some(Code::NoUpstream) => "no-upstream",
+            Some(Code::UpstreamsUnreachable) => "unreachable",
+            Some(_) => OTHER,
+        };
+        let labels = [&*self.service_label(service), &*priority.to_string(), reason];
+        self.shed.with_label_values(&labels).inc();
+    }
+
     /// Counts an attempt that is sent to an upstream with a rate limit.
     pub(crate) fn count_limited_attempt(&self, service: &str, is_repeat: bool) {
         let order = if is_repeat { "repeat" } else { "first" };
