--- a/examples/standin/registry.rs
+++ b/examples/standin/registry.rs
@@ -53,6 +53,8 @@
     era: u32,
     /// The copy taken last: the revision and the keys.
     copy: (u64, BTreeMap<String, Item>),
+    /// Whether reads that may be old return the copy taken last.
+    serves_copy: bool,
 }
 
 /// The value of a key.
@@ -120,6 +122,11 @@
         state.era += 1;
     }
 
+    /// Sets whether reads that may be seconds old return the copy taken last.
+    pub fn serve_copy(&self, serves_copy: bool) {
+        self.state.lock().serves_copy = serves_copy;
+    }
+
     /// Sets whether all calls are refused with status 503.
     pub fn set_refusing(&self, refusing: bool) {
         self.state.lock().refusing = refusing;
@@ -181,15 +188,19 @@
     }
 
     /// Returns the keys that begin with `prefix` and come after `after`.
-    fn range(&self, prefix: &str, after: &str) -> Value {
+    fn range(&self, prefix: &str, after: &str, may_be_old: bool) -> Value {
         let matches = |k: &&String| k.starts_with(prefix) && k.as_str() > after;
-        let items = self.items.iter().filter(|(k, _)| matches(k));
+        let (revision, items) = match may_be_old && self.serves_copy {
+            true => (self.copy.0, &self.copy.1),
+            false => (self.revision, &self.items),
+        };
+        let items = items.iter().filter(|(k, _)| matches(k));
         let item = |(key, item): (&String, &Item)| {
             let value = STANDARD.encode(&item.value);
             json!({"key": key, "value": value, "revision": item.revision, "lease": item.lease})
         };
         let items: Vec<Value> = items.map(item).collect();
-        json!({"items": items, "hasMore": false, "currentRev": self.revision})
+        json!({"items": items, "hasMore": false, "currentRev": revision})
     }
 
     /// Returns the changes that follow revision `after`, or `None` if they were discarded. Returns
@@ -232,7 +243,8 @@
     Ok(match (&parts.method, path) {
         (&Method::GET, "/api/kv-range") => {
             state.reads += 1;
-            response(StatusCode::OK, &state.range(param("pathPrefix"), param("after")))
+            let may_be_old = param("serializable") == "1";
+            response(StatusCode::OK, &state.range(param("pathPrefix"), param("after"), may_be_old))
         }
         (&Method::GET, "/api/kv-watch") => {
             state.reads += 1;
--- a/src/decide/balancing.rs
+++ b/src/decide/balancing.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::decide::baseline::Baseline;
-use crate::decide::upstream::{Row, State, UpstreamId};
+use crate::decide::upstream::{Row, UpstreamId};
 use crate::time::Time;
 
 /// The load-balancing policies.
@@ -210,8 +210,7 @@
         0..=FULL_SEARCH_MAX => [0; DRAWS],
         len => std::array::from_fn(|_| rng.random_range(0..len as u32)),
     };
-    let is_available =
-        |r: &Row| r.state == State::Live && !r.is_closed(now) && !tried.contains(&r.id);
+    let is_available = |r: &Row| r.takes_requests() && !r.is_closed(now) && !tried.contains(&r.id);
     let mut is_usable = |index: u32| {
         let row = &rows[index as usize];
         is_available(row) && !row.health.is_ejected(now) && {
--- a/src/decide/capacity.rs
+++ b/src/decide/capacity.rs
@@ -8,7 +8,7 @@
 
 use crate::config::{Priority, Service};
 use crate::decide::baseline::Baseline;
-use crate::decide::upstream::{Row, State};
+use crate::decide::upstream::Row;
 use crate::time::Time;
 
 /// An estimate of the slots that this host may use.
@@ -82,7 +82,7 @@
         let (mut slots, mut peer_in_flight) = (0.0, 0.0);
         for row in rows.iter_mut() {
             let estimate = row.estimate_peer_load(baseline, fleet.scale(reporting), now);
-            if row.state == State::Leaving || row.health.is_ejected(now) {
+            if !row.takes_requests() || row.health.is_ejected(now) {
                 continue;
             }
             slots += cfg.slots.max(1) as f32 * row.health.ramp_up_share(cold_start, now);
--- a/src/decide/digest.rs
+++ b/src/decide/digest.rs
@@ -14,6 +14,7 @@
 use twox_hash::XxHash64;
 
 use crate::decide::catalog::{Catalog, Record, RecordKind};
+use crate::decide::evacuation::EvacuationOrder;
 use crate::decide::leaving::LeavingObservation;
 use crate::decide::limit::LimitObservation;
 use crate::decide::member::{Heartbeat, Member, Process};
@@ -217,6 +218,8 @@
     pub cold: Vec<ColdUpstream>,
     /// RequestReport that is new to the receiver.
     pub request_reports: Vec<RelayedReport>,
+    /// Orders to evacuate data centres that are new to the receiver.
+    pub evacuations: Vec<EvacuationOrder>,
     /// Records that have recently come into force.
     pub recent: Vec<RecordVersion>,
 }
@@ -238,6 +241,8 @@
     sent_request_reports: Vec<u64>,
     /// The number up to which all reports on requests were sent.
     request_reports_up_to: u64,
+    /// The evacuation orders last sent, sorted by data centre.
+    evacuations: Vec<EvacuationOrder>,
     /// When the first digest was built.
     opened: Option<Time>,
 }
@@ -493,6 +498,22 @@
         self.request_reports_up_to = suspects.newest();
     }
 
+    /// Adds the evacuation orders that differ from those sent before.
+    pub fn add_evacuations<'a>(
+        &mut self,
+        orders: impl Iterator<Item = &'a EvacuationOrder>,
+        digest: &mut Digest,
+    ) {
+        for order in orders {
+            match self.evacuations.binary_search_by(|o| o.data_centre.cmp(&order.data_centre)) {
+                Ok(at) if self.evacuations[at] == *order => continue,
+                Ok(at) => self.evacuations[at] = order.clone(),
+                Err(at) => self.evacuations.insert(at, order.clone()),
+            }
+            digest.evacuations.push(order.clone());
+        }
+    }
+
     fn add_load(&mut self, summary: &UpstreamSummary, now: Time, digest: &mut Digest) {
         let Some(at) = self.upstream_index(summary, now, digest) else { return };
         self.upstreams[at].item = summary.clone();
@@ -601,6 +622,8 @@
     pub cold: Vec<(UpstreamName, Duration)>,
     /// RequestReport on requests under which upstreams have ended.
     pub request_reports: Vec<RequestReport>,
+    /// Orders to evacuate data centres.
+    pub evacuations: Vec<EvacuationOrder>,
 }
 
 impl DeltaDecoder {
@@ -676,6 +699,7 @@
             limits,
             cold,
             request_reports,
+            evacuations: digest.evacuations.clone(),
         })
     }
 
--- a/src/decide/health.rs
+++ b/src/decide/health.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::decide::upstream::{Row, State, UpstreamOutcome};
+use crate::decide::upstream::{Row, UpstreamOutcome};
 use crate::time::Time;
 
 /// The health of an upstream, as attempts and probes revealed it.
@@ -125,7 +125,7 @@
     if rows[index].health.is_ejected(now) {
         return false;
     }
-    let live = rows.iter().filter(|r| r.state == State::Live);
+    let live = rows.iter().filter(|r| r.takes_requests());
     let (n, ejected) = live
         .fold((0, 0), |(n, ejected), r| (n + 1, ejected + usize::from(r.health.is_ejected(now))));
     let is_allowed = ejected < n / 2;
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -9,6 +9,7 @@
 pub(crate) mod bucket;
 pub mod catalog;
 pub mod digest;
+pub mod evacuation;
 pub mod hosts;
 pub mod lapse;
 pub mod leaving;
--- a/src/decide/service.rs
+++ b/src/decide/service.rs
@@ -79,6 +79,8 @@
     work_rate: placement::WorkRate,
     capacity: Capacity,
     queue: Queue,
+    /// The data centres that are evacuated, sorted.
+    evacuated: Vec<Arc<str>>,
     /// Requests that a more urgent one evicted from the queue and that are yet to be refused.
     evicted: Vec<Ticket>,
     probe_budget: ProbeBudget,
@@ -136,6 +138,7 @@
             work_rate: placement::WorkRate::default(),
             capacity: Capacity::default(),
             queue: Queue::default(),
+            evacuated: Vec::new(),
             evicted: Vec::new(),
             probe_budget,
             next_probe_at: now,
@@ -202,7 +205,7 @@
     /// is removed once it has no request in flight. For one that is configured again, an earlier
     /// drain ends: it is live unless the host list or a peer marks it as leaving.
     pub fn set_upstreams(&mut self, upstreams: &[config::Upstream], now: Time) {
-        let has_live = self.rows.iter().any(|r| r.state == State::Live);
+        let has_live = self.rows.iter().any(|r| r.takes_requests());
         let mut sorted: Vec<(&str, SocketAddr)> =
             upstreams.iter().map(|u| (&*u.name, u.address)).collect();
         sorted.sort_unstable();
@@ -254,6 +257,27 @@
         self.capacity.invalidate();
     }
 
+    /// Sets which data centres are evacuated, sorted by name. Their upstreams get no new requests,
+    /// even if no other upstream is left. Those of a data centre whose evacuation has ended ramp up,
+    /// unless no other upstream takes requests.
+    pub fn set_evacuated(&mut self, data_centres: &[Arc<str>], now: Time) {
+        self.evacuated = data_centres.to_vec();
+        let has_live = self.rows.iter().any(|r| r.takes_requests());
+        for row in &mut self.rows {
+            let evacuated = self.evacuated.binary_search(&row.data_centre).is_ok();
+            if row.evacuated && !evacuated {
+                row.health.ramp_up_start = has_live.then_some(now);
+            }
+            row.evacuated = evacuated;
+        }
+        self.capacity.invalidate();
+    }
+
+    /// Returns whether an upstream's data centre is evacuated.
+    pub fn is_evacuated(&self, id: UpstreamId) -> bool {
+        upstream::find(&self.rows, id).is_some_and(|r| r.evacuated)
+    }
+
     /// Records the end of an attempt that was started by [`Self::admit`], [`Self::release`] or
     /// [`Self::next_attempt`]. An unknown `id` is ignored.
     pub fn finish_attempt(&mut self, id: UpstreamId, report: &AttemptReport, now: Time) {
@@ -323,7 +347,7 @@
             return Vec::new();
         }
         let budget = &mut self.probe_budget;
-        let live = self.rows.iter_mut().filter(|r| r.state == State::Live && r.is_askable(now));
+        let live = self.rows.iter_mut().filter(|r| r.takes_requests() && r.is_askable(now));
         let chosen = live.choose_multiple(rng, REACH_PROBES).into_iter();
         let within_budget = chosen.filter_map(|row| {
             budget.try_take(now).then(|| {
@@ -342,7 +366,7 @@
     }
 
     fn live_upstreams(&self) -> usize {
-        self.rows.iter().filter(|r| r.state == State::Live).count()
+        self.rows.iter().filter(|r| r.takes_requests()).count()
     }
 
     /// Removes and returns the upstream changes that were recorded since the last call.
@@ -396,7 +420,7 @@
                 XxHash64::oneshot(seed, r.name.as_bytes()),
             )
         };
-        let live = self.rows.iter().filter(|r| r.state == State::Live);
+        let live = self.rows.iter().filter(|r| r.takes_requests());
         let mut ranked: Vec<_> = live.map(|r| (rank(r), r.id)).collect();
         ranked.sort_unstable();
         ranked.into_iter().take(WATCHED_UPSTREAMS).map(|(_, id)| id).collect()
@@ -496,7 +520,7 @@
     /// Returns when this host may next send an upstream a request: now, unless all that take requests
     /// have asked for a pause or leave it no room in their rate limits. `None` if it may send none.
     pub(crate) fn opens_at(&self, now: Time) -> Option<Time> {
-        let live = self.rows.iter().filter(|r| r.state == State::Live);
+        let live = self.rows.iter().filter(|r| r.takes_requests());
         live.filter_map(|r| r.opens_at(now)).min().map(|at| at.max(now))
     }
 
@@ -546,6 +570,7 @@
     fn add_upstream(&mut self, upstream: &config::Upstream, has_live: bool, now: Time) {
         let mut row = Row::new(self.next_id.into(), upstream, now);
         row.health.ramp_up_start = has_live.then_some(now);
+        row.evacuated = self.evacuated.binary_search(&row.data_centre).is_ok();
         self.next_id += 1;
         if has_live {
             self.changes.push(row.change(EventCode::UpstreamJoined));
--- a/src/decide/service/admission.rs
+++ b/src/decide/service/admission.rs
@@ -11,7 +11,7 @@
 use crate::decide::capacity::Fleet;
 use crate::decide::queue::QueuedRequest;
 use crate::decide::retry::RetryUsage;
-use crate::decide::upstream::{self, Row, State, UpstreamId};
+use crate::decide::upstream::{self, Row, UpstreamId};
 use crate::error::Code;
 use crate::time::Time;
 
@@ -42,7 +42,7 @@
         if self.is_cut_off(now) {
             return Admission::Refuse(UNREACHABLE);
         }
-        if !self.rows.iter().any(|r| r.state == State::Live) {
+        if !self.rows.iter().any(|r| r.takes_requests()) {
             return Admission::Refuse(self.no_upstream_refusal());
         }
         if self.uses_occupancy() {
@@ -111,6 +111,22 @@
         Some(target)
     }
 
+    /// Starts an attempt in place of one at `unsent` that was not sent and is yet to be finished, at
+    /// another upstream. It needs no retry budget, as no upstream has received the request. Returns
+    /// `None` if no suitable upstream is left.
+    pub fn reassign(
+        &mut self,
+        req: &Request,
+        unsent: UpstreamId,
+        now: Time,
+        rng: &mut impl Rng,
+    ) -> Option<Target> {
+        match self.uses_occupancy() {
+            true => self.next_attempt_by_occupancy(false, req, &[unsent], now, rng),
+            false => self.start_attempt(&[unsent], now, rng),
+        }
+    }
+
     /// Returns whether the retry budget allows another attempt.
     pub fn may_retry(&mut self, now: Time) -> bool {
         let limits = self.retry_limits();
@@ -141,7 +157,7 @@
             let tickets = queued.chain(self.evicted.drain(..));
             return tickets.map(|t| (t, Admission::Refuse(UNREACHABLE))).collect();
         }
-        if self.uses_occupancy() && self.rows.iter().any(|r| r.state == State::Live) {
+        if self.uses_occupancy() && self.rows.iter().any(|r| r.takes_requests()) {
             return self.release_by_occupancy(now, rng);
         }
         let mut out = Vec::new();
@@ -159,7 +175,7 @@
             return self.hedge_delay_by_occupancy(id, now);
         }
         let high_latency = Duration::from_micros(self.baseline.high_latency()? as u64);
-        let live = self.rows.iter().filter(|r| r.state == State::Live);
+        let live = self.rows.iter().filter(|r| r.takes_requests());
         (live.count() > 1).then(|| high_latency.max(HEDGE_DELAY_MIN))
     }
 
@@ -214,7 +230,7 @@
     fn refuse_expired(&mut self, now: Time, out: &mut Vec<(Ticket, Admission)>) {
         let overloaded = self.refusal(Code::Overloaded);
         out.extend(self.evicted.drain(..).map(|t| (t, Admission::Refuse(overloaded))));
-        if !self.rows.iter().any(|r| r.state == State::Live) {
+        if !self.rows.iter().any(|r| r.takes_requests()) {
             let refusal = Admission::Refuse(self.no_upstream_refusal());
             out.extend(self.queue.drain().map(|q| (q.ticket, refusal.clone())));
             return;
--- a/src/decide/service/placement.rs
+++ b/src/decide/service/placement.rs
@@ -16,7 +16,7 @@
 use crate::decide::kinds::{LatencyGoal, RequestEstimate};
 use crate::decide::load::AttemptEstimate;
 use crate::decide::queue::QueuedRequest;
-use crate::decide::upstream::{self, Row, State, UpstreamId};
+use crate::decide::upstream::{self, Row, UpstreamId};
 use crate::error::Code;
 use crate::time::Time;
 
@@ -333,7 +333,7 @@
     fn eligible_rows(&self, tried: &[UpstreamId], now: Time, rng: &mut dyn RngCore) -> Vec<&Row> {
         let cold_start = Duration::from_millis(self.cfg.cold_start_ms);
         let is_usable =
-            |r: &&Row| r.state == State::Live && !r.is_closed(now) && !tried.contains(&r.id);
+            |r: &&Row| r.takes_requests() && !r.is_closed(now) && !tried.contains(&r.id);
         let usable: Vec<&Row> = self.rows.iter().filter(is_usable).collect();
         let eligible: Vec<&Row> =
             usable.iter().copied().filter(|r| is_eligible(r, cold_start, now, rng)).collect();
@@ -403,7 +403,7 @@
     /// Returns when the first upstream ends its pause and its warm-up leaves room: now, unless none
     /// does. Other hosts may have room in rate limits, so those don't count.
     pub(super) fn resumes_at(&self, now: Time) -> Time {
-        let live = self.rows.iter().filter(|r| r.state == State::Live);
+        let live = self.rows.iter().filter(|r| r.takes_requests());
         live.map(|r| r.resumes_at(now)).min().map_or(now, |until| until.max(now))
     }
 
--- a/src/decide/service/reports.rs
+++ b/src/decide/service/reports.rs
@@ -7,7 +7,7 @@
 use super::{ServiceTable, target};
 use crate::decide::admission::Target;
 use crate::decide::load::AttemptEstimate;
-use crate::decide::upstream::{self, Occupancy, Row, State, UpstreamId};
+use crate::decide::upstream::{self, Occupancy, Row, UpstreamId};
 use crate::decide::working_set::WorkingSet;
 use crate::time::Time;
 
@@ -54,7 +54,7 @@
         let mut best: Vec<(f32, usize)> = Vec::with_capacity(self.rows.len());
         for (index, row) in self.rows.iter().enumerate() {
             let may_open = !row.is_closed(now) || row.warm_up.is_doubtful() && row.is_askable(now);
-            if row.state == State::Live && !row.health.is_ejected(now) && may_open {
+            if row.takes_requests() && !row.health.is_ejected(now) && may_open {
                 let cost =
                     self.placement_cost(row, now) + working_set.connection_cost(&row.address);
                 best.push((cost + rng.random::<f32>() * CANDIDATE_SPREAD, index));
--- a/src/decide/service/warmup.rs
+++ b/src/decide/service/warmup.rs
@@ -121,7 +121,7 @@
 
     /// Returns whether warm-up keeps this host from sending a request to any upstream.
     pub(crate) fn is_held_by_warm_up(&self, now: Time) -> bool {
-        let mut live = self.rows.iter().filter(|r| r.state == State::Live).peekable();
+        let mut live = self.rows.iter().filter(|r| r.takes_requests()).peekable();
         self.has_warm_up() && live.peek().is_some() && live.all(|r| r.warm_up.is_closed(now))
     }
 
@@ -131,7 +131,7 @@
     pub(super) fn doubtful_upstream(&self, now: Time) -> Option<&Row> {
         let is_asked = |r: &&Row| {
             r.warm_up.is_doubtful()
-                && r.state == State::Live
+                && r.takes_requests()
                 && !r.health.is_ejected(now)
                 && r.is_askable(now)
                 && (r.warm_up.is_owned() || !self.cfg.probe_before_send)
--- a/src/decide/tick.rs
+++ b/src/decide/tick.rs
@@ -27,6 +27,8 @@
     due: Vec<Time>,
     /// The rate limits of upstreams that the tables don't hold at present, sorted by upstream.
     absent_limits: Vec<(UpstreamName, LimitObservation)>,
+    /// The data centres that are evacuated, sorted.
+    evacuated: Vec<Arc<str>>,
 }
 
 /// The time for which the rate limit of an absent upstream is kept.
@@ -62,6 +64,7 @@
             services: Vec::new(),
             due: Vec::new(),
             absent_limits: Vec::new(),
+            evacuated: Vec::new(),
         }
     }
 
@@ -144,6 +147,7 @@
             Err(index) => {
                 let mut table = ServiceTable::new(cfg, self.host_info.clone(), now);
                 table.set_live_peers(self.live_peers);
+                table.set_evacuated(&self.evacuated, now);
                 self.services.insert(index, table);
                 self.due.insert(index, Time::ZERO);
             }
@@ -161,6 +165,18 @@
         self.services.iter_mut().for_each(|s| s.set_live_peers(live_peers));
     }
 
+    /// Returns the data centres that are evacuated, sorted.
+    pub fn evacuated(&self) -> &[Arc<str>] {
+        &self.evacuated
+    }
+
+    /// Sets which data centres are evacuated, sorted by name: their upstreams get no new requests.
+    pub fn set_evacuated(&mut self, data_centres: Vec<Arc<str>>, now: Time) {
+        self.services.iter_mut().for_each(|s| s.set_evacuated(&data_centres, now));
+        self.evacuated = data_centres;
+        self.due.fill(Time::ZERO);
+    }
+
     /// Returns the number of entry hosts by which fleet-wide budgets are divided.
     pub fn fleet_size(&self) -> u32 {
         self.host_info.fleet_size_max
--- a/src/decide/upstream.rs
+++ b/src/decide/upstream.rs
@@ -179,6 +179,8 @@
     pub(crate) health: Health,
     pub(crate) limit: RateLimit,
     pub(crate) warm_up: WarmUp,
+    /// Whether its data centre is evacuated.
+    pub(crate) evacuated: bool,
 }
 
 impl Row {
@@ -208,9 +210,16 @@
             health: Health::default(),
             limit: RateLimit::default(),
             warm_up: WarmUp::default(),
+            evacuated: false,
         }
     }
 
+    /// Returns whether the upstream may be sent new requests as far as its state and its data centre
+    /// are concerned.
+    pub(crate) fn takes_requests(&self) -> bool {
+        self.state == State::Live && !self.evacuated
+    }
+
     /// Returns whether this host itself observes that the upstream is leaving. Only this is passed
     /// on, so that hosts don't keep confirming to each other what is no longer true.
     pub(crate) fn is_leaving_first_hand(&self) -> bool {
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -101,6 +101,27 @@
         target
     }
 
+    /// Chooses another target for an attempt that was not sent, and ends that at the old one. Returns
+    /// `None`, and leaves the attempt as it is, if no upstream is available.
+    pub(crate) fn reassign_attempt(
+        &self,
+        service: &str,
+        req: &Request,
+        unsent: &Target,
+    ) -> Option<Target> {
+        let now = self.clock.now();
+        let target = {
+            let mut tables = self.tables.lock();
+            let table = tables.service(service)?;
+            let target = table.reassign(req, unsent.id, now, &mut rand::rng())?;
+            let (reason, name) = (NextAttempt::Retry, Some(target.name.clone()));
+            self.recorder.record_at(now, || Entry::next_attempt(table, reason, &[unsent.id], name));
+            target
+        };
+        self.cancel_attempt(service, unsent);
+        Some(target)
+    }
+
     /// Returns whether the retry budget of a service currently permits another attempt.
     pub(crate) fn may_retry(&self, service: &str) -> bool {
         let now = self.clock.now();
@@ -224,6 +245,13 @@
         self.tables.lock().service(service).is_some_and(|t| t.is_limited(id))
     }
 
+    /// Returns whether the data centre of an upstream is evacuated.
+    pub(crate) fn is_evacuated(&self, service: &str, id: UpstreamId) -> bool {
+        let mut tables = self.tables.lock();
+        !tables.evacuated().is_empty()
+            && tables.service(service).is_some_and(|t| t.is_evacuated(id))
+    }
+
     /// Returns the upstreams that the next request would probably go to and that have no fresh load
     /// report, within the probe budget.
     pub(crate) fn probe_candidates(&self, service: &str) -> Vec<Target> {
--- a/src/entry/admin/status.rs
+++ b/src/entry/admin/status.rs
@@ -3,17 +3,20 @@
 use std::time::Duration;
 
 use crate::decide::catalog::{Catalog, RecordKind};
+use crate::decide::evacuation::Evacuation;
 use crate::decide::member::{Member, MemberState};
 use crate::decide::service::ServiceTable;
+use crate::decide::tick::ServiceTables;
 use crate::decide::upstream::Row;
 use crate::node::{self, Node};
 use crate::status::{
-    EventStatus, MemberStatus, Phase, ProbeUsage, RecordStatus, ServiceStatus, Status,
-    UpstreamStatus,
+    EvacuationStatus, EventStatus, MemberStatus, Phase, ProbeUsage, RecordStatus, ServiceStatus,
+    Status, UpstreamStatus,
 };
 use crate::time::Time;
 
-/// Returns the status of a host. Holds only one lock at a time.
+/// Returns the status of a host. Holds only one lock at a time, except for the
+/// evacuations.
 pub(crate) fn snapshot(node: &Node) -> Status {
     let now = node.clock.now();
     let records = records(&node.catalog.lock());
@@ -26,6 +29,7 @@
         policy: node.settings.policy,
         records,
         services,
+        evacuations: evacuations(node, now),
         members,
         events: events(node),
     }
@@ -44,6 +48,9 @@
         .map(|r| r.version);
     let members = node.members.lock().alive(now).count();
     node.metrics.set_fleet_gauges(age, members, routing.unwrap_or(0));
+    let evacuations = evacuations(node, now);
+    let in_flight = evacuations.iter().map(|e| e.in_flight).sum();
+    node.metrics.set_evacuation_gauges(evacuations.len(), in_flight);
     for service in node.tables.lock().services() {
         let name = &service.cfg().name;
         let in_flight = service.rows().iter().map(|r| u64::from(r.in_flight)).sum();
@@ -114,12 +121,31 @@
         address: row.address,
         data_centre: row.data_centre.clone(),
         state: row.state,
+        evacuated: row.evacuated,
         in_flight: row.in_flight,
         load: row.load.map(|l| l.value),
         load_age_ms: row.load.map(|l| millis(now.since(l.at))),
     }
 }
 
+fn evacuations(node: &Node, now: Time) -> Vec<EvacuationStatus> {
+    let evacuations = node.evacuations.lock();
+    let tables = node.tables.lock();
+    evacuations.active().map(|e| evacuation(e, &tables, now)).collect()
+}
+
+fn evacuation(evacuation: &Evacuation, tables: &ServiceTables, now: Time) -> EvacuationStatus {
+    let data_centre = &evacuation.order.data_centre;
+    let rows = tables.services().iter().flat_map(|s| s.rows());
+    let rows: Vec<&Row> = rows.filter(|r| r.data_centre == *data_centre).collect();
+    EvacuationStatus {
+        data_centre: data_centre.clone(),
+        age_ms: millis(now.since(evacuation.since)),
+        upstreams: rows.len(),
+        in_flight: rows.iter().map(|r| u64::from(r.in_flight)).sum(),
+    }
+}
+
 fn members(node: &Node, now: Time) -> Vec<MemberStatus> {
     let members = node.members.lock();
     let state = |m: &Member| members.state(&m.host, now).unwrap_or(MemberState::Unknown);
--- a/src/event.rs
+++ b/src/event.rs
@@ -117,6 +117,10 @@
     StaleVersion = 4003, "older record version ignored";
     /// The first records came into force, too many to name each.
     RecordsLoaded = 4004, "first records in force";
+    /// The operator has ordered that the upstreams of a data centre get no new requests.
+    EvacuationBegan = 4005, "evacuation of a data centre in force";
+    /// The operator has taken back the evacuation of a data centre.
+    EvacuationEnded = 4006, "evacuation of a data centre taken back";
     /// The platform has become unreachable.
     PlatformDown = 5001, "platform unreachable";
     /// The platform is reachable again.
@@ -162,6 +166,7 @@
             EventCode::UpstreamLimited => "per_1000_s",
             EventCode::RegistryRewound => "era",
             EventCode::RecordsLoaded => "records",
+            EventCode::EvacuationBegan | EventCode::EvacuationEnded => "upstreams",
             EventCode::AttemptFailed | EventCode::CallerAnswered | EventCode::Rejected => "code",
             EventCode::InForce | EventCode::RecordUnreadable | EventCode::StaleVersion => "version",
             _ => "value",
--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -24,6 +24,7 @@
 use crate::forward::connection::{ConnectError, Connection};
 use crate::forward::crash::{self, Crash};
 use crate::forward::gate::SendGate;
+use crate::forward::probe;
 use crate::forward::response::{self, BodySource, Buffered, ProxyBody, ProxyResponse};
 use crate::header::{self, FieldNames};
 use crate::node::Node;
@@ -228,6 +229,13 @@
                     return Err(self.fail(AttemptOutcome::NotSent, UpstreamOutcome::Cancelled));
                 }
             };
+            // The request may have waited for the connection while the evacuation began.
+            if self.node.is_evacuated(&self.service.name, self.target.id) {
+                if !self.reassign(request).await {
+                    return Err(self.fail(AttemptOutcome::NotSent, UpstreamOutcome::Cancelled));
+                }
+                continue;
+            }
             match self.send_on(conn, request, number).await {
                 Err(AttemptOutcome::NotSent) if !is_new => self.conn = None,
                 Err(AttemptOutcome::NotSent) => {
@@ -239,6 +247,21 @@
         }
     }
 
+    /// Looks for another upstream for a request that was not sent. Returns whether there is one.
+    async fn reassign(&mut self, request: &BufferedRequest) -> bool {
+        if self.service.probe_before_send {
+            probe::refresh_loads(&self.node, request).await;
+        }
+        let now = self.node.clock.now();
+        let req = request.admission_request(now);
+        let target = (now < request.deadline)
+            .then(|| self.node.reassign_attempt(&self.service.name, &req, &self.target))
+            .flatten();
+        let Some(target) = target else { return false };
+        (self.target, self.started) = (target, now);
+        true
+    }
+
     async fn send_on(
         &mut self,
         conn: Connection,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,7 +19,7 @@
 //! - The fleet: [`member`] decides which hosts are alive and who owns a duty, [`topology`] which
 //!   hosts are neighbours, [`digest`] what they exchange, and [`pause`] whether the process was
 //!   paused. [`hosts`], [`registered`], [`lapse`] and [`leaving`] follow hosts and upstreams that
-//!   come and go, [`reads`] decides which host reads the platform's registry, and [`startup`] what a
+//!   come and go, [`evacuation`] the data centres that get nothing, [`reads`] decides which host reads the platform's registry, and [`startup`] what a
 //!   starting host tells callers.
 //! - Observation: [`event`], [`hlc`], [`logs`], [`status`], and [`trace`], which also checks
 //!   traces.
@@ -74,9 +74,9 @@
 pub mod trace;
 
 pub use decide::{
-    admission, attempt, balancing, catalog, digest, hosts, kinds, lapse, leaving, limit, matching,
-    member, pause, poison, probing, reads, registered, service, startup, stored, teams, tick,
-    topology, upstream, warmup, working_set,
+    admission, attempt, balancing, catalog, digest, evacuation, hosts, kinds, lapse, leaving,
+    limit, matching, member, pause, poison, probing, reads, registered, service, startup, stored,
+    teams, tick, topology, upstream, warmup, working_set,
 };
 pub use time::{Clock, Time};
 
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -47,6 +47,8 @@
     in_flight: IntGaugeVec,
     cut_off: IntGaugeVec,
     cold: IntGaugeVec,
+    evacuated: IntGauge,
+    evacuated_in_flight: IntGauge,
 }
 
 impl Default for Metrics {
@@ -121,6 +123,14 @@
             ),
             members: value("cornelferry_members", "Other entry hosts that are alive"),
             config_version: value("cornelferry_config_version", "Version of the routes in force"),
+            evacuated: value(
+                "cornelferry_evacuated_data_centres",
+                "Data centres whose upstreams get no new requests",
+            ),
+            evacuated_in_flight: value(
+                "cornelferry_evacuated_in_flight",
+                "Attempts in flight to upstreams in evacuated data centres",
+            ),
             waiting: gauge("cornelferry_waiting", "Requests that wait for a slot"),
             in_flight: gauge("cornelferry_in_flight", "Attempts in flight"),
             cut_off: gauge(
@@ -155,6 +165,12 @@
         self.lines_dropped.set(i64::try_from(logs::dropped()).unwrap_or(i64::MAX));
     }
 
+    /// Sets the gauges of the evacuated data centres and of the attempts in flight there.
+    pub(crate) fn set_evacuation_gauges(&self, data_centres: usize, in_flight: u64) {
+        self.evacuated.set(i64::try_from(data_centres).unwrap_or(i64::MAX));
+        self.evacuated_in_flight.set(i64::try_from(in_flight).unwrap_or(i64::MAX));
+    }
+
     /// Counts a completed request by its result code.
     pub(crate) fn count_request(&self, service: &str, code: Code) {
         let label = self.service_label(service);
--- a/src/node.rs
+++ b/src/node.rs
@@ -12,6 +12,7 @@
 use crate::config::{Service, Team};
 use crate::decide::catalog::{Body, Catalog, OfferOutcome, Record, RecordKind};
 use crate::decide::digest::RecordVersion;
+use crate::decide::evacuation::{EvacuationChange, EvacuationOrder, Evacuations};
 use crate::decide::hosts::{Host, HostList};
 use crate::decide::matching::Routes;
 use crate::decide::member::{MemberChange, MemberState, Members};
@@ -58,7 +59,7 @@
 /// The shared state of one daemon.
 ///
 /// Locks are held for one decision and never across an await. The lock order is `catalog`,
-/// `poison_requests`, `host_list`, `members`, `tables`.
+/// `poison_requests`, `host_list`, `members`, `evacuations`, `tables`.
 #[derive(derive_more::Debug)]
 #[debug("node {}", settings.host)]
 pub(crate) struct Node {
@@ -87,6 +88,8 @@
     pub(crate) memory: MemoryBudget,
     /// Requests under which upstreams have ended.
     pub(crate) poison_requests: Mutex<PoisonRequests>,
+    /// The data centres whose upstreams get no new requests.
+    pub(crate) evacuations: Mutex<Evacuations>,
     /// The peers that could not help with requests that this host passed on.
     pub(crate) relay_peers: Mutex<RelayPeers>,
     pub(crate) pause_detector: Mutex<PauseDetector>,
@@ -145,6 +148,7 @@
             pool: Pool::default(),
             memory: MemoryBudget::new(settings.limits.body_bytes),
             poison_requests: Mutex::default(),
+            evacuations: Mutex::default(),
             relay_peers: Mutex::default(),
             pause_detector: Mutex::default(),
             registry_freshness: RegistryFreshness::new(ReadSchedule::new(apply_time(&settings))),
@@ -242,6 +246,31 @@
         (before <= era).then_some(era)
     }
 
+    /// Records an order to evacuate a data centre, or that one was taken back. If it is news, applies
+    /// it to the tables and tells the peers.
+    pub(crate) fn observe_evacuation(&self, order: &EvacuationOrder) {
+        let now = self.clock.now();
+        let mut evacuations = self.evacuations.lock();
+        let Some(change) = evacuations.observe(order, now) else { return };
+        self.change_feed.notify();
+        let code = match change {
+            EvacuationChange::Began => EventCode::EvacuationBegan,
+            EvacuationChange::Ended => EventCode::EvacuationEnded,
+            EvacuationChange::Renewed => return,
+        };
+        let active = evacuations.active().map(|e| e.order.data_centre.clone()).collect();
+        let mut tables = self.tables.lock();
+        self.set_evacuated(&mut tables, active, now);
+        if change == EvacuationChange::Ended {
+            tables.distrust_warmth(&order.data_centre, now);
+        }
+        let rows = tables.services().iter().flat_map(|s| s.rows());
+        let upstreams = rows.filter(|r| r.data_centre == order.data_centre).count() as u64;
+        drop((tables, evacuations));
+        let record = Some(format!("evacuation/{}", order.data_centre).into());
+        self.events.record(code, Subject { record, ..Subject::default() }, Some(upstreams));
+    }
+
     /// Returns the number of connections that this host may open to an upstream of a service: its
     /// equal share of those that the upstream accepts from the fleet.
     pub(crate) fn connections_max(&self, service: &Service) -> u32 {
--- a/src/peer/codec.rs
+++ b/src/peer/codec.rs
@@ -10,6 +10,7 @@
     CatalogSummary, ColdUpstream, Digest, LeavingUpstream, RecordVersion, RelayedHeartbeat,
     RelayedReport, UpstreamLimit, UpstreamLoad, UpstreamName,
 };
+use crate::decide::evacuation::{EvacuationOrder, OrderVersion};
 use crate::decide::member::Process;
 use crate::decide::poison::{Fingerprint, RequestEvent};
 use crate::hlc::Timestamp;
@@ -57,6 +58,7 @@
     write_limits(&digest.limits, &mut out);
     write_cold(&digest.cold, &mut out);
     write_request_reports(&digest.request_reports, &mut out);
+    write_evacuations(&digest.evacuations, &mut out);
     if !digest.recent.is_empty() {
         write_versions(&digest.recent, out.init_recent(digest.recent.len() as u32));
     }
@@ -88,6 +90,11 @@
         limits: digest.get_limits()?.iter().map(read_limit).collect(),
         cold: digest.get_cold()?.iter().map(read_cold).collect(),
         request_reports: digest.get_request_reports()?.iter().map(read_request_report).collect(),
+        evacuations: digest
+            .get_evacuations()?
+            .iter()
+            .map(read_evacuation)
+            .collect::<Result<_, _>>()?,
         recent: read_versions(digest.get_recent()?)?,
     })
 }
@@ -332,6 +339,28 @@
     }
 }
 
+fn write_evacuations(orders: &[EvacuationOrder], out: &mut wire::digest::Builder<'_>) {
+    if orders.is_empty() {
+        return;
+    }
+    let mut rows = out.reborrow().init_evacuations(orders.len() as u32);
+    for (i, order) in orders.iter().enumerate() {
+        let mut row = rows.reborrow().get(i as u32);
+        row.set_data_centre(&*order.data_centre);
+        row.set_active(order.active);
+        row.set_era(order.version.era);
+        row.set_revision(order.version.revision);
+    }
+}
+
+fn read_evacuation(row: wire::evacuation::Reader<'_>) -> Result<EvacuationOrder, Error> {
+    Ok(EvacuationOrder {
+        data_centre: text(row.get_data_centre()?)?,
+        active: row.get_active(),
+        version: OrderVersion { era: row.get_era(), revision: row.get_revision() },
+    })
+}
+
 /// Converts an age to milliseconds, rounded up. An age too large for the field becomes the largest
 /// value.
 fn age_millis(age: Duration) -> u32 {
--- a/src/peer/session.rs
+++ b/src/peer/session.rs
@@ -212,6 +212,7 @@
         let max_loads = self.local.traffic.max_loads(now);
         let upstream_summaries = self.local.upstream_summaries(now);
         encoder.add_leaving_upstreams(self.local.observations.borrow().rows(), now, &mut digest);
+        encoder.add_evacuations(node.evacuations.lock().orders(), &mut digest);
         encoder.add_request_reports(&node.poison_requests.lock(), now, &mut digest);
         encoder.add_limits(&self.local.limits(now), now, &mut digest);
         encoder.add_cold_upstreams(&self.local.cold_upstreams(now), now, &mut digest);
@@ -275,6 +276,7 @@
         decoded.leaving_upstreams.iter().for_each(|o| self.local.apply_observation(o, now));
         decoded.limits.iter().for_each(|(name, limit)| node.import_limit(name, limit));
         decoded.cold.iter().for_each(|(name, remaining)| node.import_warm_up(name, *remaining));
+        decoded.evacuations.iter().for_each(|order| node.observe_evacuation(order));
         decoded.request_reports.iter().for_each(|report| node.record_request_report(report));
         self.peer_summary.set(Some(digest.summary));
         self.peer_members.set(Some(digest.members_fingerprint));
--- a/src/peer/tests.rs
+++ b/src/peer/tests.rs
@@ -22,6 +22,7 @@
     CatalogSummary, ColdUpstream, Digest, RecordVersion, RelayedHeartbeat, RelayedReport,
     UpstreamLimit, UpstreamLoad, UpstreamName,
 };
+use crate::decide::evacuation::{EvacuationOrder, OrderVersion};
 use crate::decide::hosts::{Host as ListedHost, Role};
 use crate::decide::member::{Heartbeat, MemberState, Process};
 use crate::decide::poison::{Fingerprint, RequestEvent};
@@ -215,6 +216,29 @@
     wait_until("live again", || hosts.iter().all(|h| upstream_state(h) == State::Live));
 }
 
+#[test]
+fn an_evacuation_reaches_every_host_and_those_that_start_later() {
+    let (mut hosts, mut peers) = fleet(6);
+    let order = |active, revision| EvacuationOrder {
+        data_centre: "dc".into(),
+        active,
+        version: OrderVersion { era: 0, revision },
+    };
+    let is_evacuated = |h: &Host| h.node.evacuations.lock().active().count() == 1;
+    hosts[0].node.observe_evacuation(&order(true, 7));
+    wait_until("evacuated", || hosts.iter().all(is_evacuated));
+    let (listener, address) = bind();
+    peers.push(peer(6, address));
+    hosts.push(Host::start("entry-6", listener, address, &peers));
+    wait_until("known at the start", || is_evacuated(&hosts[6]));
+    hosts[3].node.observe_evacuation(&order(false, 9));
+    wait_until("taken back", || !hosts.iter().any(is_evacuated));
+    hosts[5].node.observe_evacuation(&order(true, 8));
+    hosts[2].node.observe_evacuation(&order(true, 11));
+    wait_until("evacuated again", || hosts.iter().all(is_evacuated));
+    assert!(hosts.iter().all(|h| h.events(EventCode::EvacuationBegan) == 2));
+}
+
 #[test]
 fn a_paused_host_is_stale_until_it_has_caught_up() {
     let (hosts, _) = fleet(3);
@@ -445,8 +469,15 @@
         upstream,
         remaining: Duration::from_millis(remaining.into()),
     });
-    let tail = (vec(recent, 0..4), vec(limit, 0..4), vec(cold, 0..4), vec(report, 0..4));
-    (head, lists, tail).prop_map(|(head, lists, (recent, limits, cold, request_reports))| Digest {
+    let order = ("\\PC{0,8}", any::<bool>(), any::<u32>(), any::<u64>());
+    let order = order.prop_map(|(name, active, era, revision)| EvacuationOrder {
+        data_centre: name.into(),
+        active,
+        version: OrderVersion { era, revision },
+    });
+    let news = (vec(cold, 0..4), vec(report, 0..4), vec(order, 0..4));
+    let tail = (vec(recent, 0..4), vec(limit, 0..4), news);
+    (head, lists, tail).prop_map(|(head, lists, (recent, limits, news))| Digest {
         stamp: Timestamp { millis: head.0, count: head.1 },
         heartbeat: head.2,
         left: head.3,
@@ -461,8 +492,9 @@
         upstreams: lists.2,
         loads: lists.3,
         limits,
-        cold,
-        request_reports,
+        cold: news.0,
+        request_reports: news.1,
+        evacuations: news.2,
         recent,
     })
 }
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -57,6 +57,8 @@
     pub(crate) value: Option<Vec<u8>>,
     /// The lease with whose expiry the key is removed.
     pub(crate) lease: Option<LeaseId>,
+    /// The registry's revision of the change.
+    pub(crate) revision: Revision,
 }
 
 /// The keys under a prefix.
@@ -103,13 +105,19 @@
     /// The id of the lease; 0 for none.
     #[serde(default)]
     lease: u64,
+    #[serde(default)]
+    revision: u64,
 }
 
-impl From<Item> for Change {
-    fn from(item: Item) -> Change {
-        let value = (!item.deleted).then_some(item.value);
-        let lease = (item.lease > 0).then_some(LeaseId(item.lease));
-        Change { key: item.key, value, lease }
+impl Item {
+    /// Converts an item that was read in an era.
+    fn into_change(self, era: u32) -> Change {
+        Change {
+            key: self.key,
+            value: (!self.deleted).then_some(self.value),
+            lease: (self.lease > 0).then_some(LeaseId(self.lease)),
+            revision: Revision { era, number: self.revision },
+        }
     }
 }
 
@@ -163,7 +171,7 @@
                 return Err(CallError::OutcomeUnknown(format!("{path}: the era has changed")));
             }
             let is_last = !page.has_more || page.items.is_empty();
-            out.items.extend(page.items.into_iter().map(Change::from));
+            out.items.extend(page.items.into_iter().map(|item| item.into_change(era)));
             if is_last {
                 return Ok(out);
             }
@@ -189,7 +197,7 @@
             return Ok(WatchResponse::Compacted);
         }
         let EventsResponse { events, current_rev } = parse(path, &res)?;
-        let changes = events.into_iter().map(Change::from).collect();
+        let changes = events.into_iter().map(|item| item.into_change(after.era)).collect();
         Ok(WatchResponse::Changes(changes, Revision { number: current_rev, ..after }))
     }
 
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -6,6 +6,7 @@
 
 pub(crate) mod client;
 pub(crate) mod config;
+pub(crate) mod evacuation;
 pub(crate) mod headers;
 pub(crate) mod registration;
 #[cfg(test)]
--- a/src/registry/follower.rs
+++ b/src/registry/follower.rs
@@ -28,6 +28,7 @@
 use crate::store::call::CallError;
 use crate::time::Time;
 
+use super::evacuation::EvacuationReader;
 use super::{HOSTS_PREFIX, blocked, registration_key, shared_retry_delay};
 
 /// The duty of reading the registry, by which hosts are ranked.
@@ -71,6 +72,7 @@
     cold_reports: Vec<ColdReport>,
     missing_registrations: MissingRegistrations,
     seen: SeenRegistrations,
+    evacuations: EvacuationReader,
     /// Passes this host's own registration, if there is one, from the first full read to
     /// [`super::registration::run`].
     own_registration: Option<oneshot::Sender<Option<Change>>>,
@@ -107,6 +109,7 @@
             cold_reports: Vec::new(),
             missing_registrations: MissingRegistrations::default(),
             seen: SeenRegistrations::default(),
+            evacuations: EvacuationReader::default(),
             own_registration: Some(own_registration),
             own_key: registration_key(cfg, &node.settings.host),
             age_factor: 1.0,
@@ -210,6 +213,9 @@
             }
         }
         self.mark_unregistered(&known, now);
+        if let Some((revision, _)) = self.last_read {
+            self.evacuations.confirm(self.node, self.client, revision, now).await?;
+        }
         Ok(())
     }
 
@@ -299,6 +305,7 @@
         self.apply_cold_reports(now);
         let mut has_changed = false;
         for change in changes {
+            self.evacuations.apply(self.node, change);
             if change.value.is_some() {
                 self.apply_blocked_request(&change.key, now);
             }
@@ -388,11 +395,13 @@
             let _ = own_registration.send(at.ok().map(|at| all.items[at].clone()));
         }
         self.seen.begin_listing();
+        self.evacuations.begin_listing(all.revision.era, now);
         self.apply_changes(&all.items, Reading::Listed, now);
         let is_listed = |key: &str| all.items.binary_search_by(|i| i.key.as_str().cmp(key)).is_ok();
         let keys = self.entry_hosts.iter().map(|h| format!("{}{}", self.hosts_prefix, h.name));
         let missing: Vec<String> = keys.filter(|key| !is_listed(key)).collect();
-        let deletion = |key| Change { key, value: None, lease: None };
+        let revision = all.revision;
+        let deletion = |key| Change { key, value: None, lease: None, revision };
         let deletions: Vec<Change> = missing.into_iter().map(deletion).collect();
         self.apply_changes(&deletions, Reading::Listed, now);
     }
--- a/src/registry/follower/tests.rs
+++ b/src/registry/follower/tests.rs
@@ -7,11 +7,12 @@
 use crate::decide::catalog::{Body, Catalog, OfferOutcome, Record, RecordKind};
 use crate::decide::stored::{self, StoredRecord};
 use crate::node::Node;
-use crate::platform::{Change, config};
+use crate::platform::{Change, Revision, config};
 use crate::settings::Settings;
 
 fn change(key: &str, value: Option<&str>) -> Change {
-    Change { key: key.to_owned(), value: value.map(|v| v.as_bytes().to_vec()), lease: None }
+    let value = value.map(|v| v.as_bytes().to_vec());
+    Change { key: key.to_owned(), value, lease: None, revision: Revision::default() }
 }
 
 /// Guards against a drain that is taken back: a host read in one go that an upstream had registered
--- a/src/registry/mod.rs
+++ b/src/registry/mod.rs
@@ -6,6 +6,7 @@
 //! reason. This bounds the age of every copy without the need to detect that a reader has failed.
 
 mod blocked;
+mod evacuation;
 mod follower;
 mod freshness;
 mod registration;
--- a/src/status.rs
+++ b/src/status.rs
@@ -25,6 +25,9 @@
     pub records: Vec<RecordStatus>,
     /// The services in force, sorted by name.
     pub services: Vec<ServiceStatus>,
+    /// The data centres that are evacuated, sorted by name.
+    #[serde(skip_serializing_if = "Vec::is_empty", default)]
+    pub evacuations: Vec<EvacuationStatus>,
     /// The peers that it knows, sorted by name.
     pub members: Vec<MemberStatus>,
     /// The size of its event ring buffer.
@@ -105,6 +108,9 @@
     pub data_centre: Arc<str>,
     /// Whether it accepts new requests.
     pub state: State,
+    /// Whether its data centre is evacuated, so that it gets no new requests.
+    #[serde(skip_serializing_if = "std::ops::Not::not", default)]
+    pub evacuated: bool,
     /// Number of this host's attempts in flight to it.
     pub in_flight: u32,
     /// The number of requests in flight that it reported last.
@@ -115,6 +121,19 @@
     pub load_age_ms: Option<u64>,
 }
 
+/// The status of a data centre whose upstreams get no new requests.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EvacuationStatus {
+    /// The data centre.
+    pub data_centre: Arc<str>,
+    /// Time since the host learnt of the order, in milliseconds.
+    pub age_ms: u64,
+    /// Number of upstreams there, of all services; 0 for a data centre that the host doesn't know.
+    pub upstreams: usize,
+    /// Number of this host's attempts in flight to them.
+    pub in_flight: u64,
+}
+
 /// The status of a peer, as the host sees it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MemberStatus {
--- a/src/tool/status.rs
+++ b/src/tool/status.rs
@@ -6,7 +6,7 @@
 
 use crate::cli::StatusArgs;
 use crate::decide::member::MemberState;
-use crate::status::{MemberStatus, ServiceStatus, Status, UpstreamStatus};
+use crate::status::{EvacuationStatus, MemberStatus, ServiceStatus, Status, UpstreamStatus};
 use crate::tool::fleet::{self, FleetResponses, UnreachableHost};
 use crate::tool::table;
 
@@ -34,6 +34,9 @@
     }
     println!("{}\n", host_table(&hosts));
     println!("{}\n", record_table(&hosts));
+    if hosts.iter().any(|h| !h.evacuations.is_empty()) {
+        println!("{}\n", evacuation_table(&hosts));
+    }
     println!("{}", upstream_table(&hosts));
     Ok(())
 }
@@ -131,6 +134,31 @@
     out
 }
 
+/// Returns a table with a row for each evacuated data centre: how many hosts have the order, how long
+/// the first and the last of them have had it, and what is still in flight there.
+fn evacuation_table(hosts: &[Status]) -> Table {
+    let mut out = table::with_header(&["EVACUATED", "HOSTS", "FOR", "UPSTREAMS", "IN FLIGHT"]);
+    let all: Vec<&EvacuationStatus> = hosts.iter().flat_map(|h| &h.evacuations).collect();
+    let mut names: Vec<&str> = all.iter().map(|e| &*e.data_centre).collect();
+    names.sort_unstable();
+    names.dedup();
+    for name in names {
+        let told: Vec<_> = all.iter().filter(|e| *e.data_centre == *name).collect();
+        let ages = || told.iter().map(|e| e.age_ms);
+        let (last, first) = (ages().min().unwrap_or(0), ages().max().unwrap_or(0));
+        let upstreams = told.iter().map(|e| e.upstreams).max().unwrap_or(0);
+        let in_flight: u64 = told.iter().map(|e| e.in_flight).sum();
+        out.add_row([
+            name.to_owned(),
+            format!("{}/{}", told.len(), hosts.len()),
+            format!("{first} to {last} ms"),
+            upstreams.to_string(),
+            in_flight.to_string(),
+        ]);
+    }
+    out
+}
+
 /// Returns a table with a row for each upstream on each host, because hosts may differ.
 fn upstream_table(hosts: &[Status]) -> Table {
     let mut out = table::with_header(&[
@@ -159,7 +187,10 @@
         service.name.to_string(),
         u.name.to_string(),
         host.host.to_string(),
-        format!("{:?}", u.state).to_lowercase(),
+        match u.evacuated {
+            true => "evacuated".to_owned(),
+            false => format!("{:?}", u.state).to_lowercase(),
+        },
         format!("{}/{}", u.in_flight, service.slots),
         or_dash(u.load.map(u64::from), ""),
         or_dash(u.load_age_ms, " ms"),
--- a/src/trace/hooks.rs
+++ b/src/trace/hooks.rs
@@ -29,6 +29,10 @@
             self.recorder.record(|| Entry::Offer { record, offered });
         }
         tables.services().iter().for_each(|table| self.record_table(table));
+        if !tables.evacuated().is_empty() {
+            let data_centres = || tables.evacuated().to_vec();
+            self.recorder.record(|| Entry::Evacuated { data_centres: data_centres() });
+        }
         Some(rx)
     }
 
@@ -70,6 +74,18 @@
         tables.forget_peer(host);
     }
 
+    /// Sets which data centres are evacuated, and records it.
+    pub(crate) fn set_evacuated(
+        &self,
+        tables: &mut ServiceTables,
+        data_centres: Vec<Arc<str>>,
+        now: Time,
+    ) {
+        let recorded = || data_centres.clone();
+        self.recorder.record_at(now, || Entry::Evacuated { data_centres: recorded() });
+        tables.set_evacuated(data_centres, now);
+    }
+
     /// Sets the number of other entry hosts that are alive, and records it if it changed.
     pub(crate) fn set_live_peers(&self, tables: &mut ServiceTables, others: u32) {
         if tables.live_peers() != others {
--- a/src/trace/mod.rs
+++ b/src/trace/mod.rs
@@ -94,6 +94,11 @@
         /// The peer's host name.
         host: Arc<str>,
     },
+    /// The data centres that are evacuated changed.
+    Evacuated {
+        /// The data centres, sorted.
+        data_centres: Vec<Arc<str>>,
+    },
     /// The number of other entry hosts that are alive changed.
     #[serde(rename = "fleet")]
     LivePeers {
--- a/src/trace/rerun.rs
+++ b/src/trace/rerun.rs
@@ -110,6 +110,9 @@
                     table.import(host, shared, at);
                 }
             }
+            Entry::Evacuated { data_centres } => {
+                self.tables.set_evacuated(data_centres.clone(), at);
+            }
             Entry::LivePeers { others } => self.tables.set_live_peers(*others),
             Entry::Pause { service, upstream, millis } => {
                 let Some(table) = self.tables.service(service) else { return };
--- a/tests/harness/signing.rs
+++ b/tests/harness/signing.rs
@@ -61,6 +61,14 @@
         .to_string()
     }
 
+    /// Returns its registration in a data centre.
+    pub fn registration_in(&self, data_centre: &str) -> String {
+        let mut registration: Value =
+            serde_json::from_str(&self.registration("ready")).expect("registration");
+        registration["zone"] = data_centre.into();
+        registration.to_string()
+    }
+
     /// Returns its registration with the start of its process and the number of its heartbeat.
     pub fn heartbeat(&self, state: &str, born: u64, sequence: u64) -> String {
         let mut registration: Value =
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -564,6 +564,169 @@
     }
 }
 
+/// A fleet with an upstream in each of two data centres, the first of which is evacuated.
+struct Evacuation {
+    fleet: Fleet,
+    evacuated: SigningUpstream,
+    other: SigningUpstream,
+}
+
+impl Evacuation {
+    /// Starts the fleet, lets the registry take a copy, and then gives the order.
+    async fn start() -> Evacuation {
+        let (evacuated, other) =
+            (SigningUpstream::start("u-1", signed), SigningUpstream::start("u-2", signed));
+        let fleet = Fleet::start(&[]).await;
+        fleet.registry.put("servers/u-1", &evacuated.registration_in("a"));
+        fleet.registry.put("servers/u-2", &other.registration_in("b"));
+        let evacuation = Evacuation { fleet, evacuated, other };
+        evacuation.wait_until_used().await;
+        evacuation.fleet.registry.take_copy();
+        evacuation.fleet.registry.put("op/evacuate/a", "{}");
+        wait_for_reads(&evacuation.fleet);
+        evacuation
+    }
+
+    /// Waits until requests reach the upstream in the data centre.
+    async fn wait_until_used(&self) {
+        let (runs, start) = (self.evacuated.runs(), std::time::Instant::now());
+        while self.evacuated.runs() == runs {
+            self.fleet.status("POST", "/book/7").await;
+            assert!(start.elapsed() < harness::TIMEOUT, "the upstream gets no request");
+        }
+    }
+
+    /// Checks that requests succeed and none reaches the upstream in the data centre.
+    async fn check_unused(&self) {
+        let runs = self.evacuated.runs();
+        for _ in 0..16 {
+            assert_eq!(self.fleet.status("POST", "/book/7").await, 200);
+        }
+        assert_eq!(self.evacuated.runs(), runs, "the evacuated upstream");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_evacuated_data_centre_gets_no_requests_until_the_order_is_taken_back() {
+    let evacuation = Evacuation::start().await;
+    let registry = &evacuation.fleet.registry;
+    evacuation.check_unused().await;
+    assert!(evacuation.other.runs() >= 16);
+    registry.put("op/evacuate/b", "not a document");
+    wait_for_reads(&evacuation.fleet);
+    let res = evacuation.fleet.call("GET", "/book/7").await;
+    assert_eq!(res.status().as_u16(), 503);
+    assert!(!header_text(&res, "retry-after").is_empty());
+    registry.remove("op/evacuate/b");
+    evacuation.fleet.wait_until_in_force("/book/7").await;
+    evacuation.check_unused().await;
+    registry.remove("op/evacuate/a");
+    registry.put("op/evacuate/a", "{}");
+    wait_for_reads(&evacuation.fleet);
+    evacuation.check_unused().await;
+    registry.remove("op/evacuate/a");
+    evacuation.wait_until_used().await;
+}
+
+/// A request that waits for the only connection to its upstream when the order is given is sent
+/// elsewhere.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_unsent_request_leaves_an_evacuated_data_centre() {
+    let is_held = Arc::new(AtomicBool::new(true));
+    let hold = is_held.clone();
+    let evacuated = SigningUpstream::start("u-1", move |head: &str| {
+        while hold.load(Ordering::SeqCst) {
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        signed(head)
+    });
+    let other = SigningUpstream::start("u-2", signed);
+    let mut fleet = Fleet::start(&[("u-1", &evacuated)]).await;
+    fleet.settings["limits"] = json!({ "connect_timeout_ms": 20_000 });
+    let cfg = config(4, "/book/").replace("\"timeoutS\":0.8", "\"timeoutS\":20.0");
+    fleet.registry.put("op/config", &cfg.replace("Connections\":220", "Connections\":1"));
+    let fleet = fleet.restart();
+    wait_until("ready", || fleet.daemon.readiness() == Some(200));
+    let address = fleet.daemon.caller;
+    let call = move || async move {
+        let mut caller = Caller::connect(address).await.expect("connect");
+        let req = Request::builder().method("POST").uri("/book/7").header("host", "port.example");
+        let req = req.header("x-attempt-id", "r-1").header("x-deadline-ms", "20000");
+        caller.send(req.body(Full::default()).expect("request")).await.expect("response")
+    };
+    let in_flight = |count: u32| {
+        let req = b"GET /status HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n";
+        let status = harness::send_raw(fleet.daemon.admin, req).expect("status");
+        status.contains(&format!("\"in_flight\":{count}"))
+    };
+    let first = tokio::spawn(call());
+    wait_until("the first one is sent", || in_flight(1) && evacuated.runs() == 1);
+    let second = tokio::spawn(call());
+    wait_until("both are assigned to the upstream", || in_flight(2));
+    assert_eq!(evacuated.runs(), 1);
+    fleet.registry.put("servers/u-2", &other.registration_in("b"));
+    fleet.registry.put("op/evacuate/a", "{}");
+    wait_until("in force", || harness::event_count(&fleet.daemon, 4005) == 1);
+    is_held.store(false, Ordering::SeqCst);
+    for call in [first, second] {
+        assert_eq!(call.await.expect("call").status().as_u16(), 200);
+    }
+    assert_eq!((evacuated.runs(), other.runs()), (1, 1));
+}
+
+/// A starting host reads a copy from before the order, and another one from before its end.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_host_that_starts_with_an_old_copy_of_the_registry_obeys_the_newest_order() {
+    let evacuation = Evacuation::start().await;
+    let (registry, runs) = (evacuation.fleet.registry.clone(), evacuation.evacuated.runs());
+    registry.serve_copy(true);
+    let evacuation = Evacuation { fleet: evacuation.fleet.restart(), ..evacuation };
+    evacuation.fleet.wait_until_in_force("/book/7").await;
+    evacuation.check_unused().await;
+    assert_eq!(evacuation.evacuated.runs(), runs, "before the host was ready");
+    registry.take_copy();
+    registry.remove("op/evacuate/a");
+    let evacuation = Evacuation { fleet: evacuation.fleet.restart(), ..evacuation };
+    evacuation.wait_until_used().await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_order_that_was_taken_back_while_the_registry_lost_its_history_ends() {
+    let evacuation = Evacuation::start().await;
+    let registry = &evacuation.fleet.registry;
+    registry.set_refusing(true);
+    evacuation.check_unused().await;
+    registry.remove("op/evacuate/a");
+    registry.discard_history();
+    registry.set_refusing(false);
+    evacuation.wait_until_used().await;
+}
+
+/// The registry returns from a copy that lacks the order, which the operator writes again some time
+/// later.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_order_that_the_registry_has_lost_stays_in_force_until_it_is_written_again() {
+    let evacuation = Evacuation::start().await;
+    let registry = &evacuation.fleet.registry;
+    registry.rewind();
+    wait_for_reads(&evacuation.fleet);
+    evacuation.check_unused().await;
+    registry.put("op/evacuate/a", "{}");
+    wait_for_reads(&evacuation.fleet);
+    evacuation.check_unused().await;
+    registry.remove("op/evacuate/a");
+    evacuation.wait_until_used().await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_order_that_the_registry_has_lost_and_that_is_not_written_again_ends() {
+    let evacuation = Evacuation::start().await;
+    evacuation.fleet.registry.rewind();
+    wait_for_reads(&evacuation.fleet);
+    evacuation.check_unused().await;
+    evacuation.wait_until_used().await;
+}
+
 /// Guards against tests that fail because another program holds a port: the daemon exits, so that
 /// the next attempt takes other ports.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
