Let the soak evacuate a data centre

An upstream joins in a data centre of its own, which one host prefers. Two seconds later, amid the other faults, that data centre is evacuated until the end of the run. A host that could know of the order, because neither it nor the registry had a fault for 3 s, must send nothing there.

--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -64,6 +64,10 @@
 const POISON_TIME: Duration = Duration::from_secs(7);
 /// Time between two of these copies.
 const POISON_INTERVAL: Duration = Duration::from_millis(150);
+/// Time from the joining of an upstream in another data centre to the evacuation of that one.
+const EVACUATION_DELAY: Duration = Duration::from_secs(2);
+/// The key of the order.
+const EVACUATION_KEY: &str = "op/evacuate/b";
 /// Time after the last fault within which the fleet must have recovered.
 const SETTLE_TIME: Duration = Duration::from_secs(4);
 /// Time after which the operator and the upstreams write again what the registry has lost.
@@ -83,6 +87,8 @@
     upstreams: Mutex<Vec<Arc<Upstream>>>,
     /// Upstreams that have begun to drain.
     drained: Mutex<Vec<Arc<Upstream>>>,
+    /// The upstream in the data centre that is evacuated.
+    evacuated: Mutex<Option<Arc<Upstream>>>,
     version: Mutex<u64>,
 }
 
@@ -133,7 +139,9 @@
         let settings: Vec<Value> = (0..hosts)
             .map(|i| {
                 json!({
-                    "host": format!("entry-{i}"), "data_centre": "a", "peer": harness::FREE_ADDRESS,
+                    "host": format!("entry-{i}"), "peer": harness::FREE_ADDRESS,
+                    // One host prefers the upstream in the data centre that is evacuated.
+                    "data_centre": if i == 0 { "b" } else { "a" },
                     "limits": {"grace_ms": 300},
                     "registry": {
                         "address": registry_proxy.address, "retry_share": RETRY_SHARE,
@@ -152,6 +160,7 @@
             settings,
             upstreams: Mutex::new(upstreams),
             drained: Mutex::default(),
+            evacuated: Mutex::default(),
             version: Mutex::new(1),
         })
     }
@@ -340,6 +349,13 @@
             let key = format!("servers/{}", upstream.id);
             self.registry.put(&key, &upstream.registration("ready"));
         }
+        if let Some(upstream) = self.evacuated.lock().as_ref() {
+            let key = format!("servers/{}", upstream.id);
+            self.registry.put(&key, &upstream.registration("ready"));
+        }
+        if self.observed.evacuation.lock().is_some() {
+            self.registry.put(EVACUATION_KEY, "{}");
+        }
         for id in self.observed.drained_at.lock().keys() {
             let key = format!("servers/{id}");
             if let Some(upstream) = self.drained.lock().iter().find(|u| u.id == *id)
@@ -375,6 +391,16 @@
         }
     }
 
+    /// Lets an upstream join in a data centre of its own, and evacuates that until the end of the run.
+    async fn evacuate(&self) {
+        let upstream = Upstream::start_in("b", "u-b", &self.observed).await;
+        self.registry.put(&format!("servers/{}", upstream.id), &upstream.registration("ready"));
+        *self.evacuated.lock() = Some(upstream.clone());
+        tokio::time::sleep(EVACUATION_DELAY).await;
+        self.registry.put(EVACUATION_KEY, "{}");
+        *self.observed.evacuation.lock() = Some((upstream.id.clone(), Instant::now()));
+    }
+
     /// Sends copies of a request under which upstreams end to random hosts.
     async fn send_poison(&self, rng: &mut SmallRng) {
         let path = format!("{POISON}{:x}", rng.random::<u32>());
@@ -433,7 +459,7 @@
         async move {
             tokio::time::sleep(Duration::from_millis(delay)).await;
             soak.limit_upstream(&mut extra_rng).await;
-            soak.send_poison(&mut extra_rng).await;
+            tokio::join!(soak.send_poison(&mut extra_rng), soak.evacuate());
         }
     });
     let mut faults = vec![extra];
--- a/tests/soak/observed.rs
+++ b/tests/soak/observed.rs
@@ -79,6 +79,8 @@
     pub outcomes: Mutex<Vec<Outcome>>,
     /// When the registry acknowledged that an upstream is draining.
     pub drained_at: Mutex<BTreeMap<String, Instant>>,
+    /// An upstream in a data centre that is evacuated, and when the registry acknowledged the order.
+    pub evacuation: Mutex<Option<(String, Instant)>>,
     /// When the registry acknowledged a config version.
     pub versions: Mutex<BTreeMap<u64, Instant>>,
     /// Periods in which the registry or the path to it was impaired.
@@ -120,6 +122,7 @@
             out.extend(self.outdated_route(outcome, response));
         }
         out.extend(self.requests_after_drain());
+        out.extend(self.requests_in_evacuation());
         out.extend(self.requests_after_announcement());
         out.extend(self.requests_in_pauses());
         out.extend(self.requests_over_limits());
@@ -191,6 +194,27 @@
             .collect()
     }
 
+    /// Checks for requests that reached the upstream in the evacuated data centre too long after the
+    /// order, from hosts that could know of it.
+    fn requests_in_evacuation(&self) -> Vec<String> {
+        let Some((upstream, given)) = self.evacuation.lock().clone() else {
+            return Vec::new();
+        };
+        let hosts: BTreeMap<String, usize> =
+            self.outcomes.lock().iter().map(|o| (o.id.clone(), o.host)).collect();
+        let is_late = |a: &&Attempt| {
+            let Some(host) = hosts.get(&a.id) else { return false };
+            let from = a.at - FAULT_FREE_PERIOD;
+            a.upstream == upstream
+                && a.at.saturating_duration_since(given) > PROPAGATION_TIME
+                && self.is_registry_fault_free(from, a.at)
+                && self.is_host_fault_free(*host, from, a.at)
+        };
+        let arrivals = self.arrivals.lock();
+        let late = arrivals.iter().filter(is_late);
+        late.map(|a| format!("EVACUATED: {} ran at {}", a.id, a.upstream)).collect()
+    }
+
     /// Checks for requests that reached an upstream from a host that had passed on its announcement
     /// to leave before the request was sent.
     fn requests_after_announcement(&self) -> Vec<String> {
--- a/tests/soak/upstream.rs
+++ b/tests/soak/upstream.rs
@@ -52,6 +52,7 @@
 #[derive(Debug)]
 pub struct Upstream {
     pub id: String,
+    data_centre: &'static str,
     pub proxy: Arc<Proxy>,
     fault: Mutex<Fault>,
     /// Whether its responses say that it is leaving.
@@ -63,12 +64,22 @@
 }
 
 impl Upstream {
-    /// Starts an upstream.
+    /// Starts an upstream in the hosts' data centre.
     pub async fn start(id: &str, observed: &Arc<Observed>) -> Arc<Upstream> {
+        Upstream::start_in("a", id, observed).await
+    }
+
+    /// Starts an upstream in a data centre.
+    pub async fn start_in(
+        data_centre: &'static str,
+        id: &str,
+        observed: &Arc<Observed>,
+    ) -> Arc<Upstream> {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("bind");
         let address: SocketAddr = listener.local_addr().expect("bound");
         let upstream = Arc::new(Upstream {
             id: id.to_owned(),
+            data_centre,
             proxy: Proxy::start(address).await,
             fault: Mutex::new(Fault::None),
             leaving: AtomicBool::new(false),
@@ -130,8 +141,8 @@
     /// Returns the upstream's entry in the registry.
     pub fn registration(&self, state: &str) -> String {
         json!({
-            "service": "dispatch", "address": self.proxy.address, "zone": "a", "version": "v1",
-            "slots": SLOTS, "state": state, "coldRemainingS": 0, "sequence": 1, "born": 7,
+            "service": "dispatch", "address": self.proxy.address, "zone": self.data_centre,
+            "version": "v1", "slots": SLOTS, "state": state, "coldRemainingS": 0, "sequence": 1, "born": 7,
         })
         .to_string()
     }
