--- a/src/decide/service/shedding.rs
+++ b/src/decide/service/shedding.rs
@@ -208,7 +208,7 @@
     /// work per second.
     fn fair_work_rate(&self, now: Time) -> f32 {
         let usable =
-            self.rows.iter().filter(|r| r.state == State::Live && !r.health.is_ejected(now));
+            self.rows.iter().filter(|r| r.takes_requests() && !r.health.is_ejected(now));
         let slots: u32 = usable.map(|r| self.concurrency.limit(r.slots(self.cfg.slots))).sum();
         let hosts = self.host_info.fleet_size_max.max(1) as f32;
         slots as f32 / hosts / self.availability.slowdown()
