--- a/src/decide/service/shedding.rs
+++ b/src/decide/service/shedding.rs
@@ -9,7 +9,6 @@
 use crate::decide::kinds::RequestEstimate;
 use crate::decide::queue::QueuedRequest;
 use crate::decide::shedding::{self, Item, Outcome, Plan, Shedding, Standing};
-use crate::decide::upstream::State;
 use crate::error::Code;
 use crate::time::Time;
 
