--- a/src/decide/service/shedding.rs
+++ b/src/decide/service/shedding.rs
@@ -206,8 +206,7 @@
     /// Returns this host's part of the rate at which the upstreams can start work, in seconds of
     /// work per second.
     fn fair_work_rate(&self, now: Time) -> f32 {
-        let usable =
-            self.rows.iter().filter(|r| r.takes_requests() && !r.health.is_ejected(now));
+        let usable = self.rows.iter().filter(|r| r.takes_requests() && !r.health.is_ejected(now));
         let slots: u32 = usable.map(|r| self.concurrency.limit(r.slots(self.cfg.slots))).sum();
         let hosts = self.host_info.fleet_size_max.max(1) as f32;
         slots as f32 / hosts / self.availability.slowdown()
