--- a/src/decide/service/reports.rs
+++ b/src/decide/service/reports.rs
@@ -39,8 +39,8 @@
         self.probe_candidates_in(WorkingSet::default(), now, rng)
     }
 
-    /// Returns the same, and prefers the upstreams of a working set. Requests in the queue have found
-    /// no free slot there, so that all upstreams count alike.
+    /// Returns the same, and prefers the upstreams of a working set. While requests are queued, all
+    /// upstreams count alike: those of the set may have no free slot.
     pub fn probe_candidates_in(
         &mut self,
         working_set: WorkingSet<'_>,
--- a/src/decide/service/warmup.rs
+++ b/src/decide/service/warmup.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::{QUIET_AFTER, ServiceTable};
-use crate::decide::upstream::{self, Row, State, UpstreamChange, UpstreamId};
+use crate::decide::upstream::{self, Row, UpstreamChange, UpstreamId};
 use crate::decide::warmup::{Division, WarmUpChange};
 use crate::event::EventCode;
 use crate::time::Time;
@@ -115,7 +115,7 @@
 
     /// Returns the number of live upstreams that are taken for cold.
     pub fn cold_count(&self, now: Time) -> usize {
-        let is_cold = |r: &&Row| r.state == State::Live && r.warm_up.is_cold(now);
+        let is_cold = |r: &&Row| r.takes_requests() && r.warm_up.is_cold(now);
         if self.has_warm_up() { self.rows.iter().filter(is_cold).count() } else { 0 }
     }
 
--- a/src/forward/connection.rs
+++ b/src/forward/connection.rs
@@ -109,8 +109,7 @@
     /// a margin within which a request could cross the upstream's close.
     pub(crate) fn observe_keep_alive(&mut self, headers: &HeaderMap) {
         let Some(timeout) = headers.get("keep-alive").and_then(keep_alive_timeout) else { return };
-        let idle = timeout.saturating_sub(KEEP_ALIVE_MARGIN);
-        self.idle_timeout = idle.clamp(KEEP_ALIVE_MARGIN, IDLE_TIMEOUT_MAX);
+        self.idle_timeout = idle_timeout(timeout);
     }
 
     pub(crate) fn is_closed(&self) -> bool {
@@ -142,6 +141,11 @@
     }
 }
 
+/// Returns how long to keep an idle connection that its upstream closes after `timeout`.
+fn idle_timeout(timeout: Duration) -> Duration {
+    timeout.saturating_sub(KEEP_ALIVE_MARGIN).min(IDLE_TIMEOUT_MAX)
+}
+
 /// Parses the `timeout` parameter of a `Keep-Alive` field, in seconds.
 fn keep_alive_timeout(value: &HeaderValue) -> Option<Duration> {
     let mut parameters = value.to_str().ok()?.split(',').map(str::trim);
--- a/src/forward/connection/tests.rs
+++ b/src/forward/connection/tests.rs
@@ -4,7 +4,7 @@
 
 use http::HeaderValue;
 
-use super::keep_alive_timeout;
+use super::{idle_timeout, keep_alive_timeout};
 
 fn timeout(value: &'static str) -> Option<Duration> {
     keep_alive_timeout(&HeaderValue::from_static(value))
@@ -22,3 +22,9 @@
         assert_eq!(timeout(value), None, "{value:?}");
     }
 }
+
+#[test]
+fn a_connection_is_closed_before_its_upstream_closes_it() {
+    let kept = |seconds| idle_timeout(Duration::from_secs(seconds)).as_secs();
+    assert_eq!([kept(0), kept(1), kept(2), kept(10), kept(3_600)], [0, 0, 1, 9, 30]);
+}
--- a/src/forward/pool.rs
+++ b/src/forward/pool.rs
@@ -69,8 +69,8 @@
 
     /// Returns the addresses of the upstreams to which connections are idle, sorted.
     pub(crate) fn idle_addresses(&self) -> Vec<SocketAddr> {
-        let upstreams = self.upstreams.lock();
-        upstreams.iter().filter(|p| !p.idle.is_empty()).map(|p| p.address).collect()
+        let has_idle = |p: &&UpstreamPool| p.idle.iter().any(|c| !c.is_closed());
+        self.upstreams.lock().iter().filter(has_idle).map(|p| p.address).collect()
     }
 
     /// Completes when a connection was returned or closed. May complete spuriously.
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -46,7 +46,8 @@
     /// [`Settings::registry`] provides the number of hosts.
     #[serde(default = "default_fleet_size_max")]
     pub fleet_size_max: u32,
-    /// Whether upstreams to which a connection is open are preferred in services with many upstreams.
+    /// Whether upstreams to which a connection is idle are preferred in services with many upstreams,
+    /// and connections are kept for as long as upstreams say.
     #[serde(default)]
     pub prefer_open_connections: bool,
     /// Peers known from the start, in addition to those of the host list.
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -530,6 +530,7 @@
     fixture.now = fixture.now + ms(100);
     let connected = addresses(&fixture, 10..20);
     let probed = probed_in(&mut fixture, WorkingSet::new(&connected));
+    assert!(!probed.is_empty());
     assert!(probed.iter().all(|a| !connected.contains(a)), "{probed:?}");
 }
 
