--- a/src/decide/allowance/asker.rs
+++ b/src/decide/allowance/asker.rs
@@ -8,8 +8,8 @@
 use crate::decide::allowance::{Grant, Limit};
 use crate::time::Time;
 
-/// The longest time, in seconds, for which a host asks for no more of an allowance that is used up. It refuses
-/// requests at once meanwhile, and asks for as many as have come at the end.
+/// The longest time, in seconds, for which a host asks for no more of an allowance that is used up.
+/// It refuses requests at once meanwhile, and asks for as many as have come at the end.
 const HOLD_TIME_MAX: f64 = 0.25;
 /// The shortest such time, in seconds, for a team whose allowance hardly saves anything up.
 const HOLD_TIME_MIN: f64 = 0.075;
--- a/src/decide/allowance/ownership.rs
+++ b/src/decide/allowance/ownership.rs
@@ -100,7 +100,8 @@
     }
 
     /// Updates what is known of the fleet, and takes up the allowances among `teams` that this host
-    /// now owns; these are sorted by name. A host that was paused doesn't know what it has missed, and begins anew.
+    /// now owns; these are sorted by name. A host that was paused doesn't know what it has missed, and
+    /// begins anew.
     pub(crate) fn update(&mut self, mut view: FleetView, teams: &[Arc<Team>], now: Time) {
         if !view.may_own || view.pauses != self.view.pauses {
             self.owned.clear();
--- a/src/decide/limit.rs
+++ b/src/decide/limit.rs
@@ -1,8 +1,7 @@
 //! Rate limits that upstreams name in their responses, and the share of this host.
 //!
-//! A limit is for all hosts together and divided among a few owners. There are few
-//! enough of them that the whole fleet stays within the limit even if all of them have saved up a
-//! request.
+//! A limit is for all hosts together and divided among a few owners. There are few enough of them
+//! that the whole fleet stays within the limit even if all of them have saved up a request.
 
 use std::time::Duration;
 
--- a/src/decide/shedding.rs
+++ b/src/decide/shedding.rs
@@ -1,8 +1,8 @@
 //! What is delayed or refused where a service has too little room.
 //!
-//! A plan orders the queued requests and picks those to refuse. The recent load holds what that depends
-//! on: the rates at which work comes and is started, and how often each kind of request and each
-//! team was served lately.
+//! A plan orders the queued requests and picks those to refuse. The recent load holds what that
+//! depends on: the rates at which work comes and is started, and how often each kind of request and
+//! each team was served lately.
 
 mod plan;
 
--- a/src/decide/warmup.rs
+++ b/src/decide/warmup.rs
@@ -1,9 +1,9 @@
 //! Warm-up of upstreams: what this host may send to one that is cold.
 //!
 //! A cold upstream takes few requests per second from all hosts together. They are divided among a
-//! few owners, as rate limits are. Together they send at most half as many within any second as the upstream
-//! tolerates: hosts with two different views of the fleet stay within the tolerance, and so do hosts
-//! whose views change.
+//! few owners, as rate limits are. Together they send at most half as many within any second as the
+//! upstream tolerates: hosts with two different views of the fleet stay within the tolerance, and so
+//! do hosts whose views change.
 //!
 //! All times are this host's own, and hosts tell each other only how long an upstream stays cold.
 
