--- a/src/decide/service/reports.rs
+++ b/src/decide/service/reports.rs
@@ -21,6 +21,9 @@
 /// Cost of sending a request to another data centre, in nominal work times, for the round trip and
 /// the traffic.
 const DISTANCE_COST: f32 = 0.5;
+/// Time after an upstream has joined in which it counts like those of the working set, so that it
+/// soon gets its share.
+const NEWCOMER_TIME: Duration = Duration::from_secs(10);
 /// Time between two searches for a free slot while requests are queued.
 const WAITING_PROBE_INTERVAL: Duration = Duration::from_millis(15);
 
@@ -55,8 +58,11 @@
         for (index, row) in self.rows.iter().enumerate() {
             let may_open = !row.is_closed(now) || row.warm_up.is_doubtful() && row.is_askable(now);
             if row.takes_requests() && !row.health.is_ejected(now) && may_open {
-                let cost =
-                    self.placement_cost(row, now) + working_set.connection_cost(&row.address);
+                let connection_cost = match has_joined_lately(row, now) {
+                    true => 0.0,
+                    false => working_set.connection_cost(&row.address),
+                };
+                let cost = self.placement_cost(row, now) + connection_cost;
                 best.push((cost + rng.random::<f32>() * CANDIDATE_SPREAD, index));
             }
         }
@@ -135,3 +141,8 @@
         }
     }
 }
+
+/// Returns whether an upstream has joined a service that had others already.
+fn has_joined_lately(row: &Row, now: Time) -> bool {
+    row.health.ramp_up_start.is_some_and(|at| now.since(at) < NEWCOMER_TIME)
+}
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -547,6 +547,28 @@
     assert!(probed.iter().any(|a| !connected.contains(a)), "{probed:?}");
 }
 
+/// Load: a scale-out while a host has all that it needs in its working set.
+#[test]
+fn an_upstream_that_joins_is_probed_like_those_of_the_working_set() {
+    let mut fixture = Fixture::new(60, 0);
+    fixture.table.set_fleet_size(1);
+    fixture.report_all(FREE);
+    let mut upstreams = fixture.table.cfg().upstreams.clone();
+    upstreams.push(Upstream {
+        name: "joined".into(),
+        address: "127.0.0.1:9900".parse().expect("address"),
+        data_centre: "a".into(),
+    });
+    fixture.table.set_upstreams(&upstreams, fixture.now);
+    fixture.now = fixture.now + ms(3_000);
+    let connected = addresses(&fixture, 10..20);
+    let mut probed = Vec::new();
+    for _ in 0..20 {
+        probed.extend(probed_in(&mut fixture, WorkingSet::new(&connected)));
+    }
+    assert!(probed.contains(&"127.0.0.1:9900".parse().expect("address")));
+}
+
 #[test]
 fn a_service_with_few_upstreams_has_no_working_set() {
     let mut fixture = Fixture::new(12, 0);
