Log and measure how old the copy of the registry is, and where a record came from

A record's version was logged without its state and source, the age of the copy was a gauge without history, a late tick below a second left no trace. Change: event 4001 names the state of an upstream and the peer that sent the record; 5005 each failed read, 5006 and 5007 a copy older than registry.apply_s and the age it reached, 1008 a late control loop; histograms of the copy's age, of the reads and of the ticks' lateness. No decision changes.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -17,6 +17,7 @@
 use crate::forward::probe;
 use crate::node::{Node, Phase};
 use crate::settings::Settings;
+use crate::time::Time;
 use crate::{logs, peer, registry, store};
 
 /// Interval between ticks of the service tables while requests wait.
@@ -28,6 +29,11 @@
 /// Interval at which connections that have been idle for too long are closed.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
 
+/// The lateness of a tick that is recorded as an event.
+const LATE_TICK: Duration = Duration::from_millis(200);
+/// The minimum time between two events of late ticks.
+const LATE_TICK_EVENT_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Runs a daemon until SIGTERM or SIGINT, and then until all requests in flight have finished.
 ///
 /// # Errors
@@ -147,7 +153,9 @@
 async fn tick(node: Arc<Node>) {
     let mut rng = SmallRng::from_os_rng();
     let mut last_expiry = node.clock.now();
+    let mut last_late = None;
     loop {
+        let start = node.clock.now();
         if node.waiting.is_empty() {
             tokio::select! {
                 () = sleep(IDLE_TICK_INTERVAL) => {}
@@ -157,6 +165,8 @@
             sleep(TICK_INTERVAL).await;
         }
         let now = node.clock.now();
+        record_lateness(&node, now.since(start), &mut last_late);
+        node.check_copy_age();
         if now.since(last_expiry) >= EXPIRY_INTERVAL {
             node.pool.expire(now);
             node.poison_requests.lock().expire(now);
@@ -168,3 +178,17 @@
         }
     }
 }
+
+/// Observes how late a tick is that was due after one interval at most, and records an event if it is
+/// very late. `last` is the time of the last such event.
+fn record_lateness(node: &Node, took: Duration, last: &mut Option<Time>) {
+    let late = took.saturating_sub(IDLE_TICK_INTERVAL);
+    node.metrics.observe_tick_lateness(late);
+    let now = node.clock.now();
+    if late < LATE_TICK || last.is_some_and(|at| now.since(at) < LATE_TICK_EVENT_INTERVAL) {
+        return;
+    }
+    *last = Some(now);
+    let late = u64::try_from(late.as_millis()).ok();
+    node.events.record(EventCode::ControlLate, Subject::default(), late);
+}
--- a/src/decide/catalog.rs
+++ b/src/decide/catalog.rs
@@ -11,6 +11,7 @@
 use crate::config::{Profile, Routing, Service};
 use crate::decide::hosts::Host;
 use crate::decide::stored::UnreadableVersion;
+use crate::decide::upstream::State;
 
 /// The kind of a [`Record`].
 #[derive(
@@ -48,6 +49,19 @@
     Deleted(RecordKind),
 }
 
+impl Body {
+    /// Returns what the body says of an upstream: `live`, `leaving` or `gone`. `None` if it is not
+    /// about an upstream.
+    pub(crate) fn upstream_state(&self) -> Option<&'static str> {
+        match self {
+            Body::Host(host) if host.state == State::Leaving => Some("leaving"),
+            Body::Host(_) => Some("live"),
+            Body::Deleted(RecordKind::Host) => Some("gone"),
+            _ => None,
+        }
+    }
+}
+
 /// One version of a record, as it is stored and as peers send it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Record {
--- a/src/decide/reads.rs
+++ b/src/decide/reads.rs
@@ -47,6 +47,11 @@
         as_of + self.apply.mul_f64(share)
     }
 
+    /// Returns the time within which a change must be in force everywhere.
+    pub fn apply_time(&self) -> Duration {
+        self.apply
+    }
+
     /// Returns the age below which a copy is young enough to serve with.
     pub fn age_max(&self) -> Duration {
         self.apply.mul_f64(AGE_MAX_SHARE)
@@ -57,3 +62,41 @@
         self.apply
     }
 }
+
+/// Tells when a host's copy of the registry becomes too old, and when it is young enough again.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct CopyAge {
+    /// The highest age since the copy became too old; `None` while it is young enough.
+    highest: Option<Duration>,
+}
+
+/// A change of whether a copy is too old.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AgeChange {
+    /// It has become too old; its age.
+    Outdated(Duration),
+    /// It is young enough again; the highest age that it reached.
+    Current(Duration),
+}
+
+impl CopyAge {
+    /// Takes the age of the copy at present, of which `limit` is too old. Returns the change that
+    /// this makes, if any.
+    pub fn observe(&mut self, age: Duration, limit: Duration) -> Option<AgeChange> {
+        match (self.highest, age >= limit) {
+            (None, false) => None,
+            (None, true) => {
+                self.highest = Some(age);
+                Some(AgeChange::Outdated(age))
+            }
+            (Some(highest), true) => {
+                self.highest = Some(highest.max(age));
+                None
+            }
+            (Some(highest), false) => {
+                self.highest = None;
+                Some(AgeChange::Current(highest))
+            }
+        }
+    }
+}
--- a/src/event.rs
+++ b/src/event.rs
@@ -49,6 +49,8 @@
     Reloaded = 1006, "settings reloaded";
     /// Changed settings have faults, so the old ones stay in effect.
     ReloadRejected = 1007, "settings have faults, old ones stay";
+    /// The control loop ran late, and with it reads, gossip and decisions on waiting requests.
+    ControlLate = 1008, "control loop late";
     /// A request was accepted.
     Accepted = 2001, "request accepted";
     /// A request waits for a slot.
@@ -131,6 +133,12 @@
     WatchLost = 5003, "watch lost";
     /// The registry has returned from a copy that lacks its newest changes.
     RegistryRewound = 5004, "registry returned from an older copy";
+    /// A read of the registry failed.
+    ReadFailed = 5005, "read of the registry failed";
+    /// This host's copy of the registry is older than the time in which a change must be in force.
+    CopyOutdated = 5006, "copy of the registry outdated";
+    /// This host's copy of the registry is young enough again.
+    CopyCurrent = 5007, "copy of the registry current again";
     /// A peer joined.
     PeerJoined = 6001, "peer joined";
     /// A peer was declared dead.
@@ -170,6 +178,9 @@
             EventCode::UpstreamPaused => "pause_ms",
             EventCode::UpstreamLimited => "per_1000_s",
             EventCode::RegistryRewound => "era",
+            EventCode::ControlLate => "late_ms",
+            EventCode::ReadFailed => "took_ms",
+            EventCode::CopyOutdated | EventCode::CopyCurrent => "age_ms",
             EventCode::RecordsLoaded => "records",
             EventCode::EvacuationBegan | EventCode::EvacuationEnded => "upstreams",
             EventCode::AttemptFailed | EventCode::CallerAnswered | EventCode::Rejected => "code",
@@ -191,12 +202,13 @@
 /// The objects that an event concerns. Fields that don't apply are `None`.
 #[derive(Clone, Debug, Default, Display, PartialEq, Eq, Serialize, Deserialize)]
 #[display(
-    "{}{}{}{}{}{}{}",
+    "{}{}{}{}{}{}{}{}",
     field("request", request),
     field("fingerprint", fingerprint),
     field("service", service),
     field("upstream", upstream),
     field("record", record),
+    field("state", state),
     field("peer", peer),
     field("team", team)
 )]
@@ -217,6 +229,9 @@
     /// The kind and name of the record, as `kind/name`.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub record: Option<Arc<str>>,
+    /// What the record of an upstream says of it: `live`, `leaving` or `gone`.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub state: Option<Arc<str>>,
     /// The peer host name.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub peer: Option<Arc<str>>,
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -6,8 +6,8 @@
 use parking_lot::RwLock;
 use prometheus::core::Collector;
 use prometheus::{
-    HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
-    TextEncoder,
+    Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
 };
 
 use crate::config::Priority;
@@ -47,6 +47,9 @@
     unlogged_requests: IntCounter,
     lines_dropped: IntGauge,
     registry_age_ms: IntGauge,
+    registry_age: Histogram,
+    registry_reads: HistogramVec,
+    tick_lateness: Histogram,
     members: IntGauge,
     config_version: IntGauge,
     waiting: IntGaugeVec,
@@ -132,6 +135,17 @@
                 "cornelferry_registry_age_milliseconds",
                 "Age of what is known of the platform's store; -1 if nothing is",
             ),
+            registry_age: histogram(
+                &registry,
+                "cornelferry_registry_age_seconds",
+                "Age of the copy of the platform's store, once for each tick of the control loop",
+            ),
+            registry_reads: reads(&registry),
+            tick_lateness: histogram(
+                &registry,
+                "cornelferry_tick_lateness_seconds",
+                "Time by which ticks of the control loop were late",
+            ),
             members: value("cornelferry_members", "Other entry hosts that are alive"),
             config_version: value("cornelferry_config_version", "Version of the routes in force"),
             evacuated: value(
@@ -218,6 +232,22 @@
         self.retries.with_label_values(&[&*self.service_label(service), decision]).inc();
     }
 
+    /// Records the age of the copy of the registry at a tick.
+    pub(crate) fn observe_registry_age(&self, age: Duration) {
+        self.registry_age.observe(age.as_secs_f64());
+    }
+
+    /// Records the time that a read of the registry took.
+    pub(crate) fn observe_registry_read(&self, time: Duration, is_ok: bool) {
+        let result = if is_ok { "read" } else { "failed" };
+        self.registry_reads.with_label_values(&[result]).observe(time.as_secs_f64());
+    }
+
+    /// Records the time by which a tick of the control loop was late.
+    pub(crate) fn observe_tick_lateness(&self, late: Duration) {
+        self.tick_lateness.observe(late.as_secs_f64());
+    }
+
     /// Counts a request that waits for a slot, or that is refused with a code.
     pub(crate) fn count_shed(&self, service: &str, priority: Priority, refused: Option<Code>) {
         let reason = match refused {
@@ -368,6 +398,20 @@
     register(registry, made.expect("constant options"))
 }
 
+/// Creates and registers the histogram of the registry's reads.
+fn reads(registry: &Registry) -> HistogramVec {
+    let help = "Time that reads of the platform's store took, by result";
+    let opts = HistogramOpts::new("cornelferry_registry_read_seconds", help);
+    let made = HistogramVec::new(opts.buckets(LATENCY_BUCKETS.to_vec()), &["result"]);
+    register(registry, made.expect("constant options"))
+}
+
+/// Creates and registers a histogram of times without labels.
+fn histogram(registry: &Registry, name: &str, help: &str) -> Histogram {
+    let opts = HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS.to_vec());
+    register(registry, Histogram::with_opts(opts).expect("constant options"))
+}
+
 /// Registers a metric and returns it.
 ///
 /// # Panics
--- a/src/node.rs
+++ b/src/node.rs
@@ -18,7 +18,7 @@
 use crate::decide::member::{MemberChange, MemberState, Members};
 use crate::decide::pause::{PauseDetector, RESYNC_TIMEOUT};
 use crate::decide::poison::PoisonRequests;
-use crate::decide::reads::ReadSchedule;
+use crate::decide::reads::{AgeChange, CopyAge, ReadSchedule};
 use crate::decide::relay::{RelayPeer, RelayPeers};
 use crate::decide::service::HostInfo;
 use crate::decide::teams::TeamTable;
@@ -98,6 +98,7 @@
     pub(crate) allowances: Allowances,
     /// The age of this host's copy of the registry.
     pub(crate) registry_freshness: RegistryFreshness,
+    copy_age: Mutex<CopyAge>,
     /// The names of the header fields that callers and upstreams use.
     pub(crate) header_names: header::FieldNames,
     /// Limits the log output about requests.
@@ -157,6 +158,7 @@
             relay_peers: Mutex::default(),
             pause_detector: Mutex::default(),
             allowances: Allowances::new(settings.host.clone()),
+            copy_age: Mutex::default(),
             registry_freshness: RegistryFreshness::new(ReadSchedule::new(apply_time(&settings))),
             header_names: match settings.registry {
                 Some(_) => platform::headers::names(),
@@ -178,11 +180,21 @@
     /// Offers records to the catalog and puts the newer ones into force. Returns the outcome of
     /// each, in order.
     pub(crate) fn offer(&self, records: Vec<Record>) -> Vec<OfferOutcome> {
+        self.offer_from(None, records)
+    }
+
+    /// Offers records like [`Node::offer`]. `peer` is the host that they were fetched from, if they
+    /// were.
+    pub(crate) fn offer_from(
+        &self,
+        peer: Option<Arc<str>>,
+        records: Vec<Record>,
+    ) -> Vec<OfferOutcome> {
         let mut catalog = self.catalog.lock();
         let is_first_load = records.len() > NAMED_RECORDS_MAX && catalog.hosts().next().is_none();
         let outcomes: Vec<OfferOutcome> = records
             .iter()
-            .map(|r| self.offer_one(&mut catalog, r.clone(), !is_first_load))
+            .map(|r| self.offer_one(&mut catalog, r.clone(), peer.as_ref(), !is_first_load))
             .collect();
         if is_first_load {
             let loaded = outcomes.iter().filter(|o| **o == OfferOutcome::InForce).count() as u64;
@@ -353,6 +365,23 @@
         self.resynced.notify_waiters();
     }
 
+    /// Records when this host's copy of the registry becomes older than the time in which a change
+    /// must be in force, and when it is young enough again. Called at a fixed interval.
+    pub(crate) fn check_copy_age(&self) {
+        let Some(as_of) = self.registry_freshness.as_of() else { return };
+        let age = self.clock.now().since(as_of);
+        self.metrics.observe_registry_age(age);
+        let limit = self.registry_freshness.schedule.apply_time();
+        let change = self.copy_age.lock().observe(age, limit);
+        let (code, age) = match change {
+            Some(AgeChange::Outdated(age)) => (EventCode::CopyOutdated, age),
+            Some(AgeChange::Current(age)) => (EventCode::CopyCurrent, age),
+            None => return,
+        };
+        let age = u64::try_from(age.as_millis()).ok();
+        self.events.record(code, Subject::default(), age);
+    }
+
     /// Detects pauses of the process, and updates the states of the members. Called at a fixed
     /// interval.
     pub(crate) fn update_members(&self) {
@@ -392,7 +421,13 @@
     }
 
     /// Offers a record to the catalog, and records the event if it is to be named.
-    fn offer_one(&self, catalog: &mut Catalog, record: Record, is_named: bool) -> OfferOutcome {
+    fn offer_one(
+        &self,
+        catalog: &mut Catalog,
+        record: Record,
+        peer: Option<&Arc<str>>,
+        is_named: bool,
+    ) -> OfferOutcome {
         if self.settings.registry.is_some() && record.is_of_earlier_format() {
             return OfferOutcome::Unreadable;
         }
@@ -404,7 +439,12 @@
         };
         if is_named {
             let name = format!("{}/{}", record.kind(), record.name);
-            let subject = Subject { record: Some(name.into()), ..Subject::default() };
+            let subject = Subject {
+                record: Some(name.into()),
+                state: record.body.upstream_state().map(Into::into),
+                peer: peer.cloned(),
+                ..Subject::default()
+            };
             self.events.record(code, subject, Some(record.version));
         }
         self.recorder
--- a/src/peer/pull.rs
+++ b/src/peer/pull.rs
@@ -167,20 +167,21 @@
         for (i, version) in batch.iter().take(count).enumerate() {
             readable.extend(parse(&session.local, version, records.get(i as u32)?));
         }
-        offer(&session.local, readable);
+        offer(session, readable);
         remaining = &remaining[count..];
     }
     Ok(())
 }
 
 /// Offers fetched records to the catalog.
-fn offer(local: &LocalState, records: Vec<Record>) {
+fn offer(session: &Session, records: Vec<Record>) {
     let is_upstream: Vec<bool> = records.iter().map(|r| matches!(r.body, Body::Host(_))).collect();
-    let outcomes = local.node.offer(records);
+    let node = &session.local.node;
+    let outcomes = node.offer_from(session.host(), records);
     let is_new =
         |(o, is_upstream): (&OfferOutcome, bool)| *o == OfferOutcome::InForce && is_upstream;
     if outcomes.iter().zip(is_upstream).any(is_new) {
-        local.node.registry_freshness.doubt_own_read();
+        node.registry_freshness.doubt_own_read();
     }
 }
 
--- a/src/registry/follower.rs
+++ b/src/registry/follower.rs
@@ -127,9 +127,12 @@
             self.age_factor = self.rng.random_range(AGE_FACTOR_MIN..=1.0);
             let pauses = self.node.pause_detector.lock().pause_count();
             let now = self.node.clock.now();
-            match self.read(now).await {
+            let result = self.read(now).await;
+            let took = self.node.clock.now().since(now);
+            self.node.metrics.observe_registry_read(took, result.is_ok());
+            match result {
                 Ok(()) => self.finish_read(now, pauses),
-                Err(e) => self.handle_failure(&e).await,
+                Err(e) => self.handle_failure(&e, took).await,
             }
             self.check_ready(self.node.clock.now());
         }
@@ -140,7 +143,7 @@
     async fn start(&mut self) {
         let start = self.node.clock.now();
         if let Err(e) = self.list(Consistency::Stale, start).await {
-            return self.handle_failure(&e).await;
+            return self.handle_failure(&e, self.node.clock.now().since(start)).await;
         }
         let upstreams = self.node.catalog.lock().hosts().count();
         let wait = PEER_CONFIRMATION_WAIT * u32::try_from(upstreams).unwrap_or(u32::MAX);
@@ -278,9 +281,11 @@
         self.seen.is_registered(name) || missing.is_pending(name) && !missing.is_withholding(now)
     }
 
-    /// Handles a failed read, and waits until the next attempt.
-    async fn handle_failure(&mut self, failure: &CallError) {
+    /// Handles a read that failed after the time `took`, and waits until the next attempt.
+    async fn handle_failure(&mut self, failure: &CallError, took: Duration) {
         self.missing_registrations.record_failure();
+        let took = u64::try_from(took.as_millis()).ok();
+        self.node.events.record(EventCode::ReadFailed, Subject::default(), took);
         if self.failing_since.is_none() {
             self.failing_since = Some(Instant::now());
             log::warn!("registry: {failure}");
--- a/tests/reads.rs
+++ b/tests/reads.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use cornelferry::Time;
-use cornelferry::reads::{AGE_FACTOR_MIN, ReadSchedule};
+use cornelferry::reads::{AGE_FACTOR_MIN, AgeChange, CopyAge, ReadSchedule};
 
 const APPLY: Duration = Duration::from_secs(3);
 
@@ -65,3 +65,14 @@
     let next_copy_arrives = next_read + duration + spread;
     assert!(schedule.due(Time::ZERO, None, AGE_FACTOR_MIN) > next_copy_arrives);
 }
+
+#[test]
+fn a_copy_that_becomes_too_old_is_reported_once_and_its_highest_age_when_it_is_young_again() {
+    let mut copy = CopyAge::default();
+    let ms = Duration::from_millis;
+    let seen =
+        [0, 2_900, 3_000, 3_400, 3_200, 40, 50, 3_001].map(|age| copy.observe(ms(age), APPLY));
+    let outdated = |age| Some(AgeChange::Outdated(ms(age)));
+    let current = Some(AgeChange::Current(ms(3_400)));
+    assert_eq!(seen, [None, None, outdated(3_000), None, None, current, None, outdated(3_001)]);
+}
