Order an upstream's registrations by the registry's revision, not by their arrival

Cause: a host took what it read for later than what peers had told, whatever the order in which the registry had answered. A read answered before the upstream left and applied after a peer had told of it began a new round, "live" with the higher version, which all hosts adopted until one read the next heartbeat: 1.5 s, 0.6 s for the read and 0.5 s for the spread. Removals likewise, in both directions. Evidence: tests/rewind.rs found it by search before this change; the two new tests of the follower fail without the comparison and pass with it. Change: a record carries the revision from which it was read, in the registry's era; a registration written at or before it, or missing as of an earlier one, changes nothing. Evacuations had this order already and share the type. Releases before ignore the field; a record without it is treated as before. Measured: lib, rewind, evacuation, catalog, registry, replay, fleet and startup tests pass.

--- a/src/decide/catalog.rs
+++ b/src/decide/catalog.rs
@@ -10,6 +10,7 @@
 
 use crate::config::{Profile, Routing, Service};
 use crate::decide::hosts::Host;
+use crate::decide::registered::Revision;
 use crate::decide::stored::UnreadableVersion;
 use crate::decide::upstream::State;
 
@@ -73,6 +74,10 @@
     pub change: Arc<str>,
     /// Who published this version.
     pub author: Arc<str>,
+    /// The point in the history of the platform's registry at which this version was read; `None` if
+    /// it doesn't come from there, or if a release that didn't tell has read it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub revision: Option<Revision>,
     /// The content.
     pub body: Body,
 }
--- a/src/decide/evacuation.rs
+++ b/src/decide/evacuation.rs
@@ -5,19 +5,9 @@
 
 use std::sync::Arc;
 
+use crate::decide::registered::Revision;
 use crate::time::Time;
 
-/// A point in the history of the platform's store at which an order was read. The order of the
-/// fields is that of history: the store begins a new era when it returns from an older copy, and
-/// then gives out revisions again.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub struct OrderVersion {
-    /// The store's era.
-    pub era: u32,
-    /// The store's revision within the era.
-    pub revision: u64,
-}
-
 /// An order to evacuate a data centre, or the end of one.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct EvacuationOrder {
@@ -25,8 +15,8 @@
     pub data_centre: Arc<str>,
     /// Whether the evacuation is in force; `false` if it was taken back.
     pub active: bool,
-    /// Where in the store's history this was read.
-    pub version: OrderVersion,
+    /// Where in the registry's history this was read.
+    pub version: Revision,
 }
 
 impl EvacuationOrder {
@@ -114,7 +104,7 @@
     pub fn unlisted(
         &self,
         listed: &[Arc<str>],
-        read_at: OrderVersion,
+        read_at: Revision,
         is_settled: bool,
     ) -> Vec<Arc<str>> {
         let is_unlisted = |order: &EvacuationOrder| {
--- a/src/decide/registered.rs
+++ b/src/decide/registered.rs
@@ -9,12 +9,36 @@
 //! - For one process, live is followed by leaving, and leaving by gone.
 //! - A process that says otherwise later than that, such as one that registers again after its
 //!   registration lapsed, begins a new round.
+//!
+//! Later means at a later revision of the registry, not later at the host that reads: a read may be
+//! answered before a change and applied after a peer has told of it.
 
 use std::sync::Arc;
 
+use serde::{Deserialize, Serialize};
+
 use crate::decide::hosts::Host;
 use crate::decide::upstream::State;
 
+/// A point in the registry's history. The order of the fields is that of history: the registry begins
+/// a new era when it returns from an older copy, and then gives out numbers again.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Revision {
+    /// The registry's era.
+    pub era: u32,
+    /// The registry's revision within the era.
+    pub number: u64,
+}
+
+impl Revision {
+    /// Returns whether `known` stems from this point of an era or a later one.
+    fn is_covered_by(self, known: Option<Revision>) -> bool {
+        known.is_some_and(|known| known.era == self.era && known.number >= self.number)
+    }
+}
+
 /// The number of bits for the step within a round.
 const STEP_BITS: u32 = 2;
 /// The number of bits for the round.
@@ -83,20 +107,31 @@
     Listed,
 }
 
-/// Returns the version of a registration if it replaces what is known: the version in force, and
-/// the host unless that is gone.
+/// What a host knows of an upstream.
+#[derive(Clone, Copy, Debug)]
+pub struct Known<'a> {
+    /// The version in force.
+    pub version: RegistrationVersion,
+    /// The upstream, unless it is gone.
+    pub host: Option<&'a Host>,
+    /// The point in the registry's history at which this was read, if that is known.
+    pub revision: Option<Revision>,
+}
+
+/// Returns the version of a registration that was written at `revision` if it replaces what is known.
 pub fn next_version(
-    known: Option<(RegistrationVersion, Option<&Host>)>,
+    known: Option<Known<'_>>,
     registered: &Host,
     reading: Reading,
+    revision: Revision,
 ) -> Option<RegistrationVersion> {
     let born = registered.born.unwrap_or(0);
     let first = RegistrationVersion { born, round: 0, step: Step::of(registered.state) };
-    let Some((version, host)) = known else { return Some(first) };
+    let Some(Known { version, host, revision: known_at }) = known else { return Some(first) };
     if born != version.born {
         return (born > version.born).then_some(first);
     }
-    if host == Some(registered) {
+    if host == Some(registered) || revision.is_covered_by(known_at) {
         return None;
     }
     let same_round = RegistrationVersion { step: first.step, ..version };
@@ -108,6 +143,15 @@
     is_news.then_some(RegistrationVersion { round: version.round + 1, ..same_round })
 }
 
+/// Returns the version by which an upstream is gone whose registration is missing from the registry
+/// as of `revision`. `None` if it is known to be gone, or has registered later than that.
+pub fn gone_version(known: Known<'_>, revision: Revision) -> Option<RegistrationVersion> {
+    let is_registered_since =
+        known.revision.is_some_and(|at| at.era == revision.era && at.number > revision.number);
+    let is_news = known.host.is_some() && !is_registered_since;
+    is_news.then_some(RegistrationVersion { step: Step::Gone, ..known.version })
+}
+
 /// The registrations that a host has read, sorted by name.
 #[derive(Clone, Debug, Default)]
 pub struct SeenRegistrations {
--- a/src/node.rs
+++ b/src/node.rs
@@ -464,6 +464,7 @@
             version: 0,
             change: "settings".into(),
             author: self.settings.host.clone(),
+            revision: None,
             body,
         };
         let profiles = self.settings.profiles.iter();
--- a/src/peer/codec.rs
+++ b/src/peer/codec.rs
@@ -10,9 +10,10 @@
     CatalogSummary, ColdUpstream, Digest, LeavingUpstream, RecordVersion, RelayedHeartbeat,
     RelayedReport, UpstreamLimit, UpstreamLoad, UpstreamName,
 };
-use crate::decide::evacuation::{EvacuationOrder, OrderVersion};
+use crate::decide::evacuation::EvacuationOrder;
 use crate::decide::member::Process;
 use crate::decide::poison::{Fingerprint, RequestEvent};
+use crate::decide::registered::Revision;
 use crate::hlc::Timestamp;
 use crate::peer::peer_capnp as wire;
 
@@ -349,7 +350,7 @@
         row.set_data_centre(&*order.data_centre);
         row.set_active(order.active);
         row.set_era(order.version.era);
-        row.set_revision(order.version.revision);
+        row.set_revision(order.version.number);
     }
 }
 
@@ -357,7 +358,7 @@
     Ok(EvacuationOrder {
         data_centre: text(row.get_data_centre()?)?,
         active: row.get_active(),
-        version: OrderVersion { era: row.get_era(), revision: row.get_revision() },
+        version: Revision { era: row.get_era(), number: row.get_revision() },
     })
 }
 
--- a/src/peer/tests.rs
+++ b/src/peer/tests.rs
@@ -22,10 +22,11 @@
     CatalogSummary, ColdUpstream, Digest, RecordVersion, RelayedHeartbeat, RelayedReport,
     UpstreamLimit, UpstreamLoad, UpstreamName,
 };
-use crate::decide::evacuation::{EvacuationOrder, OrderVersion};
+use crate::decide::evacuation::EvacuationOrder;
 use crate::decide::hosts::{Host as ListedHost, Role};
 use crate::decide::member::{Heartbeat, MemberState, Process};
 use crate::decide::poison::{Fingerprint, RequestEvent};
+use crate::decide::registered::Revision;
 use crate::decide::upstream::State;
 use crate::event::EventCode;
 use crate::hlc::Timestamp;
@@ -135,6 +136,7 @@
         version,
         change: format!("change-{version}").into(),
         author: "test".into(),
+        revision: None,
         body: Body::Profile(Arc::new(profile)),
     }
 }
@@ -225,7 +227,7 @@
     let order = |active, revision| EvacuationOrder {
         data_centre: "dc".into(),
         active,
-        version: OrderVersion { era: 0, revision },
+        version: Revision { era: 0, number: revision },
     };
     let is_evacuated = |h: &Host| h.node.evacuations.lock().active().count() == 1;
     hosts[0].node.observe_evacuation(&order(true, 7));
@@ -354,7 +356,14 @@
         born: Some(7),
     };
     let (change, author) = ("".into(), "".into());
-    Record { name: name.into(), version, change, author, body: Body::Host(Arc::new(host)) }
+    Record {
+        name: name.into(),
+        version,
+        change,
+        author,
+        revision: None,
+        body: Body::Host(Arc::new(host)),
+    }
 }
 
 /// Forwards connections with a delay of 200 ms in each direction.
@@ -476,7 +485,7 @@
     let order = order.prop_map(|(name, active, era, revision)| EvacuationOrder {
         data_centre: name.into(),
         active,
-        version: OrderVersion { era, revision },
+        version: Revision { era, number: revision },
     });
     let news = (vec(cold, 0..4), vec(report, 0..4), vec(order, 0..4));
     let tail = (vec(recent, 0..4), vec(limit, 0..4), news);
--- a/src/peer/tests/allowance.rs
+++ b/src/peer/tests/allowance.rs
@@ -29,6 +29,7 @@
         version: 1,
         change: "change-1".into(),
         author: "test".into(),
+        revision: None,
         body: Body::Routing(Arc::new(routing)),
     }
 }
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -12,6 +12,7 @@
 use serde::{Deserialize, Deserializer, de};
 use serde_json::{Value, json};
 
+use crate::decide::registered::Revision;
 use crate::store::backoff::AdaptiveTimeout;
 use crate::store::call::{CallError, CallKind, LeaseId};
 use crate::store::http::{CallCounter, HttpClient, Request};
@@ -35,13 +36,6 @@
     observe_era: EraObserver,
 }
 
-/// A point in the registry's history.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(crate) struct Revision {
-    pub(crate) era: u32,
-    pub(crate) number: u64,
-}
-
 /// Whether a read may return what was true some seconds ago, which costs a tenth.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Consistency {
--- a/src/registry/evacuation.rs
+++ b/src/registry/evacuation.rs
@@ -3,9 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::decide::evacuation::{EvacuationOrder, OrderVersion};
+use crate::decide::evacuation::EvacuationOrder;
+use crate::decide::registered::Revision;
 use crate::node::Node;
-use crate::platform::{Change, Client, Consistency, Revision, evacuation};
+use crate::platform::{Change, Client, Consistency, evacuation};
 use crate::store::call::CallError;
 use crate::time::Time;
 
@@ -40,7 +41,7 @@
             Ok(at) if !active => drop(self.listed.remove(at)),
             _ => {}
         }
-        let version = version(change.revision);
+        let version = change.revision;
         node.observe_evacuation(&EvacuationOrder {
             data_centre: data_centre.into(),
             active,
@@ -63,8 +64,7 @@
         now: Time,
     ) -> Result<(), CallError> {
         let is_settled = self.era.is_some_and(|(_, since)| now.since(since) >= REWRITE_TIME);
-        let read_at = version(read_up_to);
-        let unlisted = node.evacuations.lock().unlisted(&self.listed, read_at, is_settled);
+        let unlisted = node.evacuations.lock().unlisted(&self.listed, read_up_to, is_settled);
         if unlisted.is_empty() {
             return Ok(());
         }
@@ -78,15 +78,10 @@
                 node.observe_evacuation(&EvacuationOrder {
                     data_centre,
                     active: false,
-                    version: read_at,
+                    version: read_up_to,
                 });
             }
         }
         Ok(())
     }
 }
-
-/// Returns the version of an order that was read at a revision.
-fn version(revision: Revision) -> OrderVersion {
-    OrderVersion { era: revision.era, revision: revision.number }
-}
--- a/src/registry/follower.rs
+++ b/src/registry/follower.rs
@@ -14,15 +14,13 @@
 use crate::decide::poison::{RequestEvent, RequestReport};
 use crate::decide::reads::AGE_FACTOR_MIN;
 use crate::decide::registered::{
-    Reading, RegistrationVersion, SeenRegistrations, Step, next_version,
+    Known, Reading, RegistrationVersion, Revision, SeenRegistrations, gone_version, next_version,
 };
 use crate::decide::upstream::State;
 use crate::decide::warmup;
 use crate::event::{EventCode, Subject};
 use crate::node::{Node, Phase};
-use crate::platform::{
-    Change, Client, Consistency, Items, Revision, WatchResponse, config, registration,
-};
+use crate::platform::{Change, Client, Consistency, Items, WatchResponse, config, registration};
 use crate::settings;
 use crate::store::backoff::Backoff;
 use crate::store::call::CallError;
@@ -215,8 +213,8 @@
                 self.list(Consistency::Linearizable, now).await?;
             }
         }
-        self.mark_unregistered(&known, now);
         if let Some((revision, _)) = self.last_read {
+            self.mark_unregistered(&known, revision, now);
             self.evacuations.confirm(self.node, self.client, revision, now).await?;
         }
         Ok(())
@@ -227,12 +225,13 @@
     }
 
     /// Marks those upstreams as missing that were known before the read that has just ended, and
-    /// that the registry doesn't contain. This host may know them from peers that have not read of
-    /// their removal, and never have read of it itself.
-    fn mark_unregistered(&mut self, known: &[Arc<str>], now: Time) {
+    /// that the registry doesn't contain as of `revision`. This host may know them from peers that
+    /// have not read of their removal, and never have read of it itself.
+    fn mark_unregistered(&mut self, known: &[Arc<str>], revision: Revision, now: Time) {
         let ended: Vec<&Arc<str>> =
             known.iter().filter(|name| !self.seen.is_registered(name)).collect();
-        let deletions = ended.iter().filter_map(|name| self.mark_missing(name, now)).collect();
+        let missing = |name: &&Arc<str>| self.mark_missing(name, revision, now);
+        let deletions = ended.iter().filter_map(missing).collect();
         self.offer(deletions);
     }
 
@@ -262,7 +261,10 @@
         let expired = self.missing_registrations.take_expired(now);
         let (hosts, upstreams): (Vec<_>, Vec<_>) =
             expired.iter().partition(|m| m.name.starts_with(&self.hosts_prefix));
-        self.offer(upstreams.iter().filter_map(|m| self.deletion(&m.name)).collect());
+        if let Some((revision, _)) = self.last_read {
+            let deletions = upstreams.iter().filter_map(|m| self.deletion(&m.name, revision));
+            self.offer(deletions.collect());
+        }
         for host in &hosts {
             self.remove_entry_host(&host.name[self.hosts_prefix.len()..]);
         }
@@ -419,13 +421,13 @@
         let name = change.key.strip_prefix(registration::PREFIX)?;
         let Some(value) = &change.value else {
             self.seen.remove(name);
-            return self.mark_missing(name, now);
+            return self.mark_missing(name, change.revision, now);
         };
         let Some((host, beat)) = registration::decode(&change.key, value) else {
             self.seen.remove(name);
             // The earlier registration no longer exists, so the host is removed.
             log::info!("registry: {} is not a valid upstream registration", change.key);
-            return self.deletion(name);
+            return self.deletion(name, change.revision);
         };
         self.missing_registrations.mark_present(name);
         let is_repeat = self.seen.is_repeat(name, host.born, beat.sequence);
@@ -438,40 +440,35 @@
             self.cold_reports.push(ColdReport { name, born, remaining });
         }
         let catalog = self.node.catalog.lock();
-        let known = catalog.get(RecordKind::Host, name).map(|r| {
-            let in_force = match &r.body {
-                Body::Host(host) => Some(&**host),
-                _ => None,
-            };
-            (RegistrationVersion::from_number(r.version), in_force)
-        });
-        let version = next_version(known, &host, reading)?;
+        let known = catalog.get(RecordKind::Host, name).map(known_upstream);
+        let version = next_version(known, &host, reading, change.revision)?;
         drop(catalog);
-        Some(record(name, version.number(), Body::Host(Arc::new(host))))
+        let body = Body::Host(Arc::new(host));
+        Some(Record { revision: Some(change.revision), ..record(name, version.number(), body) })
     }
 
-    /// Marks an upstream's registration as missing. Returns its deletion record if it counts as gone
-    /// at once.
-    fn mark_missing(&mut self, name: &str, now: Time) -> Option<Record> {
-        let body = self.node.catalog.lock().get(RecordKind::Host, name).map(|r| r.body.clone());
-        let Some(Body::Host(host)) = body else { return None };
-        let leaving = host.state == State::Leaving;
-        let is_gone = self.missing_registrations.mark_missing(&host.name, leaving, now);
-        is_gone.then(|| self.deletion(name)).flatten()
+    /// Marks an upstream's registration as missing as of `revision`, unless the upstream is known to
+    /// have registered later. Returns its deletion record if it counts as gone at once.
+    fn mark_missing(&mut self, name: &str, revision: Revision, now: Time) -> Option<Record> {
+        let deletion = self.deletion(name, revision)?;
+        let is_leaving = self
+            .node
+            .catalog
+            .lock()
+            .get(RecordKind::Host, name)
+            .is_some_and(|r| matches!(&r.body, Body::Host(h) if h.state == State::Leaving));
+        let name = &deletion.name;
+        self.missing_registrations.mark_missing(name, is_leaving, now).then_some(deletion)
     }
 
-    /// Returns the deletion record of an upstream, unless it is unknown or deleted already.
-    fn deletion(&self, name: &str) -> Option<Record> {
+    /// Returns the deletion record of an upstream whose registration is missing as of `revision`,
+    /// unless it is unknown, deleted already or known to have registered later.
+    fn deletion(&self, name: &str, revision: Revision) -> Option<Record> {
         let catalog = self.node.catalog.lock();
-        let known = catalog.get(RecordKind::Host, name)?;
-        if !matches!(known.body, Body::Host(_)) {
-            return None;
-        }
-        let version = RegistrationVersion {
-            step: Step::Gone,
-            ..RegistrationVersion::from_number(known.version)
-        };
-        Some(record(name, version.number(), Body::Deleted(RecordKind::Host)))
+        let known = catalog.get(RecordKind::Host, name).map(known_upstream)?;
+        let version = gone_version(known, revision)?;
+        let body = Body::Deleted(RecordKind::Host);
+        Some(Record { revision: Some(revision), ..record(name, version.number(), body) })
     }
 
     fn routing_record(&self, change: &Change) -> Option<Record> {
@@ -521,12 +518,29 @@
     latest
 }
 
+/// Returns what a record says of an upstream.
+fn known_upstream(record: &Record) -> Known<'_> {
+    let host = match &record.body {
+        Body::Host(host) => Some(&**host),
+        _ => None,
+    };
+    let version = RegistrationVersion::from_number(record.version);
+    Known { version, host, revision: record.revision }
+}
+
 fn record(name: &str, version: u64, body: Body) -> Record {
     let change = match body {
         Body::Routing(_) => ROUTING_FORMAT,
         _ => "",
     };
-    Record { name: name.into(), version, change: change.into(), author: "".into(), body }
+    Record {
+        name: name.into(),
+        version,
+        change: change.into(),
+        author: "".into(),
+        revision: None,
+        body,
+    }
 }
 
 #[cfg(test)]
--- a/src/registry/follower/tests.rs
+++ b/src/registry/follower/tests.rs
@@ -2,13 +2,18 @@
 
 use std::sync::Arc;
 
-use super::{latest_changes, record};
+use tokio::sync::oneshot;
+
+use super::{Follower, latest_changes, record};
 use crate::config::{Routing, Treatment};
 use crate::decide::catalog::{Body, Catalog, OfferOutcome, Record, RecordKind};
+use crate::decide::registered::{Reading, Revision};
 use crate::decide::stored::{self, StoredRecord};
+use crate::decide::upstream::State;
 use crate::node::Node;
-use crate::platform::{Change, Revision, config};
+use crate::platform::{Change, Client, config};
 use crate::settings::Settings;
+use crate::time::Time;
 
 fn change(key: &str, value: Option<&str>) -> Change {
     let value = value.map(|v| v.as_bytes().to_vec());
@@ -166,3 +171,69 @@
         assert!(text.contains("huka270") && !text.contains("rjvz48wuakn2ftimaj3n"), "{text}");
     }
 }
+
+const REGISTRATION: &str = r#"{"service":"huvo11a","address":"127.0.0.1:9","zone":"dc","slots":6,
+"state":"ready","sequence":4,"born":1796342400000}"#;
+
+/// Returns what two hosts know of an upstream, as version and state, after a peer has told the second
+/// one that `later` happened and it applies a read that was answered with `earlier` before.
+fn known_after_a_late_read(
+    earlier: Option<&str>,
+    later: Option<&str>,
+) -> [Option<(u64, Option<State>)>; 2] {
+    let nodes = [(), ()].map(|()| node(r#", "registry": {"address": "127.0.0.1:3"}"#));
+    let observe_era = || Box::new(|era: Option<u32>| Some(era.unwrap_or(0)));
+    let [a, b] = &nodes;
+    let client = |node: &Node| {
+        let counter = node.metrics.call_counter();
+        Client::connect("127.0.0.1:3".parse().expect("address"), 1.0, counter, observe_era())
+    };
+    let cfg = a.settings.registry.clone().expect("a registry");
+    let clients = [client(a), client(b)];
+    let mut followers = [(a, &clients[0]), (b, &clients[1])]
+        .map(|(node, client)| Follower::new(node, &cfg, client, oneshot::channel().0));
+    let mut read = |host: usize, value: Option<&str>, number| {
+        let revision = Revision { era: 0, number };
+        let change = Change { revision, ..change("servers/u", value) };
+        // Long after the start, when a missing registration counts as gone at once.
+        let now = Time::from_millis(60_000 + number);
+        followers[host].mark_readable(Time::from_millis(1));
+        followers[host].apply_changes(&[change], Reading::Written, now);
+    };
+    (0..2).for_each(|host| read(host, Some(REGISTRATION), 1));
+    read(0, later, 3);
+    let told = a.catalog.lock().get(RecordKind::Host, "u").cloned().expect("a record");
+    b.offer_from(Some("a".into()), vec![told]);
+    read(1, earlier, 2);
+    nodes.each_ref().map(|node| {
+        let catalog = node.catalog.lock();
+        let record = catalog.get(RecordKind::Host, "u")?;
+        let state = match &record.body {
+            Body::Host(host) => Some(host.state),
+            _ => None,
+        };
+        Some((record.version, state))
+    })
+}
+
+/// Guards against a drain that is taken back (DRAIN on tumar-gate-grown), and a removal likewise.
+#[test]
+fn a_late_read_does_not_take_back_what_a_peer_has_told() {
+    let heartbeat = REGISTRATION.replace(r#""sequence":4"#, r#""sequence":5"#);
+    let leaving = REGISTRATION.replace("ready", "draining").replace(":4,", ":6,");
+    for later in [Some(&*leaving), None] {
+        let [a, b] = known_after_a_late_read(Some(&heartbeat), later);
+        assert_eq!(a, b);
+        assert_eq!(a.and_then(|(_, state)| state), later.map(|_| State::Leaving));
+    }
+}
+
+/// Guards against an upstream that is taken for gone because a read was answered before it registered
+/// again.
+#[test]
+fn a_late_read_does_not_remove_an_upstream_that_has_registered_again() {
+    let restarted = REGISTRATION.replace("1796342400000", "1796342400001");
+    let [a, b] = known_after_a_late_read(None, Some(&restarted));
+    assert_eq!(a, b);
+    assert_eq!(a.and_then(|(_, state)| state), Some(State::Live));
+}
--- a/src/tool/publish.rs
+++ b/src/tool/publish.rs
@@ -177,6 +177,7 @@
             version: self.expect + 1,
             change: self.change.clone(),
             author: self.author.clone(),
+            revision: None,
             body: self.body.clone(),
         }
     }
--- a/src/tool/record.rs
+++ b/src/tool/record.rs
@@ -80,7 +80,7 @@
 impl From<StoredRecord> for RecordRow {
     fn from(stored: StoredRecord) -> RecordRow {
         match stored {
-            StoredRecord::Readable(Record { name, version, change, author, body }) => {
+            StoredRecord::Readable(Record { name, version, change, author, body, .. }) => {
                 let deleted = matches!(body, Body::Deleted(_));
                 let state = if deleted { "deleted" } else { "stored" };
                 let (author, change) = (Some(author), Some(change));
--- a/tests/catalog.rs
+++ b/tests/catalog.rs
@@ -105,6 +105,7 @@
             version: stored.max(newest) + 1,
             change: format!("{:x}", self.changes * 7_919 % 97).into(),
             author: "operator".into(),
+            revision: None,
             body: Body::Profile(Arc::new(Profile { name, ..Profile::default() })),
         };
         self.store[index] = Some(record.clone());
--- a/tests/evacuation.rs
+++ b/tests/evacuation.rs
@@ -9,8 +9,9 @@
 use cornelferry::config::{LoadFormat, Priority, ProbeConfig, Service, Upstream};
 use cornelferry::digest::{DeltaDecoder, DeltaEncoder, Digest};
 use cornelferry::error::Code;
-use cornelferry::evacuation::{EvacuationChange, EvacuationOrder, Evacuations, OrderVersion};
+use cornelferry::evacuation::{EvacuationChange, EvacuationOrder, Evacuations};
 use cornelferry::member::Process;
+use cornelferry::registered::Revision;
 use cornelferry::service::{HostInfo, NextAttempt};
 use cornelferry::tick::ServiceTables;
 use cornelferry::upstream::{AttemptReport, Occupancy, UpstreamId, UpstreamOutcome};
@@ -23,7 +24,7 @@
 const NOW: Time = Time::ZERO;
 
 fn order(data_centre: &str, active: bool, era: u32, revision: u64) -> EvacuationOrder {
-    let version = OrderVersion { era, revision };
+    let version = Revision { era, number: revision };
     EvacuationOrder { data_centre: data_centre.into(), active, version }
 }
 
@@ -115,7 +116,7 @@
     let mut evacuations = Evacuations::default();
     evacuations.observe(&order("a", true, 1, 7), NOW);
     evacuations.observe(&order("b", true, 1, 7), NOW);
-    let read = |era, revision| OrderVersion { era, revision };
+    let read = |era, number| Revision { era, number };
     let listed: [Arc<str>; 1] = ["b".into()];
     let unlisted = |at, is_settled| evacuations.unlisted(&listed, at, is_settled);
     assert!(unlisted(read(1, 6), true).is_empty(), "a stale copy");
