Take an upstream's entry with a start too large for a version for unreadable

Report of other operators: one odd entry among those of the targets ended the machines that read it, or stopped them from following it. Change: a start above 2^52-1 ms, which a version can't hold, makes the entry name no upstream. Also tested, and not possible here: a response that ends within its head, cut after each byte of it, with three kinds of framing and both kinds of requests, never reaches a caller as a success.

--- a/src/decide/registered.rs
+++ b/src/decide/registered.rs
@@ -44,11 +44,15 @@
 /// The number of bits for the round.
 const ROUND_BITS: u32 = 10;
 
+/// The latest start of a process, in milliseconds since the Unix epoch, that a version can hold.
+pub const BORN_MAX: u64 = (1 << (u64::BITS - ROUND_BITS - STEP_BITS)) - 1;
+
 /// The place of a registration in its upstream's history. The order of the fields is that of
 /// history.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct RegistrationVersion {
-    /// When the upstream's process started, in milliseconds since the Unix epoch; 0 if unknown.
+    /// When the upstream's process started, in milliseconds since the Unix epoch, at most
+    /// [`BORN_MAX`]; 0 if unknown.
     pub born: u64,
     /// The number of times that the process has taken back that it is leaving or gone.
     pub round: u64,
--- a/src/platform/registration.rs
+++ b/src/platform/registration.rs
@@ -6,6 +6,7 @@
 use serde::Deserialize;
 
 use crate::decide::hosts::{Host, Role};
+use crate::decide::registered::BORN_MAX;
 use crate::decide::upstream::State;
 
 /// Prefix of the keys of registrations; the upstream's id follows.
@@ -48,11 +49,14 @@
 }
 
 /// Decodes the registration under a key into the upstream and its heartbeat. Returns
-/// `None` if the upstream can't be used: the key has
-/// another form, a field is missing or of another type, or the state is unknown.
+/// `None` if the upstream can't be used: the key has another form, a field is missing, of another
+/// type or too large, or the state is unknown.
 pub(crate) fn decode(key: &str, value: &[u8]) -> Option<(Host, Beat)> {
     let name = key.strip_prefix(PREFIX).filter(|id| !id.is_empty())?;
     let registration: Registration = serde_json::from_slice(value).ok()?;
+    if registration.born.is_some_and(|born| born > BORN_MAX) {
+        return None;
+    }
     let host = Host {
         name: name.into(),
         address: registration.address,
--- a/tests/harness/signing.rs
+++ b/tests/harness/signing.rs
@@ -17,6 +17,13 @@
 /// The id of an upstream that is cold for a minute by its responses to probes.
 pub const COLD_HEALTH: &str = "u-cold-health";
 
+/// The id of an upstream that, once it has refused a request on a connection, writes that refusal again
+/// before each later response on it.
+pub const REPEATS_REFUSALS: &str = "u-repeats-refusals";
+
+/// The mark at which a response ends and its connection is closed.
+pub const CUT: &str = "<cut>";
+
 /// The mark after which the rest of a response is repeated without end.
 pub const ENDLESS: &str = "<endless>";
 
@@ -82,6 +89,7 @@
 /// Serves the requests of a connection. The requests have no bodies.
 fn serve(mut stream: TcpStream, id: &str, respond: &Respond, runs: &AtomicUsize) {
     let mut buf = Vec::new();
+    let mut refusal = None;
     while let Some(head) = read_head(&mut stream, &mut buf) {
         let res = if head.starts_with("get /health ") && id == ENDLESS_HEALTH {
             format!(
@@ -101,8 +109,17 @@
                 .to_owned()
         } else {
             runs.fetch_add(1, Ordering::SeqCst);
-            respond(&head)
+            let res = respond(&head);
+            if id == REPEATS_REFUSALS && res.starts_with("HTTP/1.1 503 ") {
+                refusal.insert(res).clone()
+            } else {
+                format!("{}{res}", refusal.as_deref().unwrap_or_default())
+            }
         };
+        if let Some((once, _)) = res.split_once(CUT) {
+            let _ = stream.write_all(once.as_bytes());
+            return;
+        }
         let (once, repeated) = res.split_once(ENDLESS).unwrap_or((&res, ""));
         if res.is_empty() || stream.write_all(once.as_bytes()).is_err() {
             return;
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -7,7 +7,7 @@
 
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -15,7 +15,7 @@
 use http_body_util::Full;
 use serde_json::{Value, json};
 
-use harness::signing::{ENDLESS, ENDLESS_HEALTH, SigningUpstream, config, field, signed};
+use harness::signing::{CUT, ENDLESS, ENDLESS_HEALTH, SigningUpstream, config, field, signed};
 use harness::{Caller, Daemon, wait_until};
 use standin::registry::Registry;
 
@@ -739,3 +739,118 @@
     assert!(Daemon::try_start_at(&fleet.settings, addresses).is_none());
     let _started = Daemon::run(&fleet.settings);
 }
+
+/// Guards against a response that looks whole though its upstream stopped within the head.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_response_that_ends_within_its_head_never_looks_whole() {
+    static LENGTH: AtomicUsize = AtomicUsize::new(0);
+    let whole: [Respond; 3] = [
+        signed,
+        |head| format!("{}\r\nbody", signed_head(head)),
+        |head| {
+            let chunked = "transfer-encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n";
+            format!("{}{chunked}", signed_head(head))
+        },
+    ];
+    for whole in whole {
+        let upstream = SigningUpstream::start("u-1", move |head| {
+            let res = whole(head);
+            format!("{}{CUT}", &res[..LENGTH.load(Ordering::SeqCst).min(res.len())])
+        });
+        let fleet = Fleet::start(&[("u-1", &upstream)]).await;
+        let head = whole("x-attempt-id:r-1").find("\r\n\r\n").expect("a head") + 4;
+        for length in 0..head {
+            LENGTH.store(length, Ordering::SeqCst);
+            for (method, path) in [("POST", "/book/7"), ("GET", "/book/read/7")] {
+                let res = fleet.call(method, path).await;
+                assert!(!res.status().is_success(), "{method}, {length} bytes: {res:?}");
+            }
+        }
+    }
+}
+
+/// Returns odd forms of an upstream's registration.
+fn odd_registrations(valid: &str) -> Vec<String> {
+    let with = |field: &str, value: &str| {
+        let mut text = valid.to_owned();
+        let at = text.find(&format!(r#""{field}":"#)).expect("a field");
+        let end = at + text[at..].find([',', '}']).expect("an end");
+        text.replace_range(at..end, &format!(r#""{field}":{value}"#));
+        text
+    };
+    let nested = |open: &str, close: &str| open.repeat(200_000) + "1" + &close.repeat(200_000);
+    let mut odd = vec![
+        nested("[", "]"),
+        nested(r#"{"a":"#, "}"),
+        nested("[", ""),
+        valid.replacen('{', &format!(r#"{{"note":{},"#, nested("[", "]")), 1),
+        String::new(),
+        "null".to_owned(),
+        "\u{0}\u{1}".to_owned(),
+        valid.replacen('{', r#"{"service":"again","#, 1),
+    ];
+    for number in ["1e999", "-1", "1e300", "18446744073709551616", "4294967295", "0", "0.5", "null"]
+    {
+        for field in ["slots", "coldRemainingS", "sequence", "state", "born"] {
+            odd.push(with(field, number));
+        }
+    }
+    odd.extend(["18446744073709551615", "9007199254740993000"].map(|born| with("born", born)));
+    for address in ["127.0.0.1:65536", "127.0.0.1:-1", "127.0.0.1:0", "127.0.0.1", "[::1]:99999999"]
+    {
+        odd.push(with("address", &format!("{address:?}")));
+    }
+    for field in ["service", "zone", "address", "coldRemainingS"] {
+        odd.push(with(field, &nested("[", "]")));
+    }
+    odd
+}
+
+/// Guards against hosts that end or stop following the registry because of an entry that another
+/// writer has left among those of the upstreams.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn odd_entries_among_the_upstreams_neither_end_a_host_nor_stop_it_from_following() {
+    let (upstream, later) =
+        (SigningUpstream::start("u-1", signed), SigningUpstream::start("u-2", signed));
+    let mut fleet = Fleet::start(&[("u-1", &upstream)]).await;
+    for (i, entry) in odd_registrations(&upstream.heartbeat("ready", 7, 4)).iter().enumerate() {
+        fleet.registry.put(&format!("servers/odd-{i}"), entry);
+    }
+    fleet.registry.put("servers/u-2", &later.heartbeat("ready", 8, 1));
+    fleet.registry.put("op/config", &config(5, "/later/"));
+    fleet.wait_until_in_force("/later/7").await;
+    // A host that starts reads them all at once.
+    fleet = fleet.restart();
+    fleet.wait_until_in_force("/later/7").await;
+    let before = [upstream.runs(), later.runs()];
+    let start = std::time::Instant::now();
+    while upstream.runs() == before[0] || later.runs() == before[1] {
+        assert!(start.elapsed() < harness::TIMEOUT, "an upstream stays unused");
+        fleet.status("POST", "/later/7").await;
+    }
+}
+
+/// Guards against an upstream that is never used again after another writer has written its entry
+/// once: with a start too large for its versions, no heartbeat seemed to be as new.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_upstream_is_used_again_after_its_entry_was_overwritten_with_an_odd_one() {
+    let (upstream, other) =
+        (SigningUpstream::start("u-1", signed), SigningUpstream::start("u-2", signed));
+    let fleet = Fleet::start(&[("u-2", &other)]).await;
+    let heartbeat = |sequence| upstream.heartbeat("ready", 1_796_342_400_000, sequence);
+    fleet.registry.put("servers/u-1", &heartbeat(1));
+    let mut sequence = 1;
+    for born in ["18446744073709551615", "9007199254740993000", "1e999"] {
+        fleet.registry.put("servers/u-1", &heartbeat(sequence).replace("1796342400000", born));
+        wait_for_reads(&fleet);
+        sequence += 1;
+        fleet.registry.put("servers/u-1", &heartbeat(sequence));
+        wait_for_reads(&fleet);
+        let before = upstream.runs();
+        let start = std::time::Instant::now();
+        while upstream.runs() == before {
+            assert!(start.elapsed() < harness::TIMEOUT, "born {born}: the upstream stays unused");
+            fleet.status("POST", "/book/7").await;
+        }
+    }
+}
