Close a connection on which an upstream refused a request without naming it

Report of other operators: a faulty target wrote an earlier refusal once more on a kept connection, and callers were told "not run" of requests that had run, or the requests ran at a second target. Seen here: yes. Refusals of the platform's upstreams bear no request id, so a repeated one was taken for the answer to the next request on that connection (the new test failed: "POST has run and is told not to have"). Cause: what is accepted as proof named no request; only its place on the connection tied it to one. Change: a refusal that doesn't echo the request's id is proof only on a connection that has carried none before, as the connection is closed after it. One that echoes the id was told apart before.

--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -344,6 +344,7 @@
         }
         self.load_report = LoadReport::new(&self.service, head.status, &head.headers);
         self.observe_limit(&head);
+        let echoes_id = head.headers.contains_key(&self.service.echo_header);
         let (outcome, upstream_outcome) = classify(&self.service, &head);
         self.upstream_outcome = upstream_outcome;
         let length = body.size_hint().exact();
@@ -358,9 +359,13 @@
             self.close(UpstreamOutcome::Failed);
             return (outcome, None);
         }
-        let is_complete = matches!(buffered, Buffered::Complete(..));
-        if is_complete {
-            self.complete();
+        match &buffered {
+            // The upstream may write such a refusal again, in place of a later response.
+            Buffered::Complete(..) if outcome == AttemptOutcome::Refused && !echoes_id => {
+                self.close(upstream_outcome);
+            }
+            Buffered::Complete(..) => self.complete(),
+            Buffered::Partial(..) => {}
         }
         let deadline = self.node.clock.instant(request.deadline);
         let body = match is_bodiless(&request.method, head.status) {
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -15,7 +15,9 @@
 use http_body_util::Full;
 use serde_json::{Value, json};
 
-use harness::signing::{CUT, ENDLESS, ENDLESS_HEALTH, SigningUpstream, config, field, signed};
+use harness::signing::{
+    CUT, ENDLESS, ENDLESS_HEALTH, REPEATS_REFUSALS, SigningUpstream, config, field, signed,
+};
 use harness::{Caller, Daemon, wait_until};
 use standin::registry::Registry;
 
@@ -740,6 +742,28 @@
     let _started = Daemon::run(&fleet.settings);
 }
 
+/// Guards against a caller that is told "not run" of a request that an upstream has run: the upstream
+/// wrote the refusal of an earlier request again, which names no request.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_refusal_that_is_written_again_refuses_no_later_request() {
+    static REQUESTS: AtomicUsize = AtomicUsize::new(0);
+    let respond: Respond = |head| match REQUESTS.fetch_add(1, Ordering::SeqCst) % 2 {
+        0 => not_executed(head),
+        _ => signed(head),
+    };
+    let upstream = SigningUpstream::start(REPEATS_REFUSALS, respond);
+    let fleet = Fleet::start(&[(REPEATS_REFUSALS, &upstream)]).await;
+    for method in ["POST", "GET"] {
+        let path = if method == "GET" { "/book/read/7" } else { "/book/7" };
+        for _ in 0..5 {
+            let before = REQUESTS.load(Ordering::SeqCst);
+            let status = fleet.status(method, path).await;
+            let ran = (before..REQUESTS.load(Ordering::SeqCst)).any(|n| n % 2 == 1);
+            assert!(!ran || status != 503, "{method} has run and is told not to have");
+        }
+    }
+}
+
 /// Guards against a response that looks whole though its upstream stopped within the head.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_response_that_ends_within_its_head_never_looks_whole() {
