Don't call a copy of the registry current while it withholds a removal

Cause: after an outage a missing registration may return for 2.5 s. Each host counted that from its own first successful read, and any single failed read counted as an outage; yet it passed its copy on as current while it waited, so that the others, whose time was over, never read for themselves. The assumption "after an outage, all hosts wait alike" was written into a test. Class: a host vouches for a state that it holds back itself. Change: a copy is told to peers only if the last read has shown every upstream in force, without exception, so that the next reader by rank takes over; a failed read is an outage only if nobody has read for 2 s, below which no registration can lapse. A return of the store from an older copy still gives them time. Tests: a_copy_is_not_passed_on_as_current_... fails before (left: Some(61000), right: None); a_failed_read_is_no_outage_if_the_copy_is_young. The test that held the wrong assumption (a_host_that_has_just_started_does_not_call_its_copy_current_while_it_waits_for_an_owner) is replaced by the former at the follower, which is stricter: it holds after an outage too.

--- a/src/decide/lapse.rs
+++ b/src/decide/lapse.rs
@@ -13,6 +13,10 @@
 /// two seconds that the platform specifies, plus the jitter of a heartbeat.
 const REGISTRATION_GRACE: Duration = Duration::from_millis(2_500);
 
+/// The time without a read by any host below which no registration can have lapsed: a registration
+/// lapses after three heartbeat intervals of 1.5 s, and the last heartbeat is one interval old at most.
+const OUTAGE_MIN: Duration = Duration::from_millis(2_000);
+
 /// A registration that is missing and whose owner may register again.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct MissingRegistration {
@@ -25,12 +29,10 @@
 pub struct MissingRegistrations {
     /// Whether the last read failed.
     is_failing: bool,
-    /// When the first read after the last failure succeeded; `None` before the first successful
-    /// read.
+    /// Whether the registry has returned from an older copy since the last read.
+    is_rewound: bool,
+    /// When the first read after the last outage succeeded; `None` before the first successful read.
     readable_since: Option<Time>,
-    /// Whether the registry became readable at this host's start, so that only its peers know
-    /// whether there was an outage before.
-    is_start: bool,
     missing: Vec<MissingRegistration>,
 }
 
@@ -40,15 +42,22 @@
         self.is_failing = true;
     }
 
-    /// Records that the registry was read. Returns whether this is the first successful read, or
-    /// the first one after a failure.
-    pub fn record_success(&mut self, now: Time) -> bool {
+    /// Records that the registry has returned from an older copy, which may lack registrations.
+    pub fn record_rewind(&mut self) {
+        (self.is_failing, self.is_rewound) = (true, true);
+    }
+
+    /// Records that the registry was read. `known_up_to` is the time up to which this host knew every
+    /// change before, by its own reads or from peers. Returns whether this is the first successful
+    /// read, or the first one after a failure.
+    pub fn record_success(&mut self, now: Time, known_up_to: Option<Time>) -> bool {
         let is_first = self.is_failing || self.readable_since.is_none();
-        if is_first {
-            self.is_start = !self.is_failing;
+        let is_after_outage =
+            self.is_rewound || known_up_to.is_none_or(|at| now.since(at) >= OUTAGE_MIN);
+        if is_first && is_after_outage {
             self.readable_since = Some(now);
         }
-        self.is_failing = false;
+        (self.is_failing, self.is_rewound) = (false, false);
         is_first
     }
 
@@ -80,18 +89,6 @@
         }
     }
 
-    /// Returns whether a registration is missing and its owner may register again.
-    pub fn is_pending(&self, name: &str) -> bool {
-        self.missing.binary_search_by(|m| (*m.name).cmp(name)).is_ok()
-    }
-
-    /// Returns whether this host, because it has just started, withholds what its peers may know
-    /// already: that the owner of a missing registration is gone. Its copy of the registry isn't
-    /// current then.
-    pub fn is_withholding(&self, now: Time) -> bool {
-        self.is_start && !self.missing.is_empty() && self.is_in_grace(now)
-    }
-
     fn is_in_grace(&self, now: Time) -> bool {
         self.readable_since.is_none_or(|at| now.since(at) < REGISTRATION_GRACE)
     }
--- a/src/registry/follower.rs
+++ b/src/registry/follower.rs
@@ -241,7 +241,7 @@
         let era = all.revision.era;
         if self.last_read.is_some_and(|(last, _)| last.era != era) {
             // Registrations may be missing until their owners have renewed them.
-            self.missing_registrations.record_failure();
+            self.missing_registrations.record_rewind();
         }
         self.mark_readable(now);
         self.apply_all(&all, now);
@@ -250,7 +250,9 @@
     }
 
     fn mark_readable(&mut self, now: Time) {
-        if self.missing_registrations.record_success(now) && self.failing_since.take().is_some() {
+        let known_up_to = self.node.registry_freshness.as_of();
+        let is_first = self.missing_registrations.record_success(now, known_up_to);
+        if is_first && self.failing_since.take().is_some() {
             self.node.events.record(EventCode::PlatformUp, Subject::default(), None);
         }
     }
@@ -271,18 +273,12 @@
         if !hosts.is_empty() {
             self.publish_entry_hosts();
         }
-        let is_confirmed = self.known_upstreams().iter().all(|n| self.is_confirmed(n, now));
+        // While an owner has time to register again, other hosts may know already that it is gone.
+        let is_confirmed = self.known_upstreams().iter().all(|n| self.seen.is_registered(n));
         self.node.registry_freshness.advance_by_read(now, is_confirmed);
         self.node.mark_resynced(pauses);
     }
 
-    /// Returns whether the last read has shown an upstream, or has found it missing after an outage,
-    /// after which all hosts give it the time to return.
-    fn is_confirmed(&self, name: &str, now: Time) -> bool {
-        let missing = &self.missing_registrations;
-        self.seen.is_registered(name) || missing.is_pending(name) && !missing.is_withholding(now)
-    }
-
     /// Handles a read that failed after the time `took`, and waits until the next attempt.
     async fn handle_failure(&mut self, failure: &CallError, took: Duration) {
         self.missing_registrations.record_failure();
--- a/src/registry/follower/tests.rs
+++ b/src/registry/follower/tests.rs
@@ -237,3 +237,32 @@
     assert_eq!(a, b);
     assert_eq!(a.and_then(|(_, state)| state), Some(State::Live));
 }
+
+/// Guards against a removal that all hosts withhold (DRAIN on tumar-gate-grown): the reader gave the
+/// upstream time to register again, and the others took its copy for current.
+#[test]
+fn a_copy_is_not_passed_on_as_current_while_an_owner_has_time_to_register_again() {
+    let node = node(r#", "registry": {"address": "127.0.0.1:3"}"#);
+    let cfg = node.settings.registry.clone().expect("a registry");
+    let observe_era = Box::new(|era: Option<u32>| Some(era.unwrap_or(0)));
+    let address = "127.0.0.1:3".parse().expect("address");
+    let client = Client::connect(address, 1.0, node.metrics.call_counter(), observe_era);
+    let mut follower = Follower::new(&node, &cfg, &client, oneshot::channel().0);
+    let mut read = |value: Option<&str>, millis, after_outage: bool| {
+        let (now, revision) = (Time::from_millis(millis), Revision { era: 0, number: millis });
+        if after_outage {
+            follower.missing_registrations.record_failure();
+        }
+        follower.mark_readable(now);
+        let change = Change { revision, ..change("servers/u", value) };
+        follower.apply_changes(&[change], Reading::Written, now);
+        follower.last_read = Some((revision, now));
+        follower.finish_read(now, 0);
+        let as_of = node.registry_freshness.as_of_for_peers();
+        (as_of.map(|at| at.as_micros() / 1_000), node.catalog.lock().hosts().count())
+    };
+    assert_eq!(read(Some(REGISTRATION), 1_000, false), (Some(1_000), 1));
+    assert_eq!(read(Some(REGISTRATION), 60_000, true), (Some(60_000), 1));
+    assert_eq!(read(None, 61_000, false), (None, 1));
+    assert_eq!(read(None, 63_000, false), (Some(63_000), 0));
+}
--- a/tests/lapse.rs
+++ b/tests/lapse.rs
@@ -17,8 +17,8 @@
 /// Returns the state for a registry that has been readable for a minute.
 fn readable_for_a_minute() -> MissingRegistrations {
     let mut missing = MissingRegistrations::default();
-    assert!(missing.record_success(at(0)));
-    assert!(!missing.record_success(at(60_000)));
+    assert!(missing.record_success(at(0), None));
+    assert!(!missing.record_success(at(60_000), Some(at(59_000))));
     missing
 }
 
@@ -31,7 +31,7 @@
 fn after_an_outage_owners_have_time_to_register_again() {
     let mut missing = readable_for_a_minute();
     missing.record_failure();
-    assert!(missing.record_success(at(65_000)));
+    assert!(missing.record_success(at(65_000), Some(at(60_000))));
     assert!(!missing.mark_missing(&name(), false, at(65_000)));
     assert!(missing.take_expired(at(67_000)).is_empty());
     let gone = missing.take_expired(at(67_600));
@@ -43,7 +43,7 @@
 fn an_owner_that_registers_again_in_time_is_not_gone() {
     let mut missing = readable_for_a_minute();
     missing.record_failure();
-    missing.record_success(at(65_000));
+    missing.record_success(at(65_000), Some(at(60_000)));
     missing.mark_missing(&name(), false, at(65_000));
     missing.mark_present("u1");
     assert!(missing.take_expired(at(80_000)).is_empty());
@@ -53,14 +53,14 @@
 fn an_owner_that_announced_leaving_is_gone_at_once() {
     let mut missing = readable_for_a_minute();
     missing.record_failure();
-    missing.record_success(at(65_000));
+    missing.record_success(at(65_000), Some(at(60_000)));
     assert!(missing.mark_missing(&name(), true, at(65_000)));
 }
 
 #[test]
 fn a_host_that_has_just_started_assumes_a_recent_outage() {
     let mut missing = MissingRegistrations::default();
-    missing.record_success(at(1_000));
+    missing.record_success(at(1_000), None);
     assert!(!missing.mark_missing(&name(), false, at(1_100)));
     assert!(missing.mark_missing(&name(), false, at(1_000) + Duration::from_secs(3)));
 }
@@ -69,26 +69,29 @@
 fn no_owner_counts_as_gone_while_the_registry_is_unreachable() {
     let mut missing = readable_for_a_minute();
     missing.record_failure();
-    missing.record_success(at(65_000));
+    missing.record_success(at(65_000), Some(at(60_000)));
     missing.mark_missing(&name(), false, at(65_000));
     missing.record_failure();
     assert!(missing.take_expired(at(80_000)).is_empty());
 }
 
-/// Guards against a drain that takes too long: an upstream left while the reader of the registry had
-/// just started. It gave the upstream time to register again, and passed its copy on as current.
+/// Guards against a removal that is withheld (DRAIN on tumar-gate-grown): one read of one host failed,
+/// and the host took that for an outage in which registrations lapse.
 #[test]
-fn a_host_that_has_just_started_does_not_call_its_copy_current_while_it_waits_for_an_owner() {
-    let mut missing = MissingRegistrations::default();
-    missing.record_success(at(1_000));
-    assert!(!missing.is_withholding(at(1_500)));
-    assert!(!missing.mark_missing(&name(), false, at(1_500)));
-    assert!(missing.is_withholding(at(1_500)));
-    assert!(!missing.is_withholding(at(3_500)));
-    assert_eq!(missing.take_expired(at(3_500)).len(), 1);
-    // After an outage, all hosts wait alike.
+fn a_failed_read_is_no_outage_if_the_copy_is_young() {
+    let mut missing = readable_for_a_minute();
     missing.record_failure();
-    missing.record_success(at(9_000));
-    assert!(!missing.mark_missing(&name(), false, at(9_100)));
-    assert!(!missing.is_withholding(at(9_100)));
+    assert!(missing.record_success(at(61_000), Some(at(60_000))));
+    assert!(missing.mark_missing(&name(), false, at(61_000)));
+    missing.record_failure();
+    assert!(missing.record_success(at(64_000), Some(at(61_000))));
+    assert!(!missing.mark_missing(&name(), false, at(64_000)));
+}
+
+#[test]
+fn a_registry_that_returns_from_an_older_copy_lacks_registrations_however_young_the_copy_here() {
+    let mut missing = readable_for_a_minute();
+    missing.record_rewind();
+    assert!(missing.record_success(at(60_100), Some(at(60_000))));
+    assert!(!missing.mark_missing(&name(), false, at(60_100)));
 }
