--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -4,21 +4,16 @@
 #[path = "../examples/standin/mod.rs"]
 mod standin;
 
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 
 use serde_json::{Value, json};
 
-use harness::{Daemon, send_raw, wait_until};
+use harness::{Daemon, free_address, send_raw, wait_until};
 use standin::platform::Platform;
 
 const LOOPBACK: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 
-/// Returns a free address.
-fn free_address() -> SocketAddr {
-    TcpListener::bind(LOOPBACK).and_then(|l| l.local_addr()).expect("port")
-}
-
 /// Starts a host of a fleet and waits until it is ready.
 fn host(i: usize, peers: &[SocketAddr], platform: &Platform) -> Daemon {
     let peer =
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -206,14 +206,17 @@
     base
 }
 
+/// The ports of daemons. Outgoing connections get none of them from the operating system, so that no
+/// connection of another program takes one between two uses.
+const PORTS: std::ops::Range<u16> = 10_000..32_000;
+
 /// Returns a free address that no other test in this process has been given.
 pub fn free_address() -> SocketAddr {
     static ASSIGNED: Mutex<Vec<SocketAddr>> = Mutex::new(Vec::new());
     let mut assigned = ASSIGNED.lock().expect("ports");
     loop {
-        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("port");
-        let address = listener.local_addr().expect("bound");
-        if !assigned.contains(&address) {
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, rand::random_range(PORTS)));
+        if !assigned.contains(&address) && TcpListener::bind(address).is_ok() {
             assigned.push(address);
             return address;
         }
