After one failed read, try again before the copy of the registry is too old

Cause: a host whose read failed waited 1 to 2 s in a large fleet, the pace at which the fleet spares a store that is out, even if only its own read had failed. With an age of 1.4 to 1.9 s of 2.5 s at the first try, the copy was too old by the second. Change: while the copy is younger than 0.9 of the allowed time, the next read comes by then; after that the pace holds as before. A fleet-wide outage costs each host one call more. Measured: the new test holds the ages; with the pace alone a host of age 1.7 s would read at 3.7 s of 3 s allowed.

--- a/src/decide/reads.rs
+++ b/src/decide/reads.rs
@@ -21,6 +21,9 @@
 /// The age of its copy at which any other host reads at the latest, as a part of the same time. The
 /// rest is for a registry that responds slowly.
 const AGE_MAX_SHARE: f64 = 0.75;
+/// The age of its copy at which a host whose reads fail tries once more before it leaves it to the
+/// fleet's pace, as a part of the same time. A read that the registry answers at once still counts.
+const LAST_TRY_SHARE: f64 = 0.9;
 /// The lower bound of the random factor by which each host shortens that age, so that one host
 /// reads first and the others receive its result.
 pub const AGE_FACTOR_MIN: f64 = 0.75;
@@ -48,6 +51,23 @@
         as_of + self.apply.mul_f64(share)
     }
 
+    /// Returns the delay after a read that failed, on a host whose copy was current at `as_of`:
+    /// `paced`, by which the fleet spares a registry that is out, but no longer than until the last
+    /// moment at which a read can still keep the copy young enough, and at least `backoff`.
+    pub fn retry_delay(
+        &self,
+        as_of: Option<Time>,
+        now: Time,
+        backoff: Duration,
+        paced: Duration,
+    ) -> Duration {
+        let last_try = as_of.map(|at| at + self.apply.mul_f64(LAST_TRY_SHARE));
+        match last_try.map(|at| now.until(at)) {
+            Some(left) if left >= backoff => paced.max(backoff).min(left),
+            _ => paced.max(backoff),
+        }
+    }
+
     /// Returns the time within which a change must be in force everywhere.
     pub fn apply_time(&self) -> Duration {
         self.apply
--- a/src/registry/follower.rs
+++ b/src/registry/follower.rs
@@ -290,8 +290,11 @@
             self.node.events.record(EventCode::PlatformDown, Subject::default(), None);
         }
         self.check_ready(self.node.clock.now());
-        let delay = self.backoff.next_delay(&mut self.rng).min(RETRY_DELAY_MAX);
-        let delay = delay.max(shared_retry_delay(self.node, &mut self.rng));
+        let backoff = self.backoff.next_delay(&mut self.rng).min(RETRY_DELAY_MAX);
+        let paced = shared_retry_delay(self.node, &mut self.rng);
+        let freshness = &self.node.registry_freshness;
+        let now = self.node.clock.now();
+        let delay = freshness.schedule.retry_delay(freshness.as_of(), now, backoff, paced);
         tokio::select! {
             () = sleep(delay) => {}
             () = self.node.resync_needed.notified() => {}
--- a/tests/reads.rs
+++ b/tests/reads.rs
@@ -81,6 +81,27 @@
     assert!(schedule.due(Time::ZERO, None, AGE_FACTOR_MIN) > next_copy_arrives);
 }
 
+/// Guards against a copy that grows too old after one failed read, as the next one followed at the pace
+/// at which a fleet spares a registry that is out.
+#[test]
+fn after_a_failed_read_a_host_tries_again_before_its_copy_is_too_old() {
+    let schedule = ReadSchedule::new(APPLY);
+    let (backoff, paced) = (Duration::from_millis(50), Duration::from_secs(2));
+    let next = |age: u64| {
+        let now = Time::from_millis(10_000 + age);
+        let delay = schedule.retry_delay(Some(Time::from_millis(10_000)), now, backoff, paced);
+        Duration::from_millis(age) + delay
+    };
+    for age in [0, 700, 1_700, 2_250, 2_600] {
+        assert!(next(age) < APPLY, "{age}: {:?}", next(age));
+    }
+    // From then on the registry counts as out, and the fleet keeps its pace.
+    for age in [2_700, 3_000, 60_000] {
+        assert_eq!(next(age), Duration::from_millis(age) + paced);
+    }
+    assert_eq!(schedule.retry_delay(None, Time::from_millis(9), backoff, paced), paced);
+}
+
 #[test]
 fn a_copy_that_becomes_too_old_is_reported_once_and_its_highest_age_when_it_is_young_again() {
     let mut copy = CopyAge::default();
