--- a/src/decide/lapse.rs
+++ b/src/decide/lapse.rs
@@ -52,8 +52,9 @@
     /// read, or the first one after a failure.
     pub fn record_success(&mut self, now: Time, known_up_to: Option<Time>) -> bool {
         let is_first = self.is_failing || self.readable_since.is_none();
-        let is_after_outage =
-            self.is_rewound || known_up_to.is_none_or(|at| now.since(at) >= OUTAGE_MIN);
+        let is_after_outage = self.is_rewound
+            || self.readable_since.is_none()
+            || known_up_to.is_none_or(|at| now.since(at) >= OUTAGE_MIN);
         if is_first && is_after_outage {
             self.readable_since = Some(now);
         }
--- a/tests/lapse.rs
+++ b/tests/lapse.rs
@@ -88,6 +88,17 @@
     assert!(!missing.mark_missing(&name(), false, at(64_000)));
 }
 
+#[test]
+fn a_host_whose_first_read_follows_the_word_of_a_peer_does_not_wait_for_ever() {
+    let mut missing = MissingRegistrations::default();
+    missing.record_failure();
+    assert!(missing.record_success(at(1_000), Some(at(900))));
+    assert!(!missing.record_success(at(2_000), Some(at(1_900))));
+    assert!(!missing.mark_missing(&name(), false, at(2_000)));
+    assert_eq!(missing.take_expired(at(3_500)).len(), 1);
+    assert!(missing.mark_missing(&name(), false, at(3_600)));
+}
+
 #[test]
 fn a_registry_that_returns_from_an_older_copy_lacks_registrations_however_young_the_copy_here() {
     let mut missing = readable_for_a_minute();
