Count the time for lapsed registrations from the first read after an outage, by whichever host

Cause: since a host that had heard of the first read after an outage from a peer took its own next read for one without an outage before, and upstreams whose entries had lapsed for gone, up to two seconds before they are back. Change: a copy that gets newer by 2.9 s or more in one step, by an own read or a peer's word, marks the end of an outage; below 3 s nothing can lapse (three heartbeats of 1.5 s, the last one 1.5 s old at most). Measured: two new tests, which need what is new; lib, lapse, registry, fleet and rewind tests pass.

--- a/src/decide/lapse.rs
+++ b/src/decide/lapse.rs
@@ -15,7 +15,13 @@
 
 /// The time without a read by any host below which no registration can have lapsed: a registration
 /// lapses after three heartbeat intervals of 1.5 s, and the last heartbeat is one interval old at most.
-const OUTAGE_MIN: Duration = Duration::from_millis(2_000);
+const OUTAGE_MIN: Duration = Duration::from_millis(2_900);
+
+/// Returns whether the registry was out for so long that registrations may have lapsed, if no host has
+/// read it between two times.
+pub(crate) fn is_outage(from: Time, to: Time) -> bool {
+    to.since(from) >= OUTAGE_MIN
+}
 
 /// A registration that is missing and whose owner may register again.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -47,6 +53,11 @@
         (self.is_failing, self.is_rewound) = (true, true);
     }
 
+    /// Records that an outage had ended by `at`, as a peer has told that read the registry first.
+    pub fn record_outage_end(&mut self, at: Time) {
+        self.readable_since = self.readable_since.map(|since| since.max(at));
+    }
+
     /// Records that the registry was read. `known_up_to` is the time up to which this host knew every
     /// change before, by its own reads or from peers. Returns whether this is the first successful
     /// read, or the first one after a failure.
@@ -54,7 +65,7 @@
         let is_first = self.is_failing || self.readable_since.is_none();
         let is_after_outage = self.is_rewound
             || self.readable_since.is_none()
-            || known_up_to.is_none_or(|at| now.since(at) >= OUTAGE_MIN);
+            || known_up_to.is_none_or(|at| is_outage(at, now));
         if is_first && is_after_outage {
             self.readable_since = Some(now);
         }
--- a/src/registry/follower.rs
+++ b/src/registry/follower.rs
@@ -250,7 +250,9 @@
     }
 
     fn mark_readable(&mut self, now: Time) {
-        let known_up_to = self.node.registry_freshness.as_of();
+        let freshness = &self.node.registry_freshness;
+        let known_up_to = freshness.as_of();
+        self.missing_registrations.record_outage_end(freshness.outage_end());
         let is_first = self.missing_registrations.record_success(now, known_up_to);
         if is_first && self.failing_since.take().is_some() {
             self.node.events.record(EventCode::PlatformUp, Subject::default(), None);
--- a/src/registry/follower/tests.rs
+++ b/src/registry/follower/tests.rs
@@ -266,3 +266,16 @@
     assert_eq!(read(None, 61_000, false), (None, 1));
     assert_eq!(read(None, 63_000, false), (Some(63_000), 0));
 }
+
+/// Guards against upstreams that are taken for gone right after an outage, see `lapse.rs`.
+#[test]
+fn the_first_copy_after_an_outage_tells_its_end_whoever_has_read_it() {
+    let freshness = node(r#", "registry": {"address": "127.0.0.1:3"}"#);
+    let freshness = &freshness.registry_freshness;
+    let ends = [1_000, 2_800, 9_000, 9_500].map(|millis| {
+        freshness.advance_to(Time::from_millis(millis));
+        freshness.outage_end()
+    });
+    let end = Time::from_millis(9_000);
+    assert_eq!(ends, [Time::ZERO, Time::ZERO, end, end]);
+}
--- a/src/registry/freshness.rs
+++ b/src/registry/freshness.rs
@@ -1,9 +1,10 @@
 //! The age of this host's copy of the registry, and the registry's era.
 
-use std::sync::atomic::{AtomicU8, AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU8, AtomicU32, AtomicU64, Ordering};
 
 use tokio::sync::watch;
 
+use crate::decide::lapse;
 use crate::decide::reads::ReadSchedule;
 use crate::time::Time;
 
@@ -14,6 +15,8 @@
     pub(crate) schedule: ReadSchedule,
     /// The time up to which every change of the registry is known; zero before the first read.
     as_of: watch::Sender<Time>,
+    /// The end of the last outage of the registry, in microseconds; 0 if there was none.
+    outage_end: AtomicU64,
     era: AtomicU32,
     source: AtomicU8,
 }
@@ -35,6 +38,7 @@
         RegistryFreshness {
             schedule,
             as_of: watch::Sender::default(),
+            outage_end: AtomicU64::new(0),
             era: AtomicU32::new(0),
             source: AtomicU8::new(Source::Peer as u8),
         }
@@ -46,6 +50,12 @@
         (as_of > Time::ZERO).then_some(as_of)
     }
 
+    /// Returns a time by which the last outage of the registry that this host knows of had ended: the
+    /// first read after it, by any host.
+    pub(crate) fn outage_end(&self) -> Time {
+        Time::from_micros(self.outage_end.load(Ordering::Acquire))
+    }
+
     /// Returns whether the copy is young enough to conclude that a route does not exist.
     pub(crate) fn is_current(&self, now: Time) -> bool {
         self.as_of().is_some_and(|at| now.since(at) < self.schedule.routes_age_max())
@@ -67,6 +77,9 @@
         self.as_of.send_if_modified(|as_of| {
             let is_newer = at > *as_of;
             if is_newer {
+                if *as_of > Time::ZERO && lapse::is_outage(*as_of, at) {
+                    self.outage_end.store(at.as_micros(), Ordering::Release);
+                }
                 *as_of = at;
                 self.source.store(source as u8, Ordering::Release);
             }
--- a/tests/lapse.rs
+++ b/tests/lapse.rs
@@ -88,6 +88,19 @@
     assert!(!missing.mark_missing(&name(), false, at(64_000)));
 }
 
+/// Guards against upstreams that are taken for gone right after an outage: a host heard of the first read
+/// after it from a peer, and took its own next one for a read without an outage before.
+#[test]
+fn after_an_outage_that_a_peer_saw_end_owners_have_time_from_its_end_on() {
+    let mut missing = readable_for_a_minute();
+    missing.record_failure();
+    missing.record_outage_end(at(65_000));
+    assert!(missing.record_success(at(66_500), Some(at(66_000))));
+    assert!(!missing.mark_missing(&name(), false, at(66_500)));
+    assert!(missing.take_expired(at(67_400)).is_empty());
+    assert_eq!(missing.take_expired(at(67_600)).len(), 1);
+}
+
 #[test]
 fn a_host_whose_first_read_follows_the_word_of_a_peer_does_not_wait_for_ever() {
     let mut missing = MissingRegistrations::default();
