--- a/review/build.sh
+++ b/review/build.sh
@@ -3,6 +3,6 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-for name in quota; do
+for name in quota refusal crash; do
     rustc -O --edition 2024 -o "target/review/$name" "review/standin/$name.rs"
 done
--- a/review/standin/common.rs
+++ b/review/standin/common.rs
@@ -281,6 +281,10 @@
 pub type View = Arc<dyn Fn(&str, &[u8]) -> Vec<u8> + Send + Sync>;
 
 impl Store {
+    pub fn remove(&self, key: &str) {
+        self.state.lock().unwrap().remove(key);
+    }
+
     pub fn put(&self, key: &str, value: &str) {
         self.state.lock().unwrap().put(key, value.as_bytes().to_vec(), 0);
     }
@@ -502,9 +506,26 @@
     }
 }
 
+/// The bound `graceS` of the sites.
+const GRACE: Duration = Duration::from_secs(6);
+
+fn spawn(file: &PathBuf) -> Child {
+    let log = File::options().create(true).append(true).open(file.with_file_name("log"));
+    let log = log.unwrap_or_else(|e| cannot_run(&e.to_string()));
+    let spawned = Command::new(DAEMON)
+        .arg("--settings")
+        .arg(file)
+        .stdin(Stdio::null())
+        .stdout(log)
+        .stderr(Stdio::null())
+        .spawn();
+    spawned.unwrap_or_else(|e| cannot_run(&format!("{DAEMON}: {e}")))
+}
+
 /// A daemon. It runs until [`finish`].
 pub struct Daemon {
     pub settings: HostSettings,
+    file: PathBuf,
     /// The index of its process in [`CHILDREN`].
     child: usize,
 }
@@ -516,18 +537,31 @@
         std::fs::create_dir_all(&own).unwrap_or_else(|e| cannot_run(&e.to_string()));
         let file = own.join("boot.json");
         std::fs::write(&file, settings.text()).unwrap_or_else(|e| cannot_run(&e.to_string()));
-        let log = File::create(own.join("log")).unwrap_or_else(|e| cannot_run(&e.to_string()));
-        let spawned = Command::new(DAEMON)
-            .arg("--settings")
-            .arg(file)
-            .stdin(Stdio::null())
-            .stdout(log)
-            .stderr(Stdio::null())
-            .spawn();
-        let spawned = spawned.unwrap_or_else(|e| cannot_run(&format!("{DAEMON}: {e}")));
+        let spawned = spawn(&file);
         let mut children = CHILDREN.lock().unwrap();
         children.push(spawned);
-        Daemon { settings, child: children.len() - 1 }
+        Daemon { settings, file, child: children.len() - 1 }
+    }
+
+    /// Stops the process as the platform does, and starts it again with the same settings.
+    pub fn restart(&self) {
+        let mut children = CHILDREN.lock().unwrap();
+        let pid = children[self.child].id();
+        let sent = Command::new("sh").arg("-c").arg(format!("kill -TERM {pid}")).status();
+        if !sent.is_ok_and(|s| s.success()) {
+            drop(children);
+            cannot_run("no signal can be sent");
+        }
+        let until = Instant::now() + GRACE;
+        while matches!(children[self.child].try_wait(), Ok(None)) {
+            if Instant::now() >= until {
+                let _ = children[self.child].kill();
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+        drop(children);
+        let spawned = spawn(&self.file);
+        CHILDREN.lock().unwrap()[self.child] = spawned;
     }
 
     /// Waits until the host says that it is ready.
