--- a/review/standin/common.rs
+++ b/review/standin/common.rs
@@ -561,6 +561,25 @@
         CHILDREN.lock().unwrap()[self.child] = spawned;
     }
 
+    /// Kills the process, and starts it again with the same settings.
+    pub fn kill(&self) {
+        let mut children = CHILDREN.lock().unwrap();
+        let _ = children[self.child].kill();
+        let _ = children[self.child].wait();
+        drop(children);
+        let spawned = spawn(&self.file);
+        CHILDREN.lock().unwrap()[self.child] = spawned;
+    }
+
+    /// The memory that the process has in use.
+    pub fn memory_mb(&self) -> u64 {
+        let pid = CHILDREN.lock().unwrap()[self.child].id();
+        let text = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+        let line = text.lines().find_map(|l| l.strip_prefix("VmRSS:"));
+        let kilobytes = line.and_then(|l| l.split_whitespace().next()?.parse::<u64>().ok());
+        kilobytes.unwrap_or(0) / 1_024
+    }
+
     /// Waits until the host says that it is ready.
     pub fn wait_until_ready(&self) {
         let until = Instant::now() + Duration::from_secs(20);
