--- a/review/standin/common.rs
+++ b/review/standin/common.rs
@@ -220,7 +220,8 @@
 
 /// Builds a response with a length.
 pub fn response(status: &str, fields: &str, body: &str) -> Vec<u8> {
-    format!("HTTP/1.1 {status}\r\n{fields}Content-Length: {}\r\n\r\n{body}", body.len()).into_bytes()
+    format!("HTTP/1.1 {status}\r\n{fields}Content-Length: {}\r\n\r\n{body}", body.len())
+        .into_bytes()
 }
 
 /// The platform's store: keys with revisions, leases, and the history that watches read.
@@ -320,7 +321,8 @@
         match (method, path) {
             ("GET", "/api/kv-range") => {
                 let (prefix, after) = (param("pathPrefix"), param("after"));
-                let shown = state.items.iter().filter(|(k, _)| k.starts_with(&prefix) && **k > after);
+                let shown =
+                    state.items.iter().filter(|(k, _)| k.starts_with(&prefix) && **k > after);
                 let items: Vec<String> = shown.map(|(k, i)| item_json(k, i, view)).collect();
                 let text = format!(
                     r#"{{"items":[{}],"hasMore":false,"currentRev":{}}}"#,
@@ -332,14 +334,18 @@
             ("GET", "/api/kv-watch") => {
                 let prefix = param("pathPrefix");
                 let after: u64 = param("after").parse().unwrap_or(0);
-                let news = state.history.iter().filter(|(k, r, _)| *r > after && k.starts_with(&prefix));
+                let news =
+                    state.history.iter().filter(|(k, r, _)| *r > after && k.starts_with(&prefix));
                 let event = |(key, revision, item): &(String, u64, Option<Item>)| match item {
                     Some(item) => item_json(key, item, view),
                     None => format!(r#"{{"key":"{key}","revision":{revision},"deleted":true}}"#),
                 };
                 let events: Vec<String> = news.map(event).collect();
-                let text =
-                    format!(r#"{{"events":[{}],"currentRev":{}}}"#, events.join(","), state.revision);
+                let text = format!(
+                    r#"{{"events":[{}],"currentRev":{}}}"#,
+                    events.join(","),
+                    state.revision
+                );
                 ("200 OK", text)
             }
             ("POST", "/api/kv-lease") => {
@@ -387,7 +393,9 @@
 fn item_json(key: &str, item: &Item, view: &View) -> String {
     let value = encode_base64(&view(key, &item.value));
     let Item { revision, lease, .. } = item;
-    format!(r#"{{"key":"{key}","value":"{value}","revision":{revision},"createRev":1,"lease":{lease}}}"#)
+    format!(
+        r#"{{"key":"{key}","value":"{value}","revision":{revision},"createRev":1,"lease":{lease}}}"#
+    )
 }
 
 fn text_after(text: &str, mark: &str) -> Option<String> {
@@ -424,7 +432,8 @@
 fn encode_base64(bytes: &[u8]) -> String {
     let mut out = String::new();
     for chunk in bytes.chunks(3) {
-        let word = chunk.iter().fold(0_u32, |w, b| w << 8 | u32::from(*b)) << (8 * (3 - chunk.len()));
+        let word =
+            chunk.iter().fold(0_u32, |w, b| w << 8 | u32::from(*b)) << (8 * (3 - chunk.len()));
         for i in 0..4 {
             match i <= chunk.len() {
                 true => out.push(BASE64[(word >> (18 - 6 * i)) as usize & 63] as char),
@@ -584,10 +593,11 @@
     pub fn wait_until_ready(&self) {
         let until = Instant::now() + Duration::from_secs(20);
         while Instant::now() < until {
-            let asked = Conn::connect(&self.settings.admin, Duration::from_secs(1)).and_then(|mut c| {
-                c.send(b"GET /readyz HTTP/1.1\r\nHost: ready\r\nConnection: close\r\n\r\n")?;
-                c.head()
-            });
+            let asked =
+                Conn::connect(&self.settings.admin, Duration::from_secs(1)).and_then(|mut c| {
+                    c.send(b"GET /readyz HTTP/1.1\r\nHost: ready\r\nConnection: close\r\n\r\n")?;
+                    c.head()
+                });
             if asked.is_ok_and(|head| head.status() == 200) {
                 return;
             }
@@ -603,15 +613,29 @@
 }
 
 /// An entry of the store for an upstream.
-pub fn registration(service: &str, address: &str, zone: &str, slots: u32, sequence: u64, born: u64) -> String {
+pub fn registration(
+    service: &str,
+    address: &str,
+    zone: &str,
+    slots: u32,
+    sequence: u64,
+    born: u64,
+) -> String {
     format!(
         r#"{{"service":"{service}","address":"{address}","zone":"{zone}","version":"v1","slots":{slots},"state":"ready","coldRemainingS":0,"sequence":{sequence},"born":{born}}}"#
     )
 }
 
 /// Registers targets, each with its id and address, and repeats that as their heartbeat.
-pub fn keep_registered(store: &Arc<Store>, service: &str, zone: &str, slots: u32, targets: Vec<(String, String)>) {
-    let (store, service, zone, born) = (store.clone(), service.to_owned(), zone.to_owned(), unix_millis());
+pub fn keep_registered(
+    store: &Arc<Store>,
+    service: &str,
+    zone: &str,
+    slots: u32,
+    targets: Vec<(String, String)>,
+) {
+    let (store, service, zone, born) =
+        (store.clone(), service.to_owned(), zone.to_owned(), unix_millis());
     let write = move |sequence: u64| {
         for (name, address) in &targets {
             let entry = registration(&service, address, &zone, slots, sequence, born);
--- a/review/standin/crash.rs
+++ b/review/standin/crash.rs
@@ -183,7 +183,10 @@
         while let Ok(head) = conn.head() {
             let Ok(_) = conn.body(&head) else { return };
             let fields = |running: u64| {
-                format!("X-Instance-Id: {}\r\nX-Instance-Load: {running},0,{SLOTS}\r\nKeep-Alive: timeout=10\r\n", process.name)
+                format!(
+                    "X-Instance-Id: {}\r\nX-Instance-Load: {running},0,{SLOTS}\r\nKeep-Alive: timeout=10\r\n",
+                    process.name
+                )
             };
             let count = self.running.load(Ordering::SeqCst);
             let id = head.get("x-attempt-id").unwrap_or("").to_owned();
@@ -311,7 +314,8 @@
                 }
                 thread::sleep(PAUSE);
                 let id = format!("{i:04x}{number:012x}");
-                let status = send_request(&host, &format!("/pufi791/{id}"), "slot", &id, &world.record);
+                let status =
+                    send_request(&host, &format!("/pufi791/{id}"), "slot", &id, &world.record);
                 *world.statuses.lock().unwrap().entry(status).or_default() += 1;
             }
         }));
--- a/review/standin/quota.rs
+++ b/review/standin/quota.rs
@@ -163,7 +163,9 @@
         while let Ok(head) = conn.head() {
             let Ok(_) = conn.body(&head) else { return };
             let fields = |running: usize| {
-                format!("X-Instance-Id: {name}\r\nX-Instance-Load: {running},0,{SLOTS}\r\nKeep-Alive: timeout=10\r\n")
+                format!(
+                    "X-Instance-Id: {name}\r\nX-Instance-Load: {running},0,{SLOTS}\r\nKeep-Alive: timeout=10\r\n"
+                )
             };
             let count = running.load(Ordering::SeqCst);
             let id = head.get("x-attempt-id").unwrap_or("").to_owned();
@@ -174,7 +176,8 @@
                 }
                 _ if running.fetch_add(1, Ordering::SeqCst) >= SLOTS => {
                     running.fetch_sub(1, Ordering::SeqCst);
-                    let fields = format!("X-Attempt-Id: {id}\r\nX-Not-Executed: 1\r\n{}", fields(count));
+                    let fields =
+                        format!("X-Attempt-Id: {id}\r\nX-Not-Executed: 1\r\n{}", fields(count));
                     common::response("503 Service Unavailable", &fields, "")
                 }
                 path => {
@@ -196,7 +199,13 @@
 }
 
 /// Sends requests of the tenant to a machine until told to stop, each as one consumer's first try.
-fn send_requests(host: &HostSettings, seen: &Seen, record: &Record, next: &AtomicU64, stop: &AtomicBool) {
+fn send_requests(
+    host: &HostSettings,
+    seen: &Seen,
+    record: &Record,
+    next: &AtomicU64,
+    stop: &AtomicBool,
+) {
     let mut kept: Option<Conn> = None;
     while !stop.load(Ordering::SeqCst) {
         thread::sleep(PAUSE);
@@ -298,8 +307,12 @@
     paths.iter().for_each(Path::listen);
     // Contacts that machines register in the store carry their addresses, too.
     let view = |names: Names, half: bool| -> View {
-        let others: Vec<String> =
-            HOSTS.iter().enumerate().filter(|(i, _)| is_first(*i) != half).map(|(_, h)| h.0.to_owned()).collect();
+        let others: Vec<String> = HOSTS
+            .iter()
+            .enumerate()
+            .filter(|(i, _)| is_first(*i) != half)
+            .map(|(_, h)| h.0.to_owned())
+            .collect();
         Arc::new(move |key: &str, value: &[u8]| {
             let is_other = key.rsplit('/').next().is_some_and(|n| others.iter().any(|o| o == n));
             if is_other { replace(&names, value) } else { value.to_vec() }
@@ -357,7 +370,9 @@
     if (served as f64) < RATE * 5.0 {
         common::cannot_run("too few requests were served for a verdict");
     }
-    let verdict = format!("most requests sent and run in 5 s: {most}, from {begin:.2} s; allowed: {bound:.0}");
+    let verdict = format!(
+        "most requests sent and run in 5 s: {most}, from {begin:.2} s; allowed: {bound:.0}"
+    );
     record.line(&verdict);
     println!("{verdict}");
     common::finish(i32::from(most as f64 > bound));
--- a/review/standin/refusal.rs
+++ b/review/standin/refusal.rs
@@ -99,7 +99,8 @@
             let id = match id {
                 Some(id) if !is_check => id,
                 _ => {
-                    let fields = format!("X-Instance-Id: {}\r\nKeep-Alive: timeout=10\r\n", self.name);
+                    let fields =
+                        format!("X-Instance-Id: {}\r\nKeep-Alive: timeout=10\r\n", self.name);
                     if conn.send(&common::response("200 OK", &fields, "ok")).is_err() {
                         return;
                     }
@@ -114,14 +115,18 @@
             if let Some(refusal) = last_refusal.take().filter(|_| self.may_repeat()) {
                 self.copies.fetch_add(1, Ordering::SeqCst);
                 self.world.second_copies.fetch_add(1, Ordering::SeqCst);
-                let text = format!("{} sends its last refusal of a health check again while {id} runs", self.name);
+                let text = format!(
+                    "{} sends its last refusal of a health check again while {id} runs",
+                    self.name
+                );
                 self.world.record.line(&text);
                 if conn.send(&refusal).is_err() {
                     return;
                 }
             }
             thread::sleep(WORK);
-            let fields = format!("{echo}X-Response-Signature: s.{id}\r\nKeep-Alive: timeout=10\r\n");
+            let fields =
+                format!("{echo}X-Response-Signature: s.{id}\r\nKeep-Alive: timeout=10\r\n");
             if conn.send(&common::response("200 OK", &fields, "done")).is_err() {
                 return;
             }
