Make it visible how late callers' loop runs, and keep events in the log under load

What was missing to tell the hypotheses of the incident apart: the control loop's lateness was recorded, that of the loop which serves callers was not. Each request now lets that loop turn once and records the time (cornelferry_caller_lateness_seconds, event 1009). Lines about requests take at most half of the log's queue, so that events such as 5006 are not dropped among them, and they are built only if they will be written.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -12,12 +12,12 @@
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::sleep;
 
+use crate::decide::lateness::LateEvents;
 use crate::entry::{admin, listener};
 use crate::event::{EventCode, Subject};
 use crate::forward::probe;
 use crate::node::{Node, Phase};
 use crate::settings::Settings;
-use crate::time::Time;
 use crate::{logs, peer, registry, store};
 
 /// Interval between ticks of the service tables while requests wait.
@@ -29,11 +29,6 @@
 /// Interval at which connections that have been idle for too long are closed.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
 
-/// The lateness of a tick that is recorded as an event.
-const LATE_TICK: Duration = Duration::from_millis(200);
-/// The minimum time between two events of late ticks.
-const LATE_TICK_EVENT_INTERVAL: Duration = Duration::from_secs(1);
-
 /// Runs a daemon until SIGTERM or SIGINT, and then until all requests in flight have finished.
 ///
 /// # Errors
@@ -153,7 +148,7 @@
 async fn tick(node: Arc<Node>) {
     let mut rng = SmallRng::from_os_rng();
     let mut last_expiry = node.clock.now();
-    let mut last_late = None;
+    let mut late_events = LateEvents::default();
     loop {
         let start = node.clock.now();
         if node.waiting.is_empty() {
@@ -165,7 +160,7 @@
             sleep(TICK_INTERVAL).await;
         }
         let now = node.clock.now();
-        record_lateness(&node, now.since(start), &mut last_late);
+        record_lateness(&node, now.since(start), &mut late_events);
         node.check_copy_age();
         if now.since(last_expiry) >= EXPIRY_INTERVAL {
             node.pool.expire(now);
@@ -179,16 +174,12 @@
     }
 }
 
-/// Observes how late a tick is that was due after one interval at most, and records an event if it is
-/// very late. `last` is the time of the last such event.
-fn record_lateness(node: &Node, took: Duration, last: &mut Option<Time>) {
+/// Records how late a tick is that was due after one interval at most.
+fn record_lateness(node: &Node, took: Duration, late_events: &mut LateEvents) {
     let late = took.saturating_sub(IDLE_TICK_INTERVAL);
     node.metrics.observe_tick_lateness(late);
-    let now = node.clock.now();
-    if late < LATE_TICK || last.is_some_and(|at| now.since(at) < LATE_TICK_EVENT_INTERVAL) {
-        return;
+    if late_events.observe(late, node.clock.now()) {
+        let late = u64::try_from(late.as_millis()).ok();
+        node.events.record(EventCode::ControlLate, Subject::default(), late);
     }
-    *last = Some(now);
-    let late = u64::try_from(late.as_millis()).ok();
-    node.events.record(EventCode::ControlLate, Subject::default(), late);
 }
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -13,6 +13,7 @@
 pub mod evacuation;
 pub mod hosts;
 pub mod lapse;
+pub(crate) mod lateness;
 pub mod leaving;
 pub mod limit;
 pub mod matching;
--- a/src/entry/handler.rs
+++ b/src/entry/handler.rs
@@ -12,12 +12,13 @@
 use crate::claim;
 use crate::decide::startup;
 use crate::entry::socket::{CALLER_CONNECTION, CallerConnection};
-use crate::entry::{allowance, request};
+use crate::entry::{allowance, lateness, request};
 use crate::error::{Code, Outcome};
 use crate::event::{EventCode, Subject};
 use crate::forward::response::{ProxyBody, ProxyResponse};
 use crate::forward::{BufferedRequest, driver};
 use crate::header::{self, FieldNames};
+use crate::logs;
 use crate::node::{Node, Phase};
 use crate::request_log::{self, LogEntry, RequestLog, RequestSummary};
 use crate::time::Time;
@@ -33,6 +34,7 @@
 ) -> Result<Response<ProxyBody>, Infallible> {
     let caller = CALLER_CONNECTION.with(Rc::clone);
     let _guard = caller.begin_request();
+    lateness::measure(node).await;
     let id = request::request_id(&node.header_names, req.headers());
     let upgrade = req.headers().contains_key(UPGRADE);
     let has_body = request::has_body(req.headers());
@@ -121,21 +123,23 @@
         now,
     };
     let mut limiter = node.log_limiter.lock();
-    let lines = request.log.lines(&summary, limiter.next_number(), SystemTime::now());
-    if lines.is_empty() {
+    let number = limiter.next_number();
+    let count = request.log.line_count(&summary, number);
+    if count == 0 {
         return;
     }
-    match limiter.try_take(lines.len(), now) {
-        true => request_log::log(&lines),
-        false => node.metrics.count_unlogged_request(),
+    if !logs::has_room_for_request() || !limiter.try_take(count, now) {
+        return node.metrics.count_unlogged_request();
     }
+    drop(limiter);
+    request_log::log(&request.log.lines(&summary, number, SystemTime::now()));
 }
 
 /// Logs that a request was rejected before admission, subject to the rate limit.
 fn log_rejected(node: &Node, id: &str, code: Code) {
     let now = node.clock.now();
     let mut limiter = node.log_limiter.lock();
-    if !limiter.try_take(1, now) {
+    if !logs::has_room_for_request() || !limiter.try_take(1, now) {
         return node.metrics.count_unlogged_request();
     }
     let entry =
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -3,6 +3,7 @@
 pub(crate) mod admin;
 pub(crate) mod allowance;
 pub(crate) mod handler;
+pub(crate) mod lateness;
 pub(crate) mod listener;
 pub(crate) mod request;
 pub(crate) mod socket;
--- a/src/event.rs
+++ b/src/event.rs
@@ -51,6 +51,8 @@
     ReloadRejected = 1007, "settings have faults, old ones stay";
     /// The control loop ran late, and with it reads, gossip and decisions on waiting requests.
     ControlLate = 1008, "control loop late";
+    /// The loop that serves callers ran late, and with it every request.
+    CallersLate = 1009, "loop of callers late";
     /// A request was accepted.
     Accepted = 2001, "request accepted";
     /// A request waits for a slot.
@@ -178,7 +180,7 @@
             EventCode::UpstreamPaused => "pause_ms",
             EventCode::UpstreamLimited => "per_1000_s",
             EventCode::RegistryRewound => "era",
-            EventCode::ControlLate => "late_ms",
+            EventCode::ControlLate | EventCode::CallersLate => "late_ms",
             EventCode::ReadFailed => "took_ms",
             EventCode::CopyOutdated | EventCode::CopyCurrent => "age_ms",
             EventCode::RecordsLoaded => "records",
--- a/src/logs.rs
+++ b/src/logs.rs
@@ -4,7 +4,7 @@
 //! thread, and lines that find the queue full are dropped and counted.
 
 use std::io::{self, Write};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, RecvTimeoutError, SyncSender, sync_channel};
 use std::sync::{Arc, OnceLock};
 use std::time::{Duration, SystemTime};
@@ -17,12 +17,18 @@
 pub(crate) const JSON_TARGET: &str = "cornelferry::object";
 /// Capacity of the queue, in lines: some seconds' worth at the maximum rate of request log lines.
 const QUEUE_CAPACITY: usize = 1_024;
+/// Lines in the queue above which no line about a request is added, so that the events of the host
+/// itself are not dropped while requests are many.
+const REQUEST_LINES_MAX: usize = QUEUE_CAPACITY / 2;
 /// Time without a new line after which dropped lines are reported.
 const DROP_REPORT_DELAY: Duration = Duration::from_secs(1);
 
 /// Number of lines since the process started that were dropped or could not be written.
 static DROPPED: AtomicU64 = AtomicU64::new(0);
 
+/// Number of lines in the queue.
+static QUEUED: AtomicUsize = AtomicUsize::new(0);
+
 /// Name of this process's host, set by [`init`].
 static HOST: OnceLock<Arc<str>> = OnceLock::new();
 
@@ -36,6 +42,11 @@
     DROPPED.load(Ordering::Relaxed)
 }
 
+/// Returns whether the queue has room for lines about a request.
+pub(crate) fn has_room_for_request() -> bool {
+    QUEUED.load(Ordering::Relaxed) < REQUEST_LINES_MAX
+}
+
 /// Starts logging for a host. Only the first call in a process has an effect.
 ///
 /// # Errors
@@ -77,7 +88,9 @@
 
 impl Write for QueueWriter {
     fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
+        QUEUED.fetch_add(1, Ordering::Relaxed);
         if self.0.try_send(buf.to_vec()).is_err() {
+            QUEUED.fetch_sub(1, Ordering::Relaxed);
             DROPPED.fetch_add(1, Ordering::Relaxed);
         }
         Ok(buf.len())
@@ -99,7 +112,10 @@
         };
         let mut out = io::stdout().lock();
         let written = match received {
-            Ok(line) => out.write_all(&line),
+            Ok(line) => {
+                QUEUED.fetch_sub(1, Ordering::Relaxed);
+                out.write_all(&line)
+            }
             Err(RecvTimeoutError::Timeout) => {
                 let dropped = dropped();
                 let message = format!("{} log lines dropped", dropped - reported);
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -50,6 +50,7 @@
     registry_age: Histogram,
     registry_reads: HistogramVec,
     tick_lateness: Histogram,
+    caller_lateness: Histogram,
     members: IntGauge,
     config_version: IntGauge,
     waiting: IntGaugeVec,
@@ -146,6 +147,11 @@
                 "cornelferry_tick_lateness_seconds",
                 "Time by which ticks of the control loop were late",
             ),
+            caller_lateness: histogram(
+                &registry,
+                "cornelferry_caller_lateness_seconds",
+                "Time by which the loop that serves callers was late",
+            ),
             members: value("cornelferry_members", "Other entry hosts that are alive"),
             config_version: value("cornelferry_config_version", "Version of the routes in force"),
             evacuated: value(
@@ -248,6 +254,11 @@
         self.tick_lateness.observe(late.as_secs_f64());
     }
 
+    /// Records the time by which the loop that serves callers was late.
+    pub(crate) fn observe_caller_lateness(&self, late: Duration) {
+        self.caller_lateness.observe(late.as_secs_f64());
+    }
+
     /// Counts a request that waits for a slot, or that is refused with a code.
     pub(crate) fn count_shed(&self, service: &str, priority: Priority, refused: Option<Code>) {
         let reason = match refused {
--- a/src/node.rs
+++ b/src/node.rs
@@ -14,6 +14,7 @@
 use crate::decide::digest::RecordVersion;
 use crate::decide::evacuation::{EvacuationChange, EvacuationOrder, Evacuations};
 use crate::decide::hosts::{Host, HostList};
+use crate::decide::lateness::LateEvents;
 use crate::decide::matching::Routes;
 use crate::decide::member::{MemberChange, MemberState, Members};
 use crate::decide::pause::{PauseDetector, RESYNC_TIMEOUT};
@@ -101,6 +102,8 @@
     copy_age: Mutex<CopyAge>,
     /// The names of the header fields that callers and upstreams use.
     pub(crate) header_names: header::FieldNames,
+    /// Which late turns of the loops that serve callers are recorded.
+    pub(crate) late_caller_events: Mutex<LateEvents>,
     /// Limits the log output about requests.
     pub(crate) log_limiter: Mutex<LogLimiter>,
     /// The settings as last reloaded. Those that take effect without a restart are read from here.
@@ -164,6 +167,7 @@
                 Some(_) => platform::headers::names(),
                 None => header::FieldNames::default(),
             },
+            late_caller_events: Mutex::default(),
             log_limiter: Mutex::new(LogLimiter::new(clock.now())),
             latest_settings: RwLock::new(Arc::new(settings.clone())),
             resynced: Notify::new(),
--- a/src/request_log.rs
+++ b/src/request_log.rs
@@ -113,18 +113,30 @@
         }
     }
 
-    /// Returns the lines to log: one for each entry, or none for an ordinary request that is not
-    /// sampled. `number` is the number of the request on this host.
+    /// Returns the number of lines to log: one for each entry, or none for an ordinary request that is
+    /// not sampled. `number` is the number of the request on this host.
+    pub(crate) fn line_count(&self, summary: &RequestSummary<'_>, number: u64) -> usize {
+        match self.is_ordinary(summary) && !number.is_multiple_of(SAMPLE_INTERVAL) {
+            true => 0,
+            false => self.entries.borrow().len(),
+        }
+    }
+
+    fn is_ordinary(&self, summary: &RequestSummary<'_>) -> bool {
+        summary.in_time && !self.is_notable.get()
+    }
+
+    /// Returns the lines to log, as many as [`RequestLog::line_count`] says.
     pub(crate) fn lines(
         &self,
         summary: &RequestSummary<'_>,
         number: u64,
         wall: SystemTime,
     ) -> Vec<String> {
-        let is_ordinary = summary.in_time && !self.is_notable.get();
-        if is_ordinary && !number.is_multiple_of(SAMPLE_INTERVAL) {
+        if self.line_count(summary, number) == 0 {
             return Vec::new();
         }
+        let is_ordinary = self.is_ordinary(summary);
         let entries = self.entries.borrow();
         let line = |(i, entry): (usize, &LogEntry)| {
             let mut out = json_object(entry, summary, wall);
