--- a/src/peer/tests.rs
+++ b/src/peer/tests.rs
@@ -541,3 +541,32 @@
         let _ = decode(&noise);
     }
 }
+
+/// Guards against an overloaded host that takes itself for paused, and does even more for that.
+#[test]
+fn a_control_loop_that_runs_late_while_requests_come_is_no_pause() {
+    let (hosts, _) = fleet(2);
+    wait_until("both are alive", || hosts[0].state("entry-1") == Some(MemberState::Alive));
+    let replaced = hosts[0].events(EventCode::PeerLinkReplaced);
+    let node = hosts[0].node.clone();
+    let is_over = Arc::new(AtomicBool::new(false));
+    let stop = is_over.clone();
+    let requests = std::thread::spawn(move || {
+        let rt = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        rt.block_on(async {
+            while !stop.load(Ordering::Relaxed) {
+                node.wait_until_current().await;
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        });
+    });
+    hosts[0].paused.store(true, Ordering::Relaxed);
+    std::thread::sleep(Duration::from_millis(1_400));
+    hosts[0].paused.store(false, Ordering::Relaxed);
+    wait_until("the loop runs again", || hosts[0].state("entry-1") == Some(MemberState::Alive));
+    std::thread::sleep(Duration::from_millis(300));
+    is_over.store(true, Ordering::Relaxed);
+    requests.join().unwrap();
+    assert_eq!(hosts[0].events(EventCode::Paused), 0);
+    assert_eq!(hosts[0].events(EventCode::PeerLinkReplaced), replaced);
+}
