Take a process for paused only if none of its loops has run

Callers of an overloaded host saw requests wait half a second and then be served by a config that had been replaced seconds before. The control loop's lateness alone counted as a pause of the process. For that the host dropped all links to peers and exchanged whole digests anew, forgot who is alive (so that it took itself for a first reader of the registry), read the whole registry at once, and held each request for up to 0.5 s: more work for a host that was late for want of processor time, which made it late again.

Requests, ticks and digests now all show that the process runs; only a time without any of them is a pause.

--- a/src/decide/member.rs
+++ b/src/decide/member.rs
@@ -329,6 +329,11 @@
         self.members.iter_mut().for_each(|m| m.synced = false);
     }
 
+    /// Records that the process has run since the last tick, however late this one is.
+    pub fn keep_view(&mut self, now: Time) {
+        self.last_tick = now;
+    }
+
     /// Updates the state of every member and returns the changes. Resets the view if the last tick
     /// is longer ago than [`PAUSE_THRESHOLD`], and removes members that are not listed and have
     /// counted as dead for 30 s. A host that hears from less than half of its peers may itself be
--- a/src/decide/pause.rs
+++ b/src/decide/pause.rs
@@ -1,16 +1,22 @@
 //! Detects pauses of the process, after which its records may be stale.
+//!
+//! A process that is short of processor time isn't paused: its loops run late, but it goes on taking in
+//! what it is told. To resynchronise would only add to its work. So all loops of the process
+//! show that it runs, and only a time in which none did counts as a pause.
 
 use std::time::Duration;
 
 use crate::decide::member::PAUSE_THRESHOLD;
 use crate::time::Time;
 
-/// A detector of pauses, by the time between ticks, that also tracks whether the process has
-/// resynchronised since the last one.
+/// A detector of pauses, by the time between signs that the process runs, that also tracks whether
+/// the process has resynchronised since the last one.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct PauseDetector {
-    last_tick: Option<Time>,
+    last_sign: Option<Time>,
     pauses: u64,
+    /// The number of pauses that [`PauseDetector::take_pause`] has returned.
+    taken: u64,
     /// When records cease to count as stale at the latest; `None` if they are current.
     stale_until: Option<Time>,
 }
@@ -20,16 +26,21 @@
 pub const RESYNC_TIMEOUT: Duration = Duration::from_millis(500);
 
 impl PauseDetector {
-    /// Records that the process is running. Returns whether it has been paused since the last tick.
-    pub fn tick(&mut self, now: Time) -> bool {
-        let was_paused = self.is_late(now);
-        self.last_tick = self.last_tick.max(Some(now));
-        if was_paused {
+    /// Records that the process is running, as any of its loops has found.
+    pub fn record_running(&mut self, now: Time) {
+        if self.is_late(now) {
             self.pauses += 1;
             self.stale_until = Some(now + RESYNC_TIMEOUT);
         }
+        self.last_sign = self.last_sign.max(Some(now));
         self.stale_until = self.stale_until.filter(|t| *t > now);
-        was_paused
+    }
+
+    /// Returns the number of pauses detected if there was one since the last call.
+    pub fn take_pause(&mut self) -> Option<u64> {
+        let is_new = self.pauses > self.taken;
+        self.taken = self.pauses;
+        is_new.then_some(self.pauses)
     }
 
     /// Returns the number of pauses detected.
@@ -44,13 +55,13 @@
     }
 
     /// Returns whether records may be stale because the process was paused and has not
-    /// resynchronised yet. This includes a pause that no tick has detected so far.
+    /// resynchronised yet. This includes a pause that has not been detected so far.
     pub fn is_stale(&self, now: Time) -> bool {
         self.stale_until.is_some_and(|t| t > now) || self.is_late(now)
     }
 
-    /// Returns whether the time since the last tick shows a pause.
+    /// Returns whether the time since the last sign shows a pause.
     fn is_late(&self, now: Time) -> bool {
-        self.last_tick.is_some_and(|t| now.since(t) > PAUSE_THRESHOLD)
+        self.last_sign.is_some_and(|t| now.since(t) > PAUSE_THRESHOLD)
     }
 }
--- a/src/node.rs
+++ b/src/node.rs
@@ -348,9 +348,15 @@
         let _ = rx.wait_for(|p| *p >= phase).await;
     }
 
+    /// Records that one of the process's loops runs, so that this isn't a pause.
+    pub(crate) fn record_running(&self) {
+        self.pause_detector.lock().record_running(self.clock.now());
+    }
+
     /// Waits until the records are current. Returns at once unless the process was paused and has
     /// not resynchronised, and at the latest after [`RESYNC_TIMEOUT`].
     pub(crate) async fn wait_until_current(&self) {
+        self.record_running();
         let wait = async {
             while self.pause_detector.lock().is_stale(self.clock.now()) {
                 let resynced = self.resynced.notified();
@@ -392,8 +398,12 @@
         let now = self.clock.now();
         let pauses = {
             let mut detector = self.pause_detector.lock();
-            detector.tick(now).then(|| detector.pause_count())
+            detector.record_running(now);
+            detector.take_pause()
         };
+        if pauses.is_none() {
+            self.members.lock().keep_view(now);
+        }
         if let Some(pauses) = pauses {
             self.events.record(EventCode::Paused, Subject::default(), Some(pauses));
             self.members.lock().reset_view(now);
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -24,7 +24,8 @@
     ) -> Result<(), Error> {
         let node = &self.0.local.node;
         let digest = codec::read(params.get()?.get_digest()?)?;
-        self.0.apply(&digest, node.pause_detector.lock().pause_count(), None)?;
+        let pauses = node.pause_detector.lock().pause_count();
+        self.0.apply(&digest, pauses, None)?;
         if let Some(host) = self.0.host() {
             self.0.local.record_incoming_exchange(&host, node.clock.now());
         }
--- a/src/peer/session.rs
+++ b/src/peer/session.rs
@@ -280,6 +280,7 @@
         requested: Option<Time>,
     ) -> Result<(), Error> {
         let node = &self.local.node;
+        node.record_running();
         let now = node.clock.now();
         node.hlc.observe(digest.stamp);
         let decoded = self.decoder.borrow_mut().decode(digest, now);
