Refuse a part of the requests while a loop of the host runs late

Requests and control work share one core, and nothing bounded what requests take. A host with more work than processor answered later and later, its reads and exchanges ran into their own timeouts and were made again, and it came back only when its callers had left (metastable overload). Meanwhile it served by routes 30 s old.

- decide/overload.rs: while the control loop or the loop of callers runs 100 ms late, a growing part of the requests is refused with 503 (code 2023) before anything else is done for them, deferrable ones first; it shrinks again over seconds.
- A host that is late and whose copy of the registry is older than the time in which changes must be in force refuses all requests.
While only the registry is away, requests are served as before.
- A response of the registry or a peer may take longer while this process itself is late to read it.
- Ticks leave most of the processor to other work, and log lines cost more of their budget while requests are refused.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -13,6 +13,7 @@
 use tokio::time::sleep;
 
 use crate::decide::lateness::LateEvents;
+use crate::decide::overload::Loop;
 use crate::entry::{admin, listener};
 use crate::event::{EventCode, Subject};
 use crate::forward::probe;
@@ -24,6 +25,8 @@
 const TICK_INTERVAL: Duration = Duration::from_millis(10);
 /// Interval between ticks while no request waits. These ticks look for upstreams to probe.
 const IDLE_TICK_INTERVAL: Duration = Duration::from_millis(50);
+/// The time between two ticks while requests wait, as a multiple of what the last one took.
+const TICK_PAUSE_FACTOR: u32 = 4;
 /// Interval at which the settings file is checked for changes.
 const SETTINGS_CHECK_INTERVAL: Duration = Duration::from_secs(5);
 /// Interval at which connections that have been idle for too long are closed.
@@ -149,15 +152,18 @@
     let mut rng = SmallRng::from_os_rng();
     let mut last_expiry = node.clock.now();
     let mut late_events = LateEvents::default();
+    let mut took = Duration::ZERO;
     loop {
         let start = node.clock.now();
+        node.overload.lock().set_control_due(start + IDLE_TICK_INTERVAL);
+        let pause = tick_interval(took);
         if node.waiting.is_empty() {
             tokio::select! {
                 () = sleep(IDLE_TICK_INTERVAL) => {}
-                () = node.waiting.queued() => sleep(TICK_INTERVAL).await,
+                () = node.waiting.queued() => sleep(pause).await,
             }
         } else {
-            sleep(TICK_INTERVAL).await;
+            sleep(pause).await;
         }
         let now = node.clock.now();
         record_lateness(&node, now.since(start), &mut late_events);
@@ -171,13 +177,21 @@
         for (service, target) in node.tick(&mut rng) {
             spawn_local(probe::send(node.clone(), service, target));
         }
+        took = node.clock.now().since(now);
     }
 }
 
+/// Returns the time until the next tick while requests wait, if the last one took `took`. On a host that is
+/// short of processor time, ticks leave the larger part of it to other work.
+fn tick_interval(took: Duration) -> Duration {
+    (took * TICK_PAUSE_FACTOR).clamp(TICK_INTERVAL, IDLE_TICK_INTERVAL)
+}
+
 /// Records how late a tick is that was due after one interval at most.
 fn record_lateness(node: &Node, took: Duration, late_events: &mut LateEvents) {
     let late = took.saturating_sub(IDLE_TICK_INTERVAL);
     node.metrics.observe_tick_lateness(late);
+    node.observe_lateness(Loop::Control, late);
     if late_events.observe(late, node.clock.now()) {
         let late = u64::try_from(late.as_millis()).ok();
         node.events.record(EventCode::ControlLate, Subject::default(), late);
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -18,6 +18,7 @@
 pub mod limit;
 pub mod matching;
 pub mod member;
+pub mod overload;
 pub mod pause;
 pub mod poison;
 pub mod probing;
--- a/src/entry/handler.rs
+++ b/src/entry/handler.rs
@@ -26,6 +26,9 @@
 /// The service label in the metrics of rejected requests.
 const NO_SERVICE: &str = "";
 
+/// The log budget that a line takes while the host is overloaded, in lines.
+const OVERLOAD_LINE_COST: usize = 8;
+
 /// Handles one request of a caller, or one that a peer passes on.
 pub(crate) async fn handle(
     node: &Arc<Node>,
@@ -43,7 +46,10 @@
             Ok(request) => (process(node, &caller, &request).await, false),
             Err(code) => {
                 node.metrics.count_request(NO_SERVICE, code);
-                log_rejected(node, &id, code);
+                // Events 1010 and 1011 tell of these; a line each would add to the overload.
+                if code != Code::HostOverloaded {
+                    log_rejected(node, &id, code);
+                }
                 (refusal(node, code), has_body || request::is_end_unknown(code))
             }
         };
@@ -58,9 +64,17 @@
 /// Returns the response to a request that was rejected before it was accepted.
 fn refusal(node: &Node, code: Code) -> ProxyResponse {
     let mut response = ProxyResponse::local(code);
-    if code == Code::NotReady {
-        let elapsed = node.clock.now().since(Time::ZERO);
-        response.retry_after = Some(startup::retry_after(elapsed, rand::random()));
+    let now = node.clock.now();
+    match code {
+        Code::NotReady => {
+            let elapsed = now.since(Time::ZERO);
+            response.retry_after = Some(startup::retry_after(elapsed, rand::random()));
+        }
+        Code::HostOverloaded => {
+            let overload = node.overload.lock();
+            response.retry_after = Some(overload.retry_after(now, rand::random()));
+        }
+        _ => {}
     }
     response
 }
@@ -128,7 +142,8 @@
     if count == 0 {
         return;
     }
-    if !logs::has_room_for_request() || !limiter.try_take(count, now) {
+    let cost = if node.overload.lock().is_refusing() { OVERLOAD_LINE_COST } else { 1 };
+    if !logs::has_room_for_request() || !limiter.try_take(count * cost, now) {
         return node.metrics.count_unlogged_request();
     }
     drop(limiter);
--- a/src/entry/lateness.rs
+++ b/src/entry/lateness.rs
@@ -1,5 +1,6 @@
 //! Measures how late the loop runs that serves callers.
 
+use crate::decide::overload::Loop;
 use crate::event::{EventCode, Subject};
 use crate::node::Node;
 
@@ -11,6 +12,7 @@
     let now = node.clock.now();
     let late = now.since(start);
     node.metrics.observe_caller_lateness(late);
+    node.observe_lateness(Loop::Callers, late);
     if node.late_caller_events.lock().observe(late, now) {
         let late = u64::try_from(late.as_millis()).ok();
         node.events.record(EventCode::CallersLate, Subject::default(), late);
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -87,6 +87,9 @@
     let team = find_team(node, &routes, &route, &parts.headers, is_relayed)?;
     let service = route.service.clone();
     let treatment = teams::treatment(route.treatment, team.as_deref());
+    if let Some(code) = node.overload_refusal(treatment.priority) {
+        return Err(code);
+    }
     let time_left = time_left(&node.header_names, &parts.headers)?;
     let deadline = deadline(time_left, now, treatment.deadline_ms);
     let latency_goal = latency_goal(&route, time_left, now);
--- a/src/error.rs
+++ b/src/error.rs
@@ -96,6 +96,8 @@
     Unauthorized = 2021, 401, NotRun, "no team holds the request's key";
     /// The request is beyond what its team may send to all hosts together.
     BeyondAllowance = 2022, 429, NotRun, "the team's allowance is used up";
+    /// The host can't keep up with its work, and refuses a part of the requests.
+    HostOverloaded = 2023, 503, NotRun, "the host can't keep up with its work";
     /// The deadline passed after the request was sent.
     DeadlineAfterSend = 3001, 504, Unknown, "the deadline passed after the request was sent";
     /// The connection failed after a byte was sent.
--- a/src/event.rs
+++ b/src/event.rs
@@ -53,6 +53,10 @@
     ControlLate = 1008, "control loop late";
     /// The loop that serves callers ran late, and with it every request.
     CallersLate = 1009, "loop of callers late";
+    /// A loop runs late, so the host refuses a part of the requests.
+    OverloadBegan = 1010, "host overloaded, refusing requests";
+    /// No loop has run late for a while, and the host takes up all requests again.
+    OverloadEnded = 1011, "host no longer overloaded";
     /// A request was accepted.
     Accepted = 2001, "request accepted";
     /// A request waits for a slot.
@@ -175,7 +179,7 @@
             EventCode::Accepted => "deadline_ms",
             EventCode::Sent => "attempt",
             EventCode::Refused | EventCode::BeyondAllowance => "retry_after_ms",
-            EventCode::TeamAtLimit => "refused",
+            EventCode::TeamAtLimit | EventCode::OverloadEnded => "refused",
             EventCode::AttemptAnswered => "took_ms",
             EventCode::UpstreamPaused => "pause_ms",
             EventCode::UpstreamLimited => "per_1000_s",
--- a/src/forward/relay.rs
+++ b/src/forward/relay.rs
@@ -216,5 +216,6 @@
             | Code::NotReady
             | Code::RoutesOutdated
             | Code::Stopping
+            | Code::HostOverloaded
     )
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -75,8 +75,8 @@
 
 pub use decide::{
     admission, attempt, balancing, catalog, digest, evacuation, hosts, kinds, lapse, leaving,
-    limit, matching, member, pause, poison, probing, reads, registered, service, shedding, startup,
-    stored, teams, tick, topology, upstream, warmup, working_set,
+    limit, matching, member, overload, pause, poison, probing, reads, registered, service,
+    shedding, startup, stored, teams, tick, topology, upstream, warmup, working_set,
 };
 pub use time::{Clock, Time};
 
--- a/src/node.rs
+++ b/src/node.rs
@@ -9,7 +9,7 @@
 use tokio::sync::watch;
 
 use crate::claim::Claims;
-use crate::config::{Service, Team};
+use crate::config::{Priority, Service, Team};
 use crate::decide::catalog::{Body, Catalog, OfferOutcome, Record, RecordKind};
 use crate::decide::digest::RecordVersion;
 use crate::decide::evacuation::{EvacuationChange, EvacuationOrder, Evacuations};
@@ -17,6 +17,7 @@
 use crate::decide::lateness::LateEvents;
 use crate::decide::matching::Routes;
 use crate::decide::member::{MemberChange, MemberState, Members};
+use crate::decide::overload::{Loop, Overload, OverloadChange};
 use crate::decide::pause::{PauseDetector, RESYNC_TIMEOUT};
 use crate::decide::poison::PoisonRequests;
 use crate::decide::reads::{AgeChange, CopyAge, ReadSchedule};
@@ -26,6 +27,7 @@
 use crate::decide::tick::ServiceTables;
 use crate::entry::allowance::Allowances;
 use crate::entry::waiting::WaitingRequests;
+use crate::error::Code;
 use crate::event::{EventCode, RingBuffer, Subject};
 use crate::forward::memory::MemoryBudget;
 use crate::forward::pool::Pool;
@@ -36,7 +38,7 @@
 use crate::request_log::LogLimiter;
 use crate::settings::{DEFAULT_APPLY_S, Settings};
 use crate::store::client::Client;
-use crate::time::Clock;
+use crate::time::{Clock, Time};
 use crate::trace::Entry as TraceEntry;
 use crate::trace::recorder::Recorder;
 use crate::{header, platform};
@@ -102,6 +104,8 @@
     copy_age: Mutex<CopyAge>,
     /// The names of the header fields that callers and upstreams use.
     pub(crate) header_names: header::FieldNames,
+    /// How late the loops run, and which requests are refused for it.
+    pub(crate) overload: Mutex<Overload>,
     /// Which late turns of the loops that serve callers are recorded.
     pub(crate) late_caller_events: Mutex<LateEvents>,
     /// Limits the log output about requests.
@@ -167,6 +171,7 @@
                 Some(_) => platform::headers::names(),
                 None => header::FieldNames::default(),
             },
+            overload: Mutex::default(),
             late_caller_events: Mutex::default(),
             log_limiter: Mutex::new(LogLimiter::new(clock.now())),
             latest_settings: RwLock::new(Arc::new(settings.clone())),
@@ -353,6 +358,37 @@
         self.pause_detector.lock().record_running(self.clock.now());
     }
 
+    /// Records how late a loop has run, and whether the host begins or ceases to refuse requests for it.
+    pub(crate) fn observe_lateness(&self, by: Loop, late: Duration) {
+        let now = self.clock.now();
+        let change = self.overload.lock().observe(by, late, now);
+        let (code, refused) = match change {
+            Some(OverloadChange::Began) => (EventCode::OverloadBegan, None),
+            Some(OverloadChange::Ended(refused)) => (EventCode::OverloadEnded, Some(refused)),
+            None => return,
+        };
+        self.events.record(code, Subject::default(), refused);
+    }
+
+    /// Returns why a request is refused before anything is done for it, if it is: the host can't keep
+    /// up, and refuses a part of the requests, or all of them if it has fallen so far behind that the
+    /// routes in force may have been replaced.
+    pub(crate) fn overload_refusal(&self, priority: Priority) -> Option<Code> {
+        let now = self.clock.now();
+        let mut overload = self.overload.lock();
+        if overload.is_late(now) && self.is_copy_outdated(now) {
+            return Some(Code::RoutesOutdated);
+        }
+        overload.refuses(priority, rand::random()).then_some(Code::HostOverloaded)
+    }
+
+    /// Returns whether this host's copy of the registry is older than the time in which a change must
+    /// be in force.
+    fn is_copy_outdated(&self, now: Time) -> bool {
+        let freshness = &self.registry_freshness;
+        freshness.as_of().is_some_and(|at| now.since(at) >= freshness.schedule.apply_time())
+    }
+
     /// Waits until the records are current. Returns at once unless the process was paused and has
     /// not resynchronised, and at the latest after [`RESYNC_TIMEOUT`].
     pub(crate) async fn wait_until_current(&self) {
--- a/src/peer/session.rs
+++ b/src/peer/session.rs
@@ -249,7 +249,8 @@
         let mut req = self.client()?.exchange_request();
         let requested = node.clock.now();
         codec::write(&self.digest(), req.get().init_digest());
-        let reply = timeout(CALL_TIMEOUT, req.send().promise).await;
+        let limit = CALL_TIMEOUT + node.overload.lock().response_delay(requested);
+        let reply = timeout(limit, req.send().promise).await;
         let reply = reply.map_err(|_| ExchangeError::TimedOut)??;
         let digest = codec::read(reply.get()?.get_digest()?)?;
         self.apply(&digest, pauses, Some(requested))?;
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -29,11 +29,16 @@
 /// `None` if a newer one is known.
 pub(crate) type EraObserver = Box<dyn Fn(Option<u32>) -> Option<u32> + Send + Sync>;
 
+/// A callback that returns the time that a response may take beyond its usual timeout, as this process
+/// is late to read it.
+pub(crate) type ResponseDelay = Box<dyn Fn() -> Duration + Send + Sync>;
+
 /// A client of the registry.
 pub(crate) struct Client {
     http: HttpClient,
     timeout: Mutex<AdaptiveTimeout>,
     observe_era: EraObserver,
+    response_delay: ResponseDelay,
 }
 
 /// Whether a read may return what was true some seconds ago, which costs a tenth.
@@ -127,10 +132,11 @@
         calls_per_second: f64,
         counter: CallCounter,
         observe_era: EraObserver,
+        response_delay: ResponseDelay,
     ) -> Client {
         let http = HttpClient::new(vec![address], calls_per_second, counter);
         let timeout = Mutex::new(AdaptiveTimeout::new(RESPONSE_TIMEOUT));
-        Client { http, timeout, observe_era }
+        Client { http, timeout, observe_era, response_delay }
     }
 
     /// Lists the keys under a prefix, page by page. A key that changes meanwhile may be read as it
@@ -270,7 +276,7 @@
         body: Option<&Value>,
     ) -> Result<RegistryResponse, CallError> {
         let request = Request { method, path, body };
-        let timeout = self.timeout.lock().current();
+        let timeout = self.timeout.lock().current() + (self.response_delay)();
         let start = Instant::now();
         let response = self.http.call(kind, &request, timeout).await;
         let took = start.elapsed();
--- a/src/registry/follower/tests.rs
+++ b/src/registry/follower/tests.rs
@@ -186,7 +186,13 @@
     let [a, b] = &nodes;
     let client = |node: &Node| {
         let counter = node.metrics.call_counter();
-        Client::connect("127.0.0.1:3".parse().expect("address"), 1.0, counter, observe_era())
+        Client::connect(
+            "127.0.0.1:3".parse().expect("address"),
+            1.0,
+            counter,
+            observe_era(),
+            Box::new(|| Duration::ZERO),
+        )
     };
     let cfg = a.settings.registry.clone().expect("a registry");
     let clients = [client(a), client(b)];
@@ -246,7 +252,13 @@
     let cfg = node.settings.registry.clone().expect("a registry");
     let observe_era = Box::new(|era: Option<u32>| Some(era.unwrap_or(0)));
     let address = "127.0.0.1:3".parse().expect("address");
-    let client = Client::connect(address, 1.0, node.metrics.call_counter(), observe_era);
+    let client = Client::connect(
+        address,
+        1.0,
+        node.metrics.call_counter(),
+        observe_era,
+        Box::new(|| Duration::ZERO),
+    );
     let mut follower = Follower::new(&node, &cfg, &client, oneshot::channel().0);
     let mut read = |value: Option<&str>, millis, after_outage: bool| {
         let (now, revision) = (Time::from_millis(millis), Revision { era: 0, number: millis });
--- a/src/registry/mod.rs
+++ b/src/registry/mod.rs
@@ -41,7 +41,11 @@
     let calls = node.metrics.call_counter();
     let observer = node.clone();
     let observe_era = Box::new(move |stated| observer.observe_registry_era(stated));
-    let client = Client::connect(cfg.address, cfg.calls_per_second, calls, observe_era);
+    let reader = node.clone();
+    let response_delay =
+        Box::new(move || reader.overload.lock().response_delay(reader.clock.now()));
+    let client =
+        Client::connect(cfg.address, cfg.calls_per_second, calls, observe_era, response_delay);
     let (own_registration, previous) = oneshot::channel();
     let mut follower = Follower::new(&node, &cfg, &client, own_registration);
     tokio::join!(
