Refuse requests that can't finish before a stopping process is ended

Operators' report: in a planned stop, requests that came late in the grace were passed on and cut without an answer when the platform ended the process. It could happen here: the host didn't know when it would be ended. A request whose head ends 1.9 s after SIGTERM, with 1.5 s of work and an end after 3 s, was passed on and cut. The setting stop_s (graceS on the users' platform) names that time.

requests_that_can_not_finish_before_the_process_is_ended_are_refused_and_do_not_run fails with the end set to 1,000 s, as nothing is refused then, and passes with 3 s.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -27,6 +27,7 @@
 pub mod service;
 pub mod shedding;
 pub mod startup;
+pub mod stopping;
 pub mod stored;
 pub mod teams;
 pub mod tick;
--- a/src/decide/service/admission.rs
+++ b/src/decide/service/admission.rs
@@ -179,6 +179,11 @@
         (live.count() > 1).then(|| high_latency.max(HEDGE_DELAY_MIN))
     }
 
+    /// Returns the time that few responses of the service exceed; zero before there were enough.
+    pub fn high_latency(&self) -> Duration {
+        Duration::from_micros(self.baseline.high_latency().unwrap_or_default() as u64)
+    }
+
     /// Returns whether a request that waits for `wait` first can't get a response before its
     /// deadline.
     fn misses_deadline(&self, req: &Request, wait: Duration, now: Time) -> bool {
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -122,6 +122,14 @@
         Some(target)
     }
 
+    /// Returns whether the response to a request may still come before this host's process ends, if the
+    /// request is sent to a target now.
+    pub(crate) fn may_send(&self, service: &str, target: &Target, deadline: Time) -> bool {
+        let expected = target.estimate.map_or(Duration::ZERO, |e| e.expected);
+        let usual = self.tables.lock().service(service).map(|t| t.high_latency());
+        self.may_finish(expected.max(usual.unwrap_or_default()), deadline)
+    }
+
     /// Returns whether the retry budget of a service currently permits another attempt.
     pub(crate) fn may_retry(&self, service: &str) -> bool {
         let now = self.clock.now();
--- a/src/forward/driver.rs
+++ b/src/forward/driver.rs
@@ -74,6 +74,10 @@
         probe::refresh_loads(node, request).await;
     }
     match admit(node, request, disconnected.as_mut()).await {
+        Ok(target) if !node.may_send(&request.service.name, &target, request.deadline) => {
+            node.cancel_attempt(&request.service.name, &target);
+            ProxyResponse::local(Code::Stopping)
+        }
         // It may have been blocked while it waited.
         Ok(target) if decision == BlockDecision::Allow && node.is_blocked(request.fingerprints) => {
             node.cancel_attempt(&request.service.name, &target);
@@ -247,6 +251,14 @@
             NextAttempt::Hedge => self.next_target(reason).await,
         };
         let now = self.node.clock.now();
+        let (service, deadline) = (&self.request.service.name, self.request.deadline);
+        let target = target.filter(|target| {
+            let may_send = self.node.may_send(service, target, deadline);
+            if !may_send {
+                self.node.cancel_attempt(service, target);
+            }
+            may_send
+        });
         let Some(target) = target else {
             let is_denied = !self.node.may_retry(&self.request.service.name);
             if reason == NextAttempt::Retry && is_denied {
--- a/src/forward/relay.rs
+++ b/src/forward/relay.rs
@@ -51,7 +51,8 @@
 /// upstream, as none can be reached from here.
 pub(crate) fn is_wanted(node: &Node, request: &BufferedRequest, response: &ProxyResponse) -> bool {
     let is_unreachable = matches!(response.code, Code::UpstreamsUnreachable | Code::ConnectFailed);
-    is_unreachable && !request.is_relayed && node.settings.relay_port.is_some()
+    let may_finish = node.may_finish(Duration::ZERO, request.deadline);
+    is_unreachable && !request.is_relayed && may_finish && node.settings.relay_port.is_some()
 }
 
 /// Passes a request on to one peer after another until one has taken it, and returns the response.
--- a/src/forward/response.rs
+++ b/src/forward/response.rs
@@ -31,6 +31,7 @@
         | Code::UpstreamsUnreachable
         | Code::Stopping
         | Code::NotReady
+        | Code::HostOverloaded
         | Code::RoutesOutdated => RETRY_AFTER_ELSEWHERE,
         _ => RETRY_AFTER,
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -76,7 +76,7 @@
 pub use decide::{
     admission, attempt, balancing, catalog, digest, evacuation, hosts, kinds, lapse, leaving,
     limit, matching, member, overload, pause, poison, probing, reads, registered, service,
-    shedding, startup, stored, teams, tick, topology, upstream, warmup, working_set,
+    shedding, startup, stopping, stored, teams, tick, topology, upstream, warmup, working_set,
 };
 pub use time::{Clock, Time};
 
--- a/src/node.rs
+++ b/src/node.rs
@@ -1,7 +1,7 @@
 //! The state that all parts of a daemon share: settings, clocks, tables, records, members and
 //! events.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use parking_lot::{Mutex, RwLock};
@@ -23,6 +23,7 @@
 use crate::decide::reads::{AgeChange, CopyAge, ReadSchedule};
 use crate::decide::relay::{RelayPeer, RelayPeers};
 use crate::decide::service::HostInfo;
+use crate::decide::stopping::StopWindow;
 use crate::decide::teams::TeamTable;
 use crate::decide::tick::ServiceTables;
 use crate::entry::allowance::Allowances;
@@ -102,6 +103,8 @@
     /// The age of this host's copy of the registry.
     pub(crate) registry_freshness: RegistryFreshness,
     copy_age: Mutex<CopyAge>,
+    /// Until when a stopping host may finish requests; unset while it isn't, or if nothing ends it.
+    stop_window: OnceLock<StopWindow>,
     /// The names of the header fields that callers and upstreams use.
     pub(crate) header_names: header::FieldNames,
     /// How late the loops run, and which requests are refused for it.
@@ -167,6 +170,7 @@
             allowances: Allowances::new(settings.host.clone()),
             copy_age: Mutex::default(),
             registry_freshness: RegistryFreshness::new(ReadSchedule::new(apply_time(&settings))),
+            stop_window: OnceLock::new(),
             header_names: match settings.registry {
                 Some(_) => platform::headers::names(),
                 None => header::FieldNames::default(),
@@ -342,11 +346,22 @@
             is_later
         });
         if phase >= Phase::Draining {
+            if let Some(length) = self.settings.stop_s {
+                let (began, length) = (self.clock.now(), Duration::from_secs_f64(length));
+                self.stop_window.get_or_init(|| StopWindow::new(began, length));
+            }
             self.members.lock().leave();
             self.change_feed.notify();
         }
     }
 
+    /// Returns whether a request may be sent to an upstream whose response is expected to take `expected`:
+    /// always, unless this host is stopping and its process may end before.
+    pub(crate) fn may_finish(&self, expected: Duration, deadline: Time) -> bool {
+        let now = self.clock.now();
+        self.stop_window.get().is_none_or(|w| w.allows(expected, deadline, now))
+    }
+
     /// Waits until the host has reached a phase or a later one.
     pub(crate) async fn wait_for_phase(&self, phase: Phase) {
         let mut rx = self.phase.subscribe();
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
+use std::time::Duration;
 
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
@@ -68,6 +69,10 @@
     #[serde(default)]
     #[schemars(with = "Option<SocketAddrSchema>")]
     pub metrics: Option<SocketAddr>,
+    /// Seconds after SIGTERM at which the process is ended in any case; absent if it isn't. Requests that
+    /// can't be expected to finish by then are refused.
+    #[serde(default)]
+    pub stop_s: Option<f64>,
     /// Services defined in this file, with version 0.
     #[serde(default)]
     pub services: Vec<Service>,
@@ -295,6 +300,10 @@
         if self.relay_port.is_some_and(is_relay_port_taken) {
             out.push(fault("/relay_port", "needs a peer address and must differ from its port"));
         }
+        if self.stop_s.is_some_and(|s| !Duration::try_from_secs_f64(s).is_ok_and(|d| !d.is_zero()))
+        {
+            out.push(fault("/stop_s", "must be a positive number of seconds"));
+        }
         if self.fleet_size_max == 0 {
             out.push(fault("/fleet_size_max", "must be at least 1"));
         }
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -8,7 +8,7 @@
 use std::net::{Ipv4Addr, SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde_json::json;
 
@@ -80,6 +80,49 @@
     assert!(daemon.wait().success());
 }
 
+/// Guards against requests that come late in a planned stop, are passed on, and are cut when the platform
+/// ends the process: their callers can't tell whether they have run.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn requests_that_can_not_finish_before_the_process_is_ended_are_refused_and_do_not_run() {
+    let service_time = Duration::from_millis(1_500);
+    let behaviour = Behaviour { service_time, ..Behaviour::default() };
+    let loopback = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    let upstream = Upstream::start(loopback, 64, behaviour).await;
+    let end_after = Duration::from_secs(3);
+    let settings = json!({
+        "host": "entry-1", "data_centre": "a", "stop_s": end_after.as_secs_f64(),
+        "limits": {"grace_ms": 300},
+        "services": [{
+            "name": "s", "profile": "p", "connections": 1_000, "measure": {"probes_per_second": 0.0},
+            "upstreams": [{"name": "u0", "address": upstream.address, "data_centre": "a"}],
+        }],
+        "profiles": [{"name": "p"}],
+    });
+    let daemon = Daemon::run(&settings);
+    let connect = || TcpStream::connect(daemon.caller).expect("connect");
+    let head = |id: &str| {
+        let deadline = "x-cornelferry-deadline-ms: 9000\r\n";
+        format!("POST / HTTP/1.1\r\nhost: a\r\nx-request-id: {id}\r\n{deadline}")
+    };
+    let (mut early, mut late) = (connect(), connect());
+    late.write_all(head("late").as_bytes()).expect("write");
+    daemon.terminate();
+    let began = Instant::now();
+    wait_until("readiness fails", || daemon.readiness() == Some(503));
+    early.write_all(format!("{}\r\n", head("early")).as_bytes()).expect("write");
+    std::thread::sleep(
+        (end_after - service_time + service_time / 4).saturating_sub(began.elapsed()),
+    );
+    late.write_all(b"\r\n").expect("write");
+    std::thread::sleep(end_after.saturating_sub(began.elapsed()));
+    daemon.signal("KILL");
+    let response = |stream| std::io::read_to_string(stream).unwrap_or_default();
+    assert!(response(&mut early).ends_with("early\n"));
+    let late = response(&mut late);
+    assert!(late.contains("503") && late.contains("x-cornelferry-code: 2011"), "{late:?}");
+    assert_eq!(upstream.runs_of("late"), 0);
+}
+
 /// Sends requests until connections are refused. Uses each connection until the daemon closes it.
 async fn call_until_closed(address: SocketAddr, number: usize, answered: Arc<AtomicU32>) {
     for connection in 0.. {
