Use a connection no more after any refusal that names no request

Callers were told "not run" of requests that had run: an upstream refused a health check, kept the connection, and wrote that refusal again where the response to the next request was due. A refusal without a request id is taken for the response to whatever request waits. Connections were closed after such a refusal of a request, but not of a health check. Both now ask the same question, whether the response is a refusal that names no request.

a_refusal_of_a_health_check_that_is_written_again_refuses_no_later_request failed before and passes now.

--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -344,7 +344,7 @@
         }
         self.load_report = LoadReport::new(&self.service, head.status, &head.headers);
         self.observe_limit(&head);
-        let echoes_id = head.headers.contains_key(&self.service.echo_header);
+        let may_recur = is_anonymous_refusal(&self.service, &head);
         let (outcome, upstream_outcome) = classify(&self.service, &head);
         self.upstream_outcome = upstream_outcome;
         let length = body.size_hint().exact();
@@ -360,10 +360,7 @@
             return (outcome, None);
         }
         match &buffered {
-            // The upstream may write such a refusal again, in place of a later response.
-            Buffered::Complete(..) if outcome == AttemptOutcome::Refused && !echoes_id => {
-                self.close(upstream_outcome);
-            }
+            Buffered::Complete(..) if may_recur => self.close(upstream_outcome),
             Buffered::Complete(..) => self.complete(),
             Buffered::Partial(..) => {}
         }
@@ -529,6 +526,13 @@
     (AttemptOutcome::Answered, UpstreamOutcome::Answered)
 }
 
+/// Returns whether a response is a refusal that names no request. The upstream may write it again, in
+/// place of a later response, and it would be taken for one. So its connection is used no more.
+pub(crate) fn is_anonymous_refusal(service: &Service, head: &Parts) -> bool {
+    service.refusals.iter().any(|r| is_refusal(r, head))
+        && !head.headers.contains_key(&service.echo_header)
+}
+
 fn is_refusal(refusal: &DeclaredRefusal, head: &Parts) -> bool {
     let has = |v: &HeaderValue| refusal.value.as_ref().is_none_or(|want| v == want.as_str());
     head.status == refusal.status && head.headers.get(&refusal.header).is_some_and(has)
--- a/src/forward/probe.rs
+++ b/src/forward/probe.rs
@@ -16,7 +16,7 @@
 use crate::decide::admission::Target;
 use crate::decide::upstream::{AttemptReport, UpstreamOutcome};
 use crate::forward::BufferedRequest;
-use crate::forward::attempt::LoadReport;
+use crate::forward::attempt::{LoadReport, is_anonymous_refusal};
 use crate::forward::connection::Connection;
 use crate::node::Node;
 use crate::time::Time;
@@ -128,7 +128,7 @@
     if node.settings.prefer_open_connections {
         conn.observe_keep_alive(&head.headers);
     }
-    if keep_open {
+    if keep_open && !is_anonymous_refusal(service, &head) {
         node.pool.put(target.address, conn, node.clock.now());
     }
     let mut load_report = LoadReport::new(service, head.status, &head.headers);
--- a/tests/harness/signing.rs
+++ b/tests/harness/signing.rs
@@ -24,6 +24,10 @@
 /// The mark at which a response ends and its connection is closed.
 pub const CUT: &str = "<cut>";
 
+/// The id of an upstream that refuses health checks, and writes such a refusal again before each
+/// response on the same connection.
+pub const REFUSES_HEALTH: &str = "u-refuses-health";
+
 /// The mark after which the rest of a response is repeated without end.
 pub const ENDLESS: &str = "<endless>";
 
@@ -97,6 +101,10 @@
                  {ENDLESS}{}",
                 "a".repeat(65_536)
             )
+        } else if head.starts_with("get /health ") && id == REFUSES_HEALTH {
+            let res = "HTTP/1.1 429 Too Many Requests\r\nx-not-executed: 1\r\n\
+                       x-instance-load: 0,0,6,100\r\ncontent-length: 0\r\n\r\n";
+            refusal.insert(res.to_owned()).clone()
         } else if head.starts_with("get /health ") {
             let cold = if id == COLD_HEALTH { "x-cold-remaining-ms: 60000\r\n" } else { "" };
             format!(
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -16,7 +16,8 @@
 use serde_json::{Value, json};
 
 use harness::signing::{
-    CUT, ENDLESS, ENDLESS_HEALTH, REPEATS_REFUSALS, SigningUpstream, config, field, signed,
+    CUT, ENDLESS, ENDLESS_HEALTH, REFUSES_HEALTH, REPEATS_REFUSALS, SigningUpstream, config, field,
+    signed,
 };
 use harness::{Caller, Daemon, wait_until};
 use standin::registry::Registry;
@@ -764,6 +765,23 @@
     }
 }
 
+/// Guards against the same after a health check, whose refusal names no request either.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_refusal_of_a_health_check_that_is_written_again_refuses_no_later_request() {
+    let upstream = SigningUpstream::start(REFUSES_HEALTH, signed);
+    let fleet = Fleet::start(&[(REFUSES_HEALTH, &upstream)]).await;
+    let mut answered = 0;
+    for _ in 0..20 {
+        let before = upstream.runs();
+        let status = fleet.status("POST", "/book/7").await;
+        assert!(upstream.runs() == before || status != 503, "it has run and is told not to have");
+        answered += usize::from(status == 200);
+        // Until the report of its load is old, so that the next request is preceded by a check.
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    assert!(answered > 0, "no request is served");
+}
+
 /// Guards against a response that looks whole though its upstream stopped within the head.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_response_that_ends_within_its_head_never_looks_whole() {
