Count the end of an upstream that has started again under its name

Ends were told apart by the name of the upstream alone. They are now told apart by the copy of the request too; ends of one name count as two if the later copy was sent after the earlier end and the shortest time of a restart.

an_upstream_that_starts_again_under_its_name_counts_each_time_that_it_ends is new; it calls a new function and was not run on the old code.

--- a/src/decide/poison.rs
+++ b/src/decide/poison.rs
@@ -22,6 +22,9 @@
 /// The time after which an upstream's end no longer counts, and for which a request is blocked after
 /// it last came.
 pub const SUSPICION_PERIOD: Duration = Duration::from_secs(600);
+/// The time in which no upstream that has ended is back under its name. Hosts tell each other of an end
+/// with small errors of its time.
+const RESTART_TIME_MIN: Duration = Duration::from_millis(250);
 /// The ends of upstreams that are remembered for a request.
 const CRASHES_KEPT: usize = 32;
 /// The shortest time between the ends of two upstreams that count as two episodes.
@@ -74,7 +77,7 @@
 /// What a host has seen of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum RequestEvent {
-    /// An upstream, given by a hash of its name, has ended under it.
+    /// An upstream has ended under a copy of it, see [`crash_hash`].
     UpstreamCrashed(u64),
     /// An upstream has answered it.
     Answered,
@@ -109,8 +112,8 @@
 /// The end of an upstream under a request.
 #[derive(Clone, Copy, Debug)]
 struct Crash {
-    /// A hash of the upstream's name.
-    upstream: u64,
+    /// A hash of the upstream's name and the copy's id, see [`crash_hash`].
+    hash: u64,
     /// When the copy was sent.
     sent: Time,
     at: Time,
@@ -118,6 +121,15 @@
     number: u64,
 }
 
+impl Crash {
+    /// Returns whether the copy was sent after the upstream of another one had ended.
+    fn is_after(&self, other: &Crash) -> bool {
+        let is_same_upstream = self.hash as u32 == other.hash as u32;
+        let from = if is_same_upstream { other.at + RESTART_TIME_MIN } else { other.at };
+        self.sent >= from
+    }
+}
+
 /// A request under which upstreams have ended.
 #[derive(Clone, Debug)]
 struct Suspect {
@@ -144,15 +156,16 @@
 
     /// Returns the number of upstreams that have ended one after another: each copy that counts was
     /// sent after the upstream of the one before had ended. Copies in flight together are lost
-    /// together, whichever request their upstreams end under.
+    /// together, whichever request their upstreams end under. An upstream that has started again, under
+    /// its name or another, may end again.
     fn crashes_in_turn(&self) -> usize {
-        let mut last: Option<Time> = None;
+        let mut last: Option<&Crash> = None;
         let mut count = 0;
         let mut crashes: Vec<&Crash> = self.crashes.iter().collect();
         crashes.sort_by_key(|c| c.at);
         for crash in crashes {
-            if last.is_none_or(|last| crash.sent >= last) {
-                last = Some(crash.at);
+            if last.is_none_or(|last| crash.is_after(last)) {
+                last = Some(crash);
                 count += 1;
             }
         }
@@ -185,7 +198,7 @@
         let last = self.crashes.iter().map(|c| c.at).max().unwrap_or_default();
         let is_full = self.crashes.len() == CRASHES_KEPT;
         let is_news = self.answered.is_none_or(|(answered, _)| answered < crash.at)
-            && self.crashes.iter().all(|c| c.upstream != crash.upstream)
+            && self.crashes.iter().all(|c| c.hash != crash.hash)
             && (!is_full || crash.at.since(last) >= EPISODE_GAP);
         if !is_news {
             return false;
@@ -249,8 +262,8 @@
             (RequestEvent::Answered, Err(_)) => false,
             (RequestEvent::Answered, Ok(i)) => self.rows[i].record_answer(at, number),
             (RequestEvent::Blocked, _) => self.suspect(fingerprint).record_block(at, number),
-            (RequestEvent::UpstreamCrashed(upstream), _) => {
-                self.suspect(fingerprint).record_crash(Crash { upstream, sent, at, number })
+            (RequestEvent::UpstreamCrashed(hash), _) => {
+                self.suspect(fingerprint).record_crash(Crash { hash, sent, at, number })
             }
         };
         self.newest += u64::from(is_news);
@@ -311,9 +324,8 @@
             let fingerprint = s.fingerprint;
             let report = |event, sent, at| RequestReport { fingerprint, event, sent, at };
             let crashes = s.crashes.iter();
-            let crashes = crashes.map(|c| {
-                (c.number, report(RequestEvent::UpstreamCrashed(c.upstream), c.sent, c.at))
-            });
+            let crashes = crashes
+                .map(|c| (c.number, report(RequestEvent::UpstreamCrashed(c.hash), c.sent, c.at)));
             let answer = s.answered.map(|(at, n)| (n, report(RequestEvent::Answered, at, at)));
             let block = s.listed.map(|(at, n)| (n, report(RequestEvent::Blocked, at, at)));
             block.into_iter().chain(crashes).chain(answer).collect::<Vec<_>>()
@@ -363,7 +375,10 @@
     }
 }
 
-/// Returns the hash by which reports name an upstream.
-pub fn upstream_hash(service: &str, upstream: &str) -> u64 {
-    XxHash64::oneshot(XxHash64::oneshot(0, service.as_bytes()), upstream.as_bytes())
+/// Returns the hash by which reports name the end of an upstream under a copy of a request, which has
+/// this id: the low half tells the upstream, whose later processes may bear the same name, and the high
+/// half the copy.
+pub fn crash_hash(service: &str, upstream: &str, copy: &str) -> u64 {
+    let upstream = XxHash64::oneshot(XxHash64::oneshot(0, service.as_bytes()), upstream.as_bytes());
+    XxHash64::oneshot(0, copy.as_bytes()) << 32 | u64::from(upstream as u32)
 }
--- a/src/forward/crash.rs
+++ b/src/forward/crash.rs
@@ -5,9 +5,7 @@
 
 use crate::config::Service;
 use crate::decide::admission::Target;
-use crate::decide::poison::{
-    BlockDecision, Fingerprints, RequestEvent, RequestReport, upstream_hash,
-};
+use crate::decide::poison::{BlockDecision, Fingerprints, RequestEvent, RequestReport, crash_hash};
 use crate::event::{EventCode, Subject};
 use crate::forward::connection::{ConnectError, Connection};
 use crate::node::Node;
@@ -55,8 +53,8 @@
         ..Subject::default()
     };
     node.events.record(EventCode::UpstreamCrashed, subject, None);
-    let event =
-        RequestEvent::UpstreamCrashed(upstream_hash(&crash.service.name, &crash.target.name));
+    let hash = crash_hash(&crash.service.name, &crash.target.name, &crash.request_id);
+    let event = RequestEvent::UpstreamCrashed(hash);
     let (sent, at) = (crash.sent, crash.lost);
     for fingerprint in crash.fingerprints.iter() {
         node.record_request_report(&RequestReport { fingerprint, event, sent, at });
--- a/tests/crash.rs
+++ b/tests/crash.rs
@@ -9,12 +9,12 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use cornelferry::Time;
 use cornelferry::digest::{DeltaDecoder, DeltaEncoder, Digest};
 use cornelferry::poison::{
     BlockDecision, Fingerprint, Fingerprints, PoisonRequests, RequestEvent, RequestReport,
-    SUSPICION_PERIOD,
+    SUSPICION_PERIOD, crash_hash,
 };
+use cornelferry::Time;
 use http::Request;
 use http_body_util::Full;
 use serde_json::{Value, json};
@@ -233,6 +233,24 @@
     assert!(blocked(&suspects) && !suspects.is_blocked(Fingerprint(8), now));
 }
 
+/// Guards against a request that ends the few upstreams of a service again and again and is never
+/// blocked, as they start again under their names.
+#[test]
+fn an_upstream_that_starts_again_under_its_name_counts_each_time_that_it_ends() {
+    let (mut suspects, now) = (PoisonRequests::default(), Time::from_millis(20_000));
+    let crash = |upstream, copy, millis| {
+        report(7, RequestEvent::UpstreamCrashed(crash_hash("s", upstream, copy)), millis)
+    };
+    assert!(suspects.record(&crash("u-1", "a", 3_000), now));
+    assert!(!suspects.record(&crash("u-1", "a", 3_030), now), "told by a peer as well");
+    // Another host's copy, in flight when the same process ended.
+    assert!(suspects.record(&crash("u-1", "b", 3_010), now));
+    suspects.record(&crash("u-2", "c", 6_000), now);
+    assert!(!suspects.is_blocked(Fingerprint(7), now));
+    suspects.record(&crash("u-1", "d", 9_000), now);
+    assert!(suspects.is_blocked(Fingerprint(7), now));
+}
+
 #[test]
 fn an_answer_clears_a_request_whose_upstreams_ended_for_another_reason() {
     let (mut suspects, now) = (PoisonRequests::default(), Time::from_millis(1_000));
