Leave the detection of a pause to the tick that acts on it

With signs from all loops, a digest could detect a pause before the tick, and the host counted as caught up before it had recorded the pause and replaced its links: a_paused_host_is_stale_until_it_has_caught_up failed once, as its event came a tick later. Requests and digests now only show that the process runs; a gap before them is left for the tick. Until it has come, records count as stale, as before.

--- a/src/decide/pause.rs
+++ b/src/decide/pause.rs
@@ -15,8 +15,6 @@
 pub struct PauseDetector {
     last_sign: Option<Time>,
     pauses: u64,
-    /// The number of pauses that [`PauseDetector::take_pause`] has returned.
-    taken: u64,
     /// When records cease to count as stale at the latest; `None` if they are current.
     stale_until: Option<Time>,
 }
@@ -26,21 +24,25 @@
 pub const RESYNC_TIMEOUT: Duration = Duration::from_millis(500);
 
 impl PauseDetector {
-    /// Records that the process is running, as any of its loops has found.
+    /// Records that the process is running, as any of its loops finds. A pause is left to the next tick,
+    /// which has to act on it.
     pub fn record_running(&mut self, now: Time) {
-        if self.is_late(now) {
+        if !self.is_late(now) {
+            self.last_sign = self.last_sign.max(Some(now));
+        }
+    }
+
+    /// Records a tick of the control loop. Returns whether the process has been paused since the last
+    /// sign that it was running.
+    pub fn tick(&mut self, now: Time) -> bool {
+        let was_paused = self.is_late(now);
+        self.last_sign = self.last_sign.max(Some(now));
+        if was_paused {
             self.pauses += 1;
             self.stale_until = Some(now + RESYNC_TIMEOUT);
         }
-        self.last_sign = self.last_sign.max(Some(now));
         self.stale_until = self.stale_until.filter(|t| *t > now);
-    }
-
-    /// Returns the number of pauses detected if there was one since the last call.
-    pub fn take_pause(&mut self) -> Option<u64> {
-        let is_new = self.pauses > self.taken;
-        self.taken = self.pauses;
-        is_new.then_some(self.pauses)
+        was_paused
     }
 
     /// Returns the number of pauses detected.
@@ -55,7 +57,7 @@
     }
 
     /// Returns whether records may be stale because the process was paused and has not
-    /// resynchronised yet. This includes a pause that has not been detected so far.
+    /// resynchronised yet. This includes a pause that no tick has detected so far.
     pub fn is_stale(&self, now: Time) -> bool {
         self.stale_until.is_some_and(|t| t > now) || self.is_late(now)
     }
--- a/src/node.rs
+++ b/src/node.rs
@@ -449,8 +449,7 @@
         let now = self.clock.now();
         let pauses = {
             let mut detector = self.pause_detector.lock();
-            detector.record_running(now);
-            detector.take_pause()
+            detector.tick(now).then(|| detector.pause_count())
         };
         if pauses.is_none() {
             self.members.lock().keep_view(now);
--- a/tests/crash.rs
+++ b/tests/crash.rs
@@ -9,12 +9,12 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use cornelferry::Time;
 use cornelferry::digest::{DeltaDecoder, DeltaEncoder, Digest};
 use cornelferry::poison::{
     BlockDecision, Fingerprint, Fingerprints, PoisonRequests, RequestEvent, RequestReport,
     SUSPICION_PERIOD, crash_hash,
 };
-use cornelferry::Time;
 use http::Request;
 use http_body_util::Full;
 use serde_json::{Value, json};
--- a/tests/member.rs
+++ b/tests/member.rs
@@ -198,21 +198,18 @@
 fn records_are_stale_after_a_pause_until_a_resync_or_the_timeout() {
     let mut detector = PauseDetector::default();
     let start = Time::from_millis(5_000);
-    let tick = |detector: &mut PauseDetector, now| {
-        detector.record_running(now);
-        detector.take_pause().is_some()
-    };
-    assert!(!detector.is_stale(start) && !tick(&mut detector, start));
+    assert!(!detector.is_stale(start) && !detector.tick(start));
     let resumed = start + Duration::from_secs(10);
+    detector.record_running(resumed);
     assert!(detector.is_stale(resumed), "before the first tick");
-    assert!(tick(&mut detector, resumed) && detector.is_stale(resumed));
-    assert!(!tick(&mut detector, resumed), "one pause is taken once");
+    assert!(detector.tick(resumed) && detector.is_stale(resumed));
+    assert!(!detector.tick(resumed), "one pause counts once");
     detector.mark_resynced(detector.pause_count() - 1);
     assert!(detector.is_stale(resumed), "a fetch from before the pause doesn't count");
     detector.mark_resynced(detector.pause_count());
     assert!(!detector.is_stale(resumed));
     let resumed_again = resumed + Duration::from_secs(2);
-    assert!(tick(&mut detector, resumed_again) && detector.is_stale(resumed_again));
+    assert!(detector.tick(resumed_again) && detector.is_stale(resumed_again));
     assert!(!detector.is_stale(resumed_again + RESYNC_TIMEOUT));
 }
 
@@ -220,12 +217,12 @@
 #[test]
 fn a_loop_that_runs_late_while_another_one_runs_is_no_pause() {
     let mut detector = PauseDetector::default();
-    detector.record_running(Time::from_millis(5_000));
+    detector.tick(Time::from_millis(5_000));
     for millis in (5_000..9_000).step_by(900) {
         detector.record_running(Time::from_millis(millis));
     }
     assert!(!detector.is_stale(Time::from_millis(9_000)));
-    assert_eq!((detector.pause_count(), detector.take_pause()), (0, None));
+    assert!(!detector.tick(Time::from_millis(9_000)));
     let (mut members, now) = (table(0), Time::from_millis(9_000));
     members.tick(Time::from_millis(5_000));
     members.record_heartbeat(&process(1, 1), heartbeat(1, now), now);
