Start clocks well after their origin, so that earlier events have times

Peers tell a host that has just started of earlier ends as ages; its clock began at zero and times can't be negative, so that all of them fell on its start and counted as one episode. The same held for every age that a peer tells: leaving upstreams, limits, heartbeats. Clocks now start one hour after their origin, so that ages of up to an hour keep their order and distances.

What relied on a clock that starts at zero: five places that ask for the time since the start, and the view of the fleet, which a new host resets.

a_host_that_has_just_started_knows_when_upstreams_have_ended_before failed before (a trial after 11 s) and passes now.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -23,7 +23,7 @@
 use crate::error::Code;
 use crate::event::{EventCode, Subject};
 use crate::node::Node;
-use crate::time::Time;
+use crate::time::{CLOCK_START, Time};
 use crate::trace::{Entry, Probe};
 
 /// The time after the start of the process in which a host without seeds finds its peers: it
@@ -344,14 +344,14 @@
 
     /// Returns whether a host that knows no peers waits before it takes itself for the only one.
     pub(crate) fn is_looking_for_peers(&self, now: Time) -> bool {
-        self.may_have_peers(now) && now.since(Time::ZERO) < LONE_AFTER
+        self.may_have_peers(now) && now.since(CLOCK_START) < LONE_AFTER
     }
 
     /// Returns whether there may be other hosts though none is known: the settings name seeds, or this
     /// host has not had the time to find contacts in the registry. Hosts that start together find
     /// none until the first of them has registered.
     fn may_have_peers(&self, now: Time) -> bool {
-        !self.latest_settings().seeds.is_empty() || now.since(Time::ZERO) < PEER_SEARCH_TIME
+        !self.latest_settings().seeds.is_empty() || now.since(CLOCK_START) < PEER_SEARCH_TIME
     }
 
     /// Applies a change to a service's table, and delivers the admission decisions that follow from
--- a/src/entry/admin/status.rs
+++ b/src/entry/admin/status.rs
@@ -14,7 +14,7 @@
     EvacuationStatus, EventStatus, MemberStatus, Phase, ProbeUsage, RecordStatus, ServiceStatus,
     Status, TeamAtLimit, UpstreamStatus,
 };
-use crate::time::Time;
+use crate::time::{CLOCK_START, Time};
 
 /// Returns the status of a host. Holds only one lock at a time, except for the
 /// evacuations.
@@ -122,7 +122,7 @@
             fleet_per_second,
             host_per_second,
             sent: node.metrics.completed_probes(&cfg.name),
-            allowed: host_per_second * now.since(Time::ZERO).as_secs_f64(),
+            allowed: host_per_second * now.since(CLOCK_START).as_secs_f64(),
         },
         upstreams: table.rows().iter().map(|r| upstream(r, now)).collect(),
     }
--- a/src/entry/handler.rs
+++ b/src/entry/handler.rs
@@ -21,7 +21,7 @@
 use crate::logs;
 use crate::node::{Node, Phase};
 use crate::request_log::{self, LogEntry, RequestLog, RequestSummary};
-use crate::time::Time;
+use crate::time::{CLOCK_START, Time};
 
 /// The service label in the metrics of rejected requests.
 const NO_SERVICE: &str = "";
@@ -67,7 +67,7 @@
     let now = node.clock.now();
     match code {
         Code::NotReady => {
-            let elapsed = now.since(Time::ZERO);
+            let elapsed = now.since(CLOCK_START);
             response.retry_after = Some(startup::retry_after(elapsed, rand::random()));
         }
         Code::HostOverloaded => {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -78,7 +78,7 @@
     limit, matching, member, overload, pause, poison, probing, reads, registered, service,
     shedding, startup, stopping, stored, teams, tick, topology, upstream, warmup, working_set,
 };
-pub use time::{Clock, Time};
+pub use time::{CLOCK_START, Clock, Time};
 
 mod claim;
 mod decide;
--- a/src/node.rs
+++ b/src/node.rs
@@ -185,6 +185,7 @@
             settings,
         };
         node.record_events();
+        node.members.lock().reset_view(node.clock.now());
         node.members.lock().set_listed(&node.settings.peers, node.clock.now());
         node.offer(node.settings_records());
         Arc::new(node)
--- a/src/peer/allowance.rs
+++ b/src/peer/allowance.rs
@@ -21,7 +21,7 @@
 use crate::peer::local::LocalState;
 use crate::peer::peer_capnp::{allowance_ask, allowance_grant, peer};
 use crate::peer::session::Session;
-use crate::time::Time;
+use crate::time::{CLOCK_START, Time};
 
 /// The time between two updates of what is known of the fleet, while any team has an allowance.
 const UPDATE_INTERVAL: Duration = Duration::from_millis(200);
@@ -419,7 +419,7 @@
             && !is_stale
             && !local.is_cut_off.get()
             && known.is_some()
-            && now.since(Time::ZERO) >= SETTLE_TIME,
+            && now.since(CLOCK_START) >= SETTLE_TIME,
         pauses,
     }
 }
--- a/src/registry/follower/tests.rs
+++ b/src/registry/follower/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of how changes of the registry are applied, and of routing records of two releases.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use tokio::sync::oneshot;
 
--- a/src/time.rs
+++ b/src/time.rs
@@ -57,25 +57,29 @@
     }
 }
 
+/// The time at which the clock of a process starts. What peers tell of the time before it, as ages, has
+/// times of its own, up to this long ago.
+pub const CLOCK_START: Time = Time::from_millis(3_600_000);
+
 /// A process's monotonic clock. The daemon reads it and passes the time to decision functions.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
-    origin: Instant,
+    started: Instant,
 }
 
 impl Clock {
-    /// Starts a clock whose origin is the current time.
+    /// Starts a clock at [`CLOCK_START`].
     pub fn start() -> Clock {
-        Clock { origin: Instant::now() }
+        Clock { started: Instant::now() }
     }
 
     /// Returns the current time.
     pub fn now(&self) -> Time {
-        Time::ZERO + self.origin.elapsed()
+        CLOCK_START + self.started.elapsed()
     }
 
-    /// Converts a time to an [`Instant`], for timers.
+    /// Converts a time to an [`Instant`], for timers. A time before the start becomes the start.
     pub fn instant(&self, at: Time) -> Instant {
-        self.origin + Duration::from_micros(at.0)
+        self.started + at.since(CLOCK_START)
     }
 }
--- a/tests/crash.rs
+++ b/tests/crash.rs
@@ -9,12 +9,12 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use cornelferry::Time;
 use cornelferry::digest::{DeltaDecoder, DeltaEncoder, Digest};
 use cornelferry::poison::{
     BlockDecision, Fingerprint, Fingerprints, PoisonRequests, RequestEvent, RequestReport,
     SUSPICION_PERIOD, crash_hash,
 };
+use cornelferry::{Clock, Time};
 use http::Request;
 use http_body_util::Full;
 use serde_json::{Value, json};
@@ -251,6 +251,32 @@
     assert!(suspects.is_blocked(Fingerprint(7), now));
 }
 
+/// Guards against trials without end while hosts restart in turn: what a host learns of the time
+/// before its start is as long ago for it as for its peers.
+#[test]
+fn a_host_that_has_just_started_knows_when_upstreams_have_ended_before() {
+    let (mut suspects, now) = (PoisonRequests::default(), Time::from_millis(90_000));
+    for (upstream, millis) in [(1, 1_000), (2, 1_100), (3, 1_200), (4, 12_000), (5, 75_000)] {
+        suspects.record(&report(7, RequestEvent::UpstreamCrashed(upstream), millis), now);
+    }
+    assert_eq!(
+        suspects.decide(only(7), now + SUSPICION_PERIOD / 2, || true),
+        BlockDecision::Refuse
+    );
+    let mut digest = Digest::default();
+    let mut encoder = DeltaEncoder::default();
+    encoder.add_sender(&harness::process("entry-1"), &mut digest);
+    encoder.add_request_reports(&suspects, now, &mut digest);
+    let started = Clock::start().now();
+    let decoded = DeltaDecoder::default().decode(&digest, started).expect("sender");
+    let mut received = PoisonRequests::default();
+    decoded.request_reports.iter().for_each(|r| assert!(received.record(r, started)));
+    for seconds in [0, 11, 61, 300] {
+        let now = started + Duration::from_secs(seconds);
+        assert_eq!(received.decide(only(7), now, || true), BlockDecision::Refuse, "{seconds} s");
+    }
+}
+
 #[test]
 fn an_answer_clears_a_request_whose_upstreams_ended_for_another_reason() {
     let (mut suspects, now) = (PoisonRequests::default(), Time::from_millis(1_000));
