--- a/src/peer/local.rs
+++ b/src/peer/local.rs
@@ -65,6 +65,7 @@
 impl LocalState {
     /// Creates the state of a process that has just started and accepts peers on `address`.
     pub(crate) fn new(node: Arc<Node>, address: SocketAddr) -> LocalState {
+        let now = node.clock.now();
         let process = Process {
             host: node.settings.host.clone(),
             data_centre: node.settings.data_centre.clone(),
@@ -73,7 +74,7 @@
         };
         LocalState {
             process: RefCell::new(process),
-            traffic: TrafficBudget::default(),
+            traffic: TrafficBudget::new(now),
             comparisons: Cell::default(),
             fetches: RefCell::default(),
             unreadable: RefCell::default(),
--- a/src/peer/traffic.rs
+++ b/src/peer/traffic.rs
@@ -41,13 +41,18 @@
 /// A token bucket of bytes that can be overdrawn. Heartbeats and versions are sent in any case; a
 /// debt is paid off with the loads of fewer upstreams and, in a large fleet, with longer intervals
 /// between exchanges.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct TrafficBudget {
     tokens: Cell<f64>,
     refilled: Cell<Time>,
 }
 
 impl TrafficBudget {
+    /// Creates an empty budget.
+    pub(crate) fn new(now: Time) -> TrafficBudget {
+        TrafficBudget { tokens: Cell::new(0.0), refilled: Cell::new(now) }
+    }
+
     /// Charges bytes sent or received to the budget.
     pub(crate) fn spend(&self, bytes: usize) {
         self.tokens.set((self.tokens.get() - bytes as f64).max(-BURST_BYTES));
