End the report of a former neighbour that an upstream is leaving

Callers saw an upstream without requests for good on some hosts, where services don't report their occupancy: a host kept a neighbour's report that an upstream leaves until that neighbour took it back. If the links had changed meanwhile, the neighbour told others and not this host, and the report had no end. (The other way of the news, relayed observations, has ages and expires after 3 s.)

Of the new tests the first and the fourth failed before; the others hold what must stay: a report lasts while digests come, over a silent host, through a pause, and a drain that this host knows doesn't end with it.

A report now ends 3 s after its sender would have been found dead if it had stopped (4.8 s after its last digest, 7 s in a large fleet). What a dead neighbour reported stays known, as before.

--- a/src/decide/service/sharing.rs
+++ b/src/decide/service/sharing.rs
@@ -33,6 +33,15 @@
         self.rows.iter().filter(is_news).map(|r| &r.name)
     }
 
+    /// Returns the upstreams that a peer has reported as leaving, each with that peer. Those that have
+    /// signalled their drain are left out, as they leave whatever the peer says.
+    pub fn leaving_reports(&self) -> impl Iterator<Item = (&Arc<str>, &Arc<str>)> {
+        let undecided = self.rows.iter().filter(|r| !r.drain.is_set());
+        undecided.flat_map(|r| {
+            r.peer_reports.iter().filter(|p| p.leaving).map(move |p| (&p.host, &r.name))
+        })
+    }
+
     /// Records a peer's summary of an upstream. Upstreams that are not configured are ignored.
     pub fn import(&mut self, peer: &str, summary: &UpstreamSummary, now: Time) {
         let is_match = |r: &&mut Row| r.configured && r.name == summary.upstream;
--- a/src/peer/links.rs
+++ b/src/peer/links.rs
@@ -73,6 +73,7 @@
             started = now;
             links.clear();
         }
+        local.withdraw_lost_reports(started, now);
         let neighbours = local.node.members.lock().neighbours(now);
         watched.update(&local, &neighbours, started, now);
         let mut targets = neighbours_to_dial(&local, &neighbours, started, now);
--- a/src/peer/local.rs
+++ b/src/peer/local.rs
@@ -12,7 +12,7 @@
 use crate::decide::fetch::PendingFetches;
 use crate::decide::leaving::{LeavingObservation, LeavingObservations, OBSERVATION_AGE_MAX};
 use crate::decide::limit::LimitObservation;
-use crate::decide::member::{Process, process_fingerprint};
+use crate::decide::member::{MemberState, Process, process_fingerprint};
 use crate::decide::service::ServiceTable;
 use crate::decide::upstream::UpstreamSummary;
 use crate::node::{Node, Phase};
@@ -200,6 +200,46 @@
         expired.iter().for_each(|name| self.set_relayed_leaving(name, false, now));
     }
 
+    /// Withdraws the reports of peers that an upstream is leaving if no digest of the peer has come for
+    /// so long that it would have been found dead: it is no longer a neighbour, and doesn't tell this
+    /// host when the upstream is back. What dead peers have reported stays known. `started` is when
+    /// this host started or last resumed from a pause.
+    pub(crate) fn withdraw_lost_reports(&self, started: Time, now: Time) {
+        let mut reports = self.leaving_reports();
+        if reports.is_empty() {
+            return;
+        }
+        let members = self.node.members.lock();
+        let timeout = members.dead_after() + OBSERVATION_AGE_MAX;
+        let is_lost = |peer: &str| {
+            let last_digest = self.last_exchange(peer).unwrap_or_default().max(started);
+            let is_dead = members.state(peer, now) == Some(MemberState::Dead);
+            !is_dead && now.since(last_digest) >= timeout
+        };
+        reports.retain(|(peer, _)| is_lost(peer));
+        drop(members);
+        let mut tables = self.node.tables.lock();
+        for (peer, name) in reports {
+            let (service, upstream) = (name.service, name.name);
+            let summary =
+                UpstreamSummary { service, upstream, in_flight: 0, load: None, leaving: false };
+            self.node.import_shared(&mut tables, &peer, &summary, now);
+        }
+    }
+
+    /// Returns the upstreams that peers have reported as leaving, each with that peer. Relayed
+    /// observations are left out.
+    fn leaving_reports(&self) -> Vec<(Arc<str>, UpstreamName)> {
+        let tables = self.node.tables.lock();
+        let of_service = |table: &ServiceTable| {
+            let service = table.cfg().name.clone();
+            let name = |n: &Arc<str>| UpstreamName { service: service.clone(), name: n.clone() };
+            let direct = table.leaving_reports().filter(|(peer, _)| ***peer != *RELAYED_HOST);
+            direct.map(|(peer, upstream)| (peer.clone(), name(upstream))).collect::<Vec<_>>()
+        };
+        tables.services().iter().flat_map(of_service).collect()
+    }
+
     /// Applies a peer's observation of a leaving upstream, unless it is too old.
     pub(crate) fn apply_observation(&self, observation: &LeavingObservation, now: Time) {
         if now.since(observation.at) >= OBSERVATION_AGE_MAX {
--- a/src/peer/tests.rs
+++ b/src/peer/tests.rs
@@ -35,6 +35,7 @@
 use crate::time::Time;
 
 mod allowance;
+mod leaving;
 mod routes;
 
 /// The timeout of [`wait_until`].
@@ -49,6 +50,18 @@
     thread: Option<JoinHandle<()>>,
 }
 
+/// Creates the state of a host that announces `announced` as its address to its peers.
+fn node(name: &str, announced: SocketAddr, peers: &[Peer]) -> Arc<Node> {
+    let mut settings = Settings::parse(
+        r#"{"host": "x", "data_centre": "dc", "caller": "127.0.0.1:0", "admin": "127.0.0.1:0"}"#,
+    )
+    .unwrap();
+    settings.host = name.into();
+    settings.peers = peers.to_vec();
+    settings.peer = Some(announced);
+    Node::new(settings)
+}
+
 impl Host {
     /// Starts a host that announces `announced` as its address to its peers.
     fn start(
@@ -57,14 +70,7 @@
         announced: SocketAddr,
         peers: &[Peer],
     ) -> Host {
-        let mut settings = Settings::parse(
-            r#"{"host": "x", "data_centre": "dc", "caller": "127.0.0.1:0", "admin": "127.0.0.1:0"}"#,
-        )
-        .unwrap();
-        settings.host = name.into();
-        settings.peers = peers.to_vec();
-        settings.peer = Some(announced);
-        let node = Node::new(settings);
+        let node = node(name, announced, peers);
         let (stop, stopped) = oneshot::channel::<()>();
         let thread_node = node.clone();
         let paused = Arc::new(AtomicBool::new(false));
