Take the probes of leaving upstreams out of the budget

Cause: the probes that the fleet may send grow with the number of upstreams, and all registered ones counted. Those that leave, or whose data centre is evacuated, are never probed, so the others got their share as well.

Only upstreams that are probed count now.

--- a/src/decide/probing.rs
+++ b/src/decide/probing.rs
@@ -89,7 +89,7 @@
 
 /// Returns whether an upstream takes requests, or is leaving only by its own signal and a probe may
 /// find that it was replaced. None is probed in an evacuated data centre.
-fn is_probeable(row: &Row) -> bool {
+pub(crate) fn is_probeable(row: &Row) -> bool {
     let is_replaceable = row.configured && !row.listed_leaving && row.drain.is_set();
     !row.evacuated && (row.state == State::Live || is_replaceable)
 }
--- a/src/decide/service.rs
+++ b/src/decide/service.rs
@@ -320,9 +320,12 @@
         }
     }
 
-    /// Does nothing: each figure is stored with its time and weighted by its age when it is read,
-    /// so that an idle service costs no work in a tick.
-    pub fn tick(&mut self, _now: Time) {}
+    /// Updates the rate of probes to the upstreams that are probed at present. All other figures are
+    /// stored with their time and weighted by their age when they are read, so that an idle service
+    /// costs no work in a tick.
+    pub fn tick(&mut self, _now: Time) {
+        self.set_probe_rate();
+    }
 
     /// Returns whether nothing is in flight or queued and no request came within `QUIET_AFTER`.
     pub(crate) fn is_quiet(&self, now: Time) -> bool {
@@ -453,10 +456,11 @@
         self.probe_budget.set_rate(self.fleet_probe_rate(), self.host_info.fleet_size_max);
     }
 
-    /// Returns the probes per second that all hosts together may send.
+    /// Returns the probes per second that all hosts together may send. Upstreams that are not probed
+    /// don't count, since the others would get their share as well.
     fn fleet_probe_rate(&self) -> f64 {
         let measure = &self.cfg.measure;
-        let upstreams = self.rows.iter().filter(|r| r.configured).count();
+        let upstreams = self.rows.iter().filter(|r| probing::is_probeable(r)).count();
         measure.probes_per_second + measure.probes_per_upstream * upstreams as f64
     }
 
--- a/tests/decide_budget.rs
+++ b/tests/decide_budget.rs
@@ -8,7 +8,7 @@
 use cornelferry::balancing::Policy;
 use cornelferry::config::{Priority, ProbeConfig, Service, Upstream};
 use cornelferry::service::{HostInfo, NextAttempt, ServiceTable};
-use cornelferry::upstream::{AttemptReport, UpstreamOutcome};
+use cornelferry::upstream::{AttemptReport, State, UpstreamOutcome};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use rand::SeedableRng;
@@ -129,3 +129,27 @@
     assert_eq!(probes(&mut table, at(2_000)), 0, "with recent responses");
     assert_eq!(probes(&mut table, at(3_000)), 1, "with old responses");
 }
+
+/// With a budget that grows with the number of upstreams, those that leave don't add to what the
+/// others get.
+#[test]
+fn upstreams_that_leave_take_their_share_of_the_probes_with_them() {
+    let per_upstream = 1.0;
+    let measure = ProbeConfig {
+        probes_per_second: 0.0,
+        probes_per_upstream: per_upstream,
+        ..ProbeConfig::default()
+    };
+    let mut table = table(8, 1, measure);
+    let mut rng = SmallRng::seed_from_u64(1);
+    (0..6).for_each(|i| table.set_state(&format!("u{i}"), State::Leaving, Time::ZERO));
+    let mut probes = 0;
+    for ms in (0..20_000).step_by(10) {
+        let now = Time::from_millis(ms);
+        run(&mut table, now, &mut rng, UpstreamOutcome::Answered, None);
+        table.tick(now);
+        probes += table.probes(now, |_| true).len();
+    }
+    let bound = 2.0 * per_upstream * 20.0;
+    assert!(f64::from(probes as u32) <= bound, "{probes} probes of two upstreams, budget {bound}");
+}
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -45,7 +45,8 @@
 /// - 301: drains, a leaving word and a rate limit left one upstream, too few for the callers. The
 ///   fault was this test's.
 /// - 311: hosts that had just started knew no peers and each took an upstream's whole rate limit.
-const SEEDS: [u64; 7] = [1, 2, 116, 132, 133, 301, 311];
+/// - 701, 813: the probes of upstreams that were leaving went to the others.
+const SEEDS: [u64; 9] = [1, 2, 116, 132, 133, 301, 311, 701, 813];
 /// Seconds during which faults are injected in the CI run.
 const SECONDS: u64 = 6;
 /// Number of hosts in the CI run.
