Don't take a cut that refuses connections for the end of other hosts

Cause: a refused connection counted as proof that the owner's process had ended, and the next host took over at once; hosts that refused connections also didn't count as hosts beyond a cut.

Before a host takes over from one that refuses connections it now tries up to 24 others, the oldest first: only if all accept is the other one taken for ended. Otherwise it counts as silent, as in a cut that hangs. In the part of the fleet that an owner grants for, only hosts that said goodbye count as ended.

--- a/src/decide/allowance/inquiry.rs
+++ b/src/decide/allowance/inquiry.rs
@@ -17,8 +17,8 @@
 /// The reason why a host gave no reply.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum AskError {
-    /// It accepts no connections: its process has ended.
-    Ended,
+    /// It refuses connections: its process has ended, or a cut lies between.
+    Refused,
     /// It hasn't replied in time, or can't be reached.
     Silent,
 }
@@ -28,6 +28,8 @@
 pub(crate) enum Step {
     /// Ask a host, with this number of hops.
     Ask(Arc<str>, u8),
+    /// Try to connect to these hosts, and call [`Inquiry::on_check`].
+    Check(Vec<Arc<str>>),
     /// The inquiry is finished.
     Done(Reply),
 }
@@ -40,6 +42,11 @@
     Owner(Arc<str>),
     /// One that is to pass the question on to the owner.
     Intermediary,
+    /// Others than the named host, which refuses connections.
+    Witnesses {
+        host: Arc<str>,
+        is_predecessor: bool,
+    },
 }
 
 /// A question about an allowance, on its way to the owner.
@@ -94,20 +101,22 @@
             return Step::Done(Reply::Granted(grant));
         }
         match self.asked.take() {
-            None => Step::Done(Reply::Unreachable),
-            // It may be granting to others.
-            Some(Asked::Predecessor(_)) if reply == Err(AskError::Silent) => {
-                Step::Done(Reply::Unreachable)
-            }
-            Some(Asked::Predecessor(before)) => {
-                if reply == Err(AskError::Ended) {
-                    ownership.set_ended(&before, now);
+            None | Some(Asked::Witnesses { .. }) => Step::Done(Reply::Unreachable),
+            Some(Asked::Predecessor(before)) => match reply {
+                // It may be granting to others.
+                Err(AskError::Silent) => Step::Done(Reply::Unreachable),
+                Err(AskError::Refused) => self.check(before, true, ownership, now),
+                Ok(_) => {
+                    ownership.end_handover(&self.team, now);
+                    self.next(ownership, now)
                 }
-                ownership.end_handover(&self.team, now);
-                self.next(ownership, now)
-            }
+            },
             Some(Asked::Owner(owner)) => match reply {
-                Err(AskError::Ended) => {
+                Err(AskError::Refused) if ownership.is_heir(&self.team, &owner, now) => {
+                    self.check(owner, false, ownership, now)
+                }
+                // The host that is to keep the allowance next finds out for itself.
+                Err(AskError::Refused) => {
                     ownership.set_ended(&owner, now);
                     self.next(ownership, now)
                 }
@@ -115,17 +124,75 @@
                     ownership.set_not_owner(&owner, now);
                     self.next(ownership, now)
                 }
-                Err(AskError::Silent) if self.hops == 0 => {
-                    self.detours = ownership.intermediaries(&owner, now);
-                    self.detours.truncate(DETOURS_MAX);
-                    self.next_detour()
-                }
+                Err(AskError::Silent) => self.pass_on(&owner, ownership, now),
                 _ => Step::Done(Reply::Unreachable),
             },
             Some(Asked::Intermediary) => self.next_detour(),
         }
     }
 
+    /// Returns the next step before this host takes an allowance over from one that refuses
+    /// connections: whether others accept them tells the end of a process from a cut.
+    fn check(
+        &mut self,
+        host: Arc<str>,
+        is_predecessor: bool,
+        ownership: &mut Ownership,
+        now: Time,
+    ) -> Step {
+        let Some(witnesses) = ownership.begin_check(&host, now) else {
+            return self.on_doubt(&host, is_predecessor, ownership, now);
+        };
+        self.asked = Some(Asked::Witnesses { host, is_predecessor });
+        Step::Check(witnesses)
+    }
+
+    /// Returns the next step after the hosts of [`Step::Check`] were tried; `all_accept` says whether
+    /// each of them has accepted a connection.
+    pub(crate) fn on_check(
+        &mut self,
+        all_accept: bool,
+        ownership: &mut Ownership,
+        now: Time,
+    ) -> Step {
+        let Some(Asked::Witnesses { host, is_predecessor }) = self.asked.take() else {
+            return Step::Done(Reply::Unreachable);
+        };
+        // Beyond a cut there would be others.
+        if !all_accept {
+            return self.on_doubt(&host, is_predecessor, ownership, now);
+        }
+        ownership.set_ended(&host, now);
+        if is_predecessor {
+            ownership.end_handover(&self.team, now);
+        }
+        self.next(ownership, now)
+    }
+
+    /// Returns the next step if a host that refuses connections may be alive beyond a cut.
+    fn on_doubt(
+        &mut self,
+        host: &str,
+        is_predecessor: bool,
+        ownership: &Ownership,
+        now: Time,
+    ) -> Step {
+        match is_predecessor {
+            true => Step::Done(Reply::Unreachable),
+            false => self.pass_on(host, ownership, now),
+        }
+    }
+
+    /// Returns the next step if this host can't reach the owner: others may.
+    fn pass_on(&mut self, owner: &str, ownership: &Ownership, now: Time) -> Step {
+        if self.hops > 0 {
+            return Step::Done(Reply::Unreachable);
+        }
+        self.detours = ownership.intermediaries(owner, now);
+        self.detours.truncate(DETOURS_MAX);
+        self.next_detour()
+    }
+
     fn next_detour(&mut self) -> Step {
         let Some(host) = self.detours.pop() else { return Step::Done(Reply::Unreachable) };
         self.asked = Some(Asked::Intermediary);
--- a/src/decide/allowance/ownership.rs
+++ b/src/decide/allowance/ownership.rs
@@ -16,6 +16,10 @@
 const HANDOVER_TIME: Duration = Duration::from_millis(1_000);
 /// The time for which a host counts as no owner after it has said so.
 const NOT_OWNER_TIME: Duration = Duration::from_millis(300);
+/// The number of hosts that are tried to find out whether another has ended.
+const WITNESSES_MAX: usize = 24;
+/// The time after which a host that refuses connections is looked into again.
+const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// The time for which a host counts as ended after it has refused a connection.
 const REFUSED_TIME: Duration = Duration::from_millis(1_000);
 
@@ -31,7 +35,7 @@
 pub(crate) struct FleetView {
     /// The hosts that are alive, this one included, each with the incarnation of its process.
     pub(crate) alive: Vec<(u64, Arc<str>)>,
-    /// The hosts that are known to have ended or to be ending.
+    /// The hosts that have said that they are ending.
     pub(crate) ended: Vec<Arc<str>>,
     /// The number of known hosts, whether alive or not.
     pub(crate) known: usize,
@@ -80,6 +84,9 @@
     elders: Vec<Arc<str>>,
     /// Hosts that are no owners at present, and until when.
     excluded: Vec<(Arc<str>, Time)>,
+    /// Hosts that may be alive although they refuse connections, and until when they aren't looked
+    /// into again.
+    doubted: Vec<(Arc<str>, Time)>,
     /// When an owner was last found dead without a sign that its process has ended.
     lost: Option<Time>,
     /// Sorted by team.
@@ -94,6 +101,7 @@
             view: FleetView::default(),
             elders: Vec::new(),
             excluded: Vec::new(),
+            doubted: Vec::new(),
             lost: None,
             owned: Vec::new(),
         }
@@ -107,6 +115,7 @@
             self.owned.clear();
         }
         self.excluded.retain(|(_, until)| *until > now);
+        self.doubted.retain(|(_, until)| *until > now);
         view.alive.sort_unstable();
         let is_present =
             |h: &Arc<str>| view.ended.contains(h) || view.alive.iter().any(|(_, other)| other == h);
@@ -197,8 +206,31 @@
         self.excluded.push((host.clone(), now + NOT_OWNER_TIME));
     }
 
-    /// Records that a host accepts no connections, so that its process has ended.
+    /// Returns whether this host would keep an allowance if `owner` had ended.
+    pub(crate) fn is_heir(&self, team: &str, owner: &Arc<str>, now: Time) -> bool {
+        let others = self.present(now).filter(|h| *h != owner).take(CANDIDATES_MAX);
+        best(others, team) == Some(&self.host)
+    }
+
+    /// Returns hosts that show whether one that refuses connections has ended: the elders, and others
+    /// that differ from host to host. `None` if there are none or this was looked into a moment ago.
+    pub(crate) fn begin_check(&mut self, host: &Arc<str>, now: Time) -> Option<Vec<Arc<str>>> {
+        if self.doubted.iter().any(|(h, until)| h == host && *until > now) {
+            return None;
+        }
+        self.doubted.push((host.clone(), now + CHECK_INTERVAL));
+        let mut others: Vec<&Arc<str>> =
+            self.elders.iter().filter(|h| **h != *host && **h != self.host).collect();
+        let elders = others.len().min(CANDIDATES_MAX);
+        let seed = XxHash64::oneshot(0, self.host.as_bytes());
+        others[elders..].sort_by_cached_key(|h| XxHash64::oneshot(seed, h.as_bytes()));
+        others.truncate(WITNESSES_MAX);
+        (!others.is_empty()).then(|| others.into_iter().cloned().collect())
+    }
+
+    /// Records that a host's process has ended.
     pub(crate) fn set_ended(&mut self, host: &Arc<str>, now: Time) {
+        self.doubted.retain(|(h, _)| h != host);
         self.excluded.push((host.clone(), now + REFUSED_TIME));
     }
 
@@ -215,23 +247,31 @@
 
     /// Returns the owner of an allowance, apart from some hosts, by rendezvous hashing.
     pub(super) fn owner(&self, team: &str, except: &[&Arc<str>], now: Time) -> Option<&Arc<str>> {
-        let score = |host: &Arc<str>| {
-            XxHash64::oneshot(XxHash64::oneshot(0, host.as_bytes()), team.as_bytes())
-        };
-        let candidates = self.candidates(now).filter(|h| !except.contains(h));
-        candidates.max_by_key(|host| (score(host), (*host).clone()))
+        best(self.candidates(now).filter(|h| !except.contains(h)), team)
     }
 
     fn candidates(&self, now: Time) -> impl Iterator<Item = &Arc<str>> {
+        self.present(now).take(CANDIDATES_MAX)
+    }
+
+    /// Returns the hosts that may be owners at present, from the one that has run the longest.
+    fn present(&self, now: Time) -> impl Iterator<Item = &Arc<str>> {
         let is_excluded =
             move |h: &Arc<str>| self.excluded.iter().any(|(e, until)| e == h && *until > now);
-        self.elders.iter().filter(move |h| !is_excluded(h)).take(CANDIDATES_MAX)
+        self.elders.iter().filter(move |h| !is_excluded(h))
     }
 
-    /// Returns the part of the fleet that can be asking this host: hosts that have ended ask nobody,
-    /// others may have an owner of their own beyond a cut.
+    /// Returns the part of the fleet that can be asking this host: hosts that said they are ending ask
+    /// nobody, others may have an owner of their own beyond a cut.
     fn part(&self) -> f64 {
         let present = self.view.alive.len() + self.view.ended.len();
         (present as f64 / self.view.known.max(1) as f64).min(1.0)
     }
 }
+
+/// Returns the first of some hosts for a team by rendezvous hashing.
+fn best<'a>(hosts: impl Iterator<Item = &'a Arc<str>>, team: &str) -> Option<&'a Arc<str>> {
+    let score =
+        |host: &Arc<str>| XxHash64::oneshot(XxHash64::oneshot(0, host.as_bytes()), team.as_bytes());
+    hosts.max_by_key(|host| (score(host), (*host).clone()))
+}
--- a/src/decide/allowance/tests.rs
+++ b/src/decide/allowance/tests.rs
@@ -71,6 +71,8 @@
     team: Arc<Team>,
     now: Time,
     rng: SmallRng,
+    /// Whether connections across a cut are refused, and don't hang.
+    cuts_refuse: bool,
     /// Requests that wait: host, number, and until when.
     waiting: Vec<(usize, u64, Time)>,
     /// When requests were let pass.
@@ -91,6 +93,7 @@
             team,
             now: Time::ZERO,
             rng: SmallRng::seed_from_u64(seed),
+            cuts_refuse: false,
             waiting: Vec::new(),
             passed: Vec::new(),
             refused: Vec::new(),
@@ -183,9 +186,7 @@
 
     fn update(&mut self, host: usize) {
         let others = (0..self.hosts.len()).filter(|h| *h != host);
-        let (alive, rest): (Vec<usize>, Vec<usize>) = others.partition(|h| self.hear(host, *h));
-        let is_ended =
-            |h: &&usize| matches!(self.hosts[**h].state, State::Ended) && self.can_reach(host, **h);
+        let alive: Vec<usize> = others.filter(|h| self.hear(host, *h)).collect();
         let own = &self.hosts[host];
         let State::Up(since) = own.state else { return };
         let of = |h: usize| {
@@ -194,7 +195,7 @@
             (incarnation, self.hosts[h].name.clone())
         };
         let view = FleetView {
-            ended: rest.iter().filter(is_ended).map(|h| self.hosts[*h].name.clone()).collect(),
+            ended: Vec::new(),
             known: self.hosts.len(),
             alive: alive.into_iter().chain([host]).map(of).collect(),
             may_own: self.now.since(since) >= SETTLE_TIME,
@@ -214,13 +215,25 @@
                 Step::Ask(name, hops) => {
                     let to = self.hosts.iter().position(|h| h.name == name).unwrap();
                     let reply = match self.hosts[to].state {
+                        _ if self.cuts_refuse && !self.can_reach(host, to) => {
+                            Err(AskError::Refused)
+                        }
                         _ if !self.can_reach(host, to) => Err(AskError::Silent),
-                        State::Ended => Err(AskError::Ended),
+                        State::Ended => Err(AskError::Refused),
                         State::Frozen => Err(AskError::Silent),
                         State::Up(_) => Ok(self.inquire(to, ask, hops)),
                     };
                     step = inquiry.on_reply(reply, &mut self.hosts[host].ownership, self.now);
                 }
+                Step::Check(names) => {
+                    let accepts = |name: &Arc<str>| {
+                        let to = self.hosts.iter().position(|h| h.name == *name).unwrap();
+                        self.hosts[to].state != State::Ended && self.can_reach(host, to)
+                    };
+                    let all_accept = names.iter().all(accepts);
+                    let ownership = &mut self.hosts[host].ownership;
+                    step = inquiry.on_check(all_accept, ownership, self.now);
+                }
             }
         }
     }
@@ -499,13 +512,68 @@
         seed: u64,
         faults in proptest::collection::vec((fault(), 0.3..6.0_f64), 1..6),
         rate in prop_oneof![Just(283.0), Just(40.0), Just(3.0)],
+    ) {
+        flood_under_faults(Fleet::start(24, team(rate, rate), seed), faults);
+    }
+
+    #[test]
+    fn never_over_the_allowance_when_cuts_refuse_connections(
+        seed: u64,
+        faults in proptest::collection::vec((fault(), 0.3..6.0_f64), 1..6),
+        rate in prop_oneof![Just(283.0), Just(40.0), Just(3.0)],
     ) {
         let mut fleet = Fleet::start(24, team(rate, rate), seed);
-        fleet.run(1.0, spread_over(24, rate * 4.7));
-        for (fault, seconds) in faults {
-            apply(&mut fleet, fault);
-            fleet.run(seconds, spread_over(24, rate * 4.7));
+        fleet.cuts_refuse = true;
+        let is_one = |f: &Fault| matches!(f, Fault::CutOne(_));
+        flood_under_faults(fleet, faults.into_iter().filter(|(f, _)| !is_one(f)).collect());
+    }
+}
+
+/// Lets faults happen one after the other while the team sends several times its allowance.
+fn flood_under_faults(mut fleet: Fleet, faults: Vec<(Fault, f64)>) {
+    let limit = fleet.team.clone();
+    let flood = limit.per_second * 4.7;
+    fleet.run(1.0, spread_over(24, flood));
+    for (fault, seconds) in faults {
+        apply(&mut fleet, fault);
+        fleet.run(seconds, spread_over(24, flood));
+    }
+    fleet.assert_within(&limit);
+}
+
+/// Cuts a part of a fleet off from the rest, so that connections across are refused, while a team
+/// floods all hosts. Returns the most requests in a window as a part of what is allowed.
+fn flood_across_a_refusing_cut(hosts: usize, is_beyond: impl Fn(usize) -> bool, seed: u64) -> f64 {
+    let (rate, flood) = (100.0, 750.0);
+    let mut fleet = Fleet::start(hosts, team(rate, rate), seed);
+    fleet.cuts_refuse = true;
+    fleet.run(3.0, spread_over(hosts, flood));
+    (0..hosts).filter(|h| is_beyond(*h)).for_each(|h| fleet.cut(h, 1));
+    fleet.run(12.0, spread_over(hosts, flood));
+    (0..hosts).for_each(|h| fleet.cut(h, 0));
+    fleet.run(6.0, spread_over(hosts, flood));
+    fleet.most_in_window() as f64 / ((rate * WINDOW.as_secs_f64() + rate) * 1.1 + 20.0)
+}
+
+/// Each side of the cut would take the other for ended, and grant the whole allowance.
+#[test]
+fn a_cut_that_refuses_connections_is_not_taken_for_the_end_of_the_other_hosts() {
+    for (hosts, part) in [(8, 2), (8, 3), (24, 2), (24, 3), (24, 6), (48, 2), (48, 4)] {
+        for seed in 0..4 {
+            let used = flood_across_a_refusing_cut(hosts, |h| (h + seed) % part == 0, seed as u64);
+            assert!(
+                used <= 1.0,
+                "{hosts} hosts, 1/{part} cut off, seed {seed}: {used} of the bound"
+            );
         }
-        fleet.assert_within(&team(rate, rate));
+    }
+}
+
+/// The next owner can't tell such a cut from the end of the owner's process.
+#[test]
+fn one_host_that_is_cut_off_by_refused_connections_adds_little() {
+    for seed in 0..16 {
+        let used = flood_across_a_refusing_cut(8, |h| h == seed % 8, seed as u64);
+        assert!(used <= 1.0, "seed {seed}: {used} of the bound");
     }
 }
--- a/src/peer/allowance.rs
+++ b/src/peer/allowance.rs
@@ -16,7 +16,6 @@
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::decide::allowance::{Ask, AskError, FleetView, Grant, HOPS_MAX, Inquiry, Reply, Step};
-use crate::decide::member::{Member, MemberState, Members};
 use crate::node::Phase;
 use crate::peer::local::LocalState;
 use crate::peer::peer_capnp::{allowance_ask, allowance_grant, peer};
@@ -40,10 +39,6 @@
 const RETRY_DELAY: Duration = Duration::from_millis(50);
 /// The time without a question after which a connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
-/// The time between two attempts to find out whether dead hosts have ended.
-const PROOF_INTERVAL: Duration = Duration::from_secs(1);
-/// The time for which a host that refused a connection counts as ended.
-const PROOF_AGE_MAX: Duration = Duration::from_secs(5);
 /// The number of questions in one call.
 const BATCH_MAX: usize = 256;
 /// The number of low bits of the wanted tokens on the wire; the hops are above them.
@@ -55,8 +50,6 @@
 #[derive(Default)]
 pub(crate) struct Links {
     links: RefCell<Vec<Rc<Link>>>,
-    /// Hosts that refused a connection, and when, sorted by name.
-    ended: RefCell<Vec<(Arc<str>, Time)>>,
 }
 
 /// The connection to a host that is asked.
@@ -93,7 +86,6 @@
 pub(crate) async fn maintain(local: Rc<LocalState>) {
     let allowances = &local.node.allowances;
     let mut updated: Option<Time> = None;
-    let mut checked = Time::ZERO;
     loop {
         let now = local.node.clock.now();
         let teams = allowances.teams();
@@ -102,10 +94,6 @@
             let view = fleet_view(&local, now);
             allowances.ownership.lock().update(view, &teams, now);
             local.allowance_links.close_idle(now);
-            if now.since(checked) >= PROOF_INTERVAL && allowances.ownership.lock().keeps_any() {
-                checked = now;
-                check_dead_hosts(&local, now);
-            }
         }
         for ask in allowances.with_asker(|asker| asker.take_asks(now)) {
             spawn_local(ask_owner(local.clone(), ask));
@@ -158,6 +146,18 @@
                 let mut ownership = node.allowances.ownership.lock();
                 step = inquiry.on_reply(reply, &mut ownership, node.clock.now());
             }
+            Step::Check(hosts) => {
+                let count = hosts.len();
+                let all_accept = accept_connections(local, hosts).await;
+                log::info!(
+                    "the owner of the allowance of {} refuses connections; it is taken for {}: \
+                     {count} other hosts tried",
+                    ask.team,
+                    if all_accept { "ended" } else { "cut off" },
+                );
+                let mut ownership = node.allowances.ownership.lock();
+                step = inquiry.on_check(all_accept, &mut ownership, node.clock.now());
+            }
         }
     }
 }
@@ -334,20 +334,6 @@
         let is_used = |l: &Rc<Link>| l.is_calling.get() || now.since(l.used.get()) < IDLE_TIMEOUT;
         self.links.borrow_mut().retain(is_used);
     }
-
-    fn set_ended(&self, host: &Arc<str>, now: Time) {
-        let mut ended = self.ended.borrow_mut();
-        match ended.binary_search_by(|(h, _)| h.cmp(host)) {
-            Ok(at) => ended[at].1 = now,
-            Err(at) => ended.insert(at, (host.clone(), now)),
-        }
-    }
-
-    fn has_ended(&self, host: &Arc<str>, now: Time) -> bool {
-        let ended = self.ended.borrow();
-        let found = ended.binary_search_by(|(h, _)| h.cmp(host));
-        found.is_ok_and(|at| now.since(ended[at].1) < PROOF_AGE_MAX)
-    }
 }
 
 impl Link {
@@ -368,28 +354,21 @@
 async fn connect(address: SocketAddr) -> Result<TcpStream, AskError> {
     match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
         Ok(Ok(stream)) => Ok(stream),
-        Ok(Err(e)) if e.kind() == std::io::ErrorKind::ConnectionRefused => Err(AskError::Ended),
+        Ok(Err(e)) if e.kind() == std::io::ErrorKind::ConnectionRefused => Err(AskError::Refused),
         Ok(Err(_)) | Err(_) => Err(AskError::Silent),
     }
 }
 
-/// Finds out which of the dead hosts have ended: unlike one that is cut off, such a host refuses
-/// connections.
-fn check_dead_hosts(local: &Rc<LocalState>, now: Time) {
-    let members = local.node.members.lock();
-    let dead = members.members().iter().filter(|m| is_dead(&members, m, now));
-    for member in dead {
-        let (local, host, address) = (local.clone(), member.host.clone(), member.address);
-        spawn_local(async move {
-            if connect(address).await.is_err_and(|e| e == AskError::Ended) {
-                local.allowance_links.set_ended(&host, local.node.clock.now());
-            }
-        });
-    }
-}
-
-fn is_dead(members: &Members, member: &Member, now: Time) -> bool {
-    matches!(members.state(&member.host, now), Some(MemberState::Dead | MemberState::Unknown))
+/// Returns whether each of the hosts accepts a connection.
+async fn accept_connections(local: &LocalState, hosts: Vec<Arc<str>>) -> bool {
+    let accepts = async |host: Arc<str>| {
+        let address = local.node.members.lock().get(&host).map(|m| m.address);
+        match address {
+            Some(address) => connect(address).await.is_ok(),
+            None => false,
+        }
+    };
+    join_all(hosts.into_iter().map(accepts)).await.into_iter().all(|accepts| accepts)
 }
 
 /// Returns what this host knows of the fleet.
@@ -408,12 +387,9 @@
         let own = local.process();
         alive.push((own.incarnation, own.host));
     }
-    let has_ended = |m: &&Member| {
-        m.left || is_dead(&members, m, now) && local.allowance_links.has_ended(&m.host, now)
-    };
     FleetView {
         alive,
-        ended: members.members().iter().filter(has_ended).map(|m| m.host.clone()).collect(),
+        ended: members.members().iter().filter(|m| m.left).map(|m| m.host.clone()).collect(),
         known: known.unwrap_or(1),
         may_own: is_staying
             && !is_stale
