Take over no allowance from hosts that started at the same time

After a restart of all 42 hosts of the tests' model 17 of them owned a team's allowance within 0.2 s, one after the other, each with the tokens that an owner begins with: 1,943 requests in 5 s where 1,888 are allowed.

Cause: a host owns nothing in its first second, and each host finds out up to 0.2 s later than others that this is over. The first to do so asked the owner by rank, was told that it owned nothing yet, and took over; so did the next.

A host that has been able to own allowances for less than 0.5 s now takes over nothing from one that says it is no owner, and forgets which hosts had said so before.

--- a/src/decide/allowance/inquiry.rs
+++ b/src/decide/allowance/inquiry.rs
@@ -120,6 +120,10 @@
                     ownership.set_ended(&owner, now);
                     self.next(ownership, now)
                 }
+                // It will be, a moment later than this host.
+                Ok(Reply::NotOwner) if ownership.is_settled_lately(now) => {
+                    Step::Done(Reply::Unreachable)
+                }
                 Ok(Reply::NotOwner) => {
                     ownership.set_not_owner(&owner, now);
                     self.next(ownership, now)
--- a/src/decide/allowance/ownership.rs
+++ b/src/decide/allowance/ownership.rs
@@ -23,6 +23,10 @@
 /// The time for which a host counts as ended after it has refused a connection.
 const REFUSED_TIME: Duration = Duration::from_millis(1_000);
 
+/// The time after a host has become able to own allowances in which others that started with it may not
+/// be yet. It takes over nothing in their place.
+const SETTLED_LATELY: Duration = Duration::from_millis(500);
+
 /// The time for which a host keeps the state of an allowance that it may own again in a moment.
 const LAPSE_MAX: Duration = Duration::from_secs(2);
 /// The time in which hosts beyond a cut may not all be known to be there.
@@ -87,6 +91,8 @@
     /// Hosts that may be alive although they refuse connections, and until when they aren't looked
     /// into again.
     doubted: Vec<(Arc<str>, Time)>,
+    /// Since when this host may own allowances.
+    settled: Option<Time>,
     /// When an owner was last found dead without a sign that its process has ended.
     lost: Option<Time>,
     /// Sorted by team.
@@ -102,6 +108,7 @@
             elders: Vec::new(),
             excluded: Vec::new(),
             doubted: Vec::new(),
+            settled: None,
             lost: None,
             owned: Vec::new(),
         }
@@ -114,6 +121,12 @@
         if !view.may_own || view.pauses != self.view.pauses {
             self.owned.clear();
         }
+        if !view.may_own {
+            self.settled = None;
+        } else if self.settled.is_none() {
+            self.settled = Some(now);
+            self.excluded.clear();
+        }
         self.excluded.retain(|(_, until)| *until > now);
         self.doubted.retain(|(_, until)| *until > now);
         view.alive.sort_unstable();
@@ -201,6 +214,11 @@
         Reply::Granted(owned.bucket.grant(limit, wanted, now))
     }
 
+    /// Returns whether this host has become able to own allowances only a moment ago.
+    pub(crate) fn is_settled_lately(&self, now: Time) -> bool {
+        self.settled.is_some_and(|at| now.since(at) < SETTLED_LATELY)
+    }
+
     /// Records that a host has said to be no owner.
     pub(crate) fn set_not_owner(&mut self, host: &Arc<str>, now: Time) {
         self.excluded.push((host.clone(), now + NOT_OWNER_TIME));
