Don't take a host for the only one before it could register

Cause, from the hosts' logs: the registry went away 1 s after the hosts had started and returned 6 s later. Hosts without seeds find each other by registering, and a host that knew nobody 4 s after its start took itself for the only one: each of three took the whole limit.

The search for peers now goes on until this host has registered and others have had 2 s to read that. Hosts whose settings name seeds, as on the users' platform, search as before. Rate limits are owned after 10 s in any case, as before.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -46,6 +46,7 @@
 pub mod kinds;
 pub(crate) mod load;
 pub(crate) mod occupancy;
+pub(crate) mod peer_search;
 pub(crate) mod queue;
 pub(crate) mod reach;
 pub(crate) mod relay;
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -14,6 +14,7 @@
 use crate::decide::admission::{Admission, Request, Target, Ticket};
 use crate::decide::digest::UpstreamName;
 use crate::decide::limit::{LimitChange, LimitObservation};
+use crate::decide::peer_search::PeerSearch;
 use crate::decide::retry::RetryUsage;
 use crate::decide::service::{NextAttempt, ServiceTable};
 use crate::decide::tick::TickOutput;
@@ -26,10 +27,6 @@
 use crate::time::{CLOCK_START, Time};
 use crate::trace::{Entry, Probe};
 
-/// The time after the start of the process in which a host without seeds finds its peers: it
-/// registers within 2 s, and reads the registrations of others at most 2 s later.
-const PEER_SEARCH_TIME: Duration = Duration::from_secs(4);
-
 /// The time after the start of the process after which a host that knows no peers owns rate limits by
 /// itself, though its settings name seeds.
 const LONE_AFTER: Duration = Duration::from_secs(10);
@@ -347,11 +344,14 @@
         self.may_have_peers(now) && now.since(CLOCK_START) < LONE_AFTER
     }
 
-    /// Returns whether there may be other hosts though none is known: the settings name seeds, or this
-    /// host has not had the time to find contacts in the registry. Hosts that start together find
-    /// none until the first of them has registered.
+    /// Returns whether there may be other hosts though none is known.
     fn may_have_peers(&self, now: Time) -> bool {
-        !self.latest_settings().seeds.is_empty() || now.since(CLOCK_START) < PEER_SEARCH_TIME
+        let search = PeerSearch {
+            has_seeds: !self.latest_settings().seeds.is_empty(),
+            has_registry: self.settings.registry.is_some(),
+            registered: *self.registered.lock(),
+        };
+        search.may_find_peers(now)
     }
 
     /// Applies a change to a service's table, and delivers the admission decisions that follow from
--- a/src/node.rs
+++ b/src/node.rs
@@ -93,6 +93,8 @@
     pub(crate) claims: Option<Claims>,
     /// Notified when the process was paused and has to fetch the newest records.
     pub(crate) resync_needed: Arc<Notify>,
+    /// When this host first registered as a contact for others.
+    pub(crate) registered: Mutex<Option<Time>>,
     pub(crate) pool: Pool,
     pub(crate) memory: MemoryBudget,
     /// Requests under which upstreams have ended.
@@ -166,6 +168,7 @@
             kv_client,
             claims,
             resync_needed: Arc::default(),
+            registered: Mutex::default(),
             pool: Pool::default(),
             memory: MemoryBudget::new(settings.limits.body_bytes),
             poison_requests: Mutex::default(),
--- a/src/registry/registration.rs
+++ b/src/registry/registration.rs
@@ -74,6 +74,7 @@
         let delay = match renew(client, &key, &value, lease).await {
             Ok(Some(renewed)) => {
                 lease = Some(renewed);
+                node.registered.lock().get_or_insert(node.clock.now());
                 backoff.reset();
                 RENEWAL_INTERVAL
             }
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -46,7 +46,8 @@
 ///   fault was this test's.
 /// - 311: hosts that had just started knew no peers and each took an upstream's whole rate limit.
 /// - 701, 813: the probes of upstreams that were leaving went to the others.
-const SEEDS: [u64; 9] = [1, 2, 116, 132, 133, 301, 311, 701, 813];
+/// - 915: hosts that started while the registry was away knew no peers, as with 311.
+const SEEDS: [u64; 10] = [1, 2, 116, 132, 133, 301, 311, 701, 813, 915];
 /// Seconds during which faults are injected in the CI run.
 const SECONDS: u64 = 6;
 /// Number of hosts in the CI run.
