--- a/review/standin-2/world.rs
+++ b/review/standin-2/world.rs
@@ -8,7 +8,7 @@
 use std::io::{self, BufRead, BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -138,7 +138,7 @@
     pub fn start() -> (Arc<Store>, SocketAddr) {
         let store = Arc::new(Store::default());
         store.state.lock().unwrap().revision = 100;
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let listener = listen();
         let address = listener.local_addr().expect("an address");
         let shared = store.clone();
         thread::spawn(move || {
@@ -273,7 +273,7 @@
         slots: u32,
         serve: impl Fn(&Target, TcpStream) -> io::Result<()> + Send + Sync + 'static,
     ) -> Arc<Target> {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let listener = listen();
         let target = Arc::new(Target {
             id: id.to_owned(),
             service: service.to_owned(),
@@ -293,7 +293,12 @@
                     drop((accepted, listener));
                     thread::sleep(DOWN_TIME);
                     *shared.born.lock().unwrap() = millis();
-                    listener = TcpListener::bind(shared.address).expect("the port again");
+                    listener = loop {
+                        match TcpListener::bind(shared.address) {
+                            Ok(listener) => break listener,
+                            Err(_) => thread::sleep(Duration::from_millis(20)),
+                        }
+                    };
                     shared.is_down.store(false, Ordering::SeqCst);
                     continue;
                 }
@@ -409,16 +414,29 @@
     pub ready: SocketAddr,
 }
 
-fn free_ports(ip: &str, count: usize) -> Vec<u16> {
-    let held: Vec<TcpListener> =
-        (0..count).map(|_| TcpListener::bind((ip, 0)).expect("a free port")).collect();
-    held.iter().map(|l| l.local_addr().expect("an address").port()).collect()
+/// The number of ports that were tried.
+static PORTS_TRIED: AtomicU32 = AtomicU32::new(0);
+
+/// Listens on a free port below those that the system gives to outgoing connections, so that none of these
+/// takes it while its process is down.
+fn listen() -> TcpListener {
+    let first = std::process::id() * 101;
+    loop {
+        let tried = PORTS_TRIED.fetch_add(1, Ordering::SeqCst);
+        let port = 12_000 + ((first + tried) % 20_000) as u16;
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
+            return listener;
+        }
+    }
 }
 
 /// Writes the settings of one host, as the template of the deploy file is filled in on a small
 /// deployment, and waits until the script has started it and it is ready.
 pub fn start_host(dir: &Path, store: SocketAddr) -> io::Result<Host> {
-    let ports = free_ports("127.0.0.1", 5);
+    let held: Vec<TcpListener> = (0..5).map(|_| listen()).collect();
+    let port = |l: &TcpListener| l.local_addr().expect("an address").port();
+    let ports: Vec<u16> = held.iter().map(port).collect();
+    drop(held);
     let at = |i: usize| format!("127.0.0.1:{}", ports[i]);
     let mut text = String::new();
     let _ = write!(
