Count the copies of a request by caller

Cause: a fingerprint left the caller out. An answer to another team's request of the same method, host, path and body cleared the ends of upstreams that had been counted, so that there were never three in turn. In the other direction a request that one team's copies had blocked was refused to all.

Change: where there are teams, the fingerprint is over the team too, and over its absence on a public route. Without teams, hosts can go by the caller's address alone, which one caller may change: copies are counted for all callers as before, and for each address besides; a relayed request bears the address. A refusal's log line names the fingerprint under which it is blocked.

--- a/src/decide/poison.rs
+++ b/src/decide/poison.rs
@@ -6,8 +6,12 @@
 //! Harmless requests are lost with the upstreams too, all at once if many end for another reason. An
 //! answer to a copy shows that the request was not the cause. So that a blocked request can be
 //! answered, a copy is sent on trial twice, after increasing times.
+//!
+//! The same words may end upstreams when one caller sends them and do no harm when another does, so
+//! that a copy is one of the same caller, as far as hosts can tell callers apart.
 
 use std::hash::Hasher;
+use std::net::IpAddr;
 use std::time::Duration;
 
 use derive_more::Display;
@@ -32,28 +36,70 @@
 /// The time after the last episode at which a copy of a blocked request is sent on trial, by the
 /// number of episodes. There is no trial after more.
 const TRIAL_DELAYS: [Duration; 2] = [Duration::from_secs(10), Duration::from_secs(60)];
-/// The number of suspects that are kept.
-const SUSPECTS_MAX: usize = 512;
+/// The number of suspects that are kept: for two requests of each of a thousand teams.
+const SUSPECTS_MAX: usize = 2_048;
 
 /// A hash by which copies of a request are recognised.
 #[derive(Clone, Copy, Debug, Display, Default, PartialEq, Eq, PartialOrd, Ord)]
 #[display("{_0:016x}")]
 pub struct Fingerprint(pub u64);
 
+impl Fingerprint {
+    /// Returns the fingerprint of the request's copies that one caller sends. `kind` tells apart what
+    /// is known of callers.
+    fn of_caller(self, kind: CallerKind, caller: &[u8]) -> Fingerprint {
+        let mut hasher = XxHash64::with_seed(self.0);
+        hasher.write(&[kind as u8]);
+        hasher.write(caller);
+        Fingerprint(hasher.finish())
+    }
+}
+
+/// What a host knows of the caller of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Caller<'a> {
+    /// The team whose key the request bears.
+    Team(&'a str),
+    /// There are teams, but the request bears no key of theirs, since its route is public.
+    Keyless(Option<IpAddr>),
+    /// There are no teams. The address is unknown if an earlier release has passed the request on.
+    Nameless(Option<IpAddr>),
+}
+
+/// What a fingerprint of one caller's copies is made of.
+#[derive(Clone, Copy, Debug)]
+enum CallerKind {
+    Team = 1,
+    Keyless = 2,
+    Address = 3,
+}
+
 /// The fingerprints of a request: with the query of its path and without it, as the copies of a
-/// request may differ there. Callers are not told apart: the same request ends upstreams whoever
-/// sends it, and one caller may come from several addresses.
+/// request may differ there.
+///
+/// Without a team, one caller may come from several addresses, and several callers from one. So the
+/// copies from all addresses are counted together, and those from one address by themselves besides.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Fingerprints {
-    /// Over method, host, path with query, and body.
+    /// Over method, host, path with query, and body, and over the team if there are teams.
     pub with_query: Fingerprint,
     /// The same without the query. Equal to `with_query` if there is none.
     pub without_query: Fingerprint,
+    /// Both for the copies from one address. `None` if a team sends them.
+    of_address: Option<[Fingerprint; 2]>,
+    /// Both as earlier releases have them, which don't tell callers apart. `None` if those are equal.
+    of_earlier_release: Option<[Fingerprint; 2]>,
 }
 
 impl Fingerprints {
     /// Returns the fingerprints of a request.
-    pub fn new(method: &str, host: &str, path: &PathAndQuery, body: &[u8]) -> Fingerprints {
+    pub fn new(
+        caller: Caller<'_>,
+        method: &str,
+        host: &str,
+        path: &PathAndQuery,
+        body: &[u8],
+    ) -> Fingerprints {
         let of = |path: &str| {
             let mut hasher = XxHash64::default();
             for part in [method.as_bytes(), host.as_bytes(), path.as_bytes(), body] {
@@ -64,16 +110,47 @@
         };
         let without_query = of(path.path());
         let with_query = path.query().map_or(without_query, |_| of(path.as_str()));
-        Fingerprints { with_query, without_query }
+        let of_anyone = [with_query, without_query];
+        let of_caller = |kind, caller: &[u8]| of_anyone.map(|f| f.of_caller(kind, caller));
+        let (of_callers, address) = match caller {
+            Caller::Team(name) => (of_caller(CallerKind::Team, name.as_bytes()), None),
+            Caller::Keyless(address) => (of_caller(CallerKind::Keyless, &[]), address),
+            Caller::Nameless(address) => (of_anyone, address),
+        };
+        let address = address.map(|a| a.to_canonical().to_string());
+        Fingerprints {
+            with_query: of_callers[0],
+            without_query: of_callers[1],
+            of_address: address.map(|a| of_caller(CallerKind::Address, a.as_bytes())),
+            of_earlier_release: (of_callers != of_anyone).then_some(of_anyone),
+        }
     }
 
-    /// Returns the different ones.
+    /// Returns the different ones under which this release counts the copies.
     pub fn iter(self) -> impl Iterator<Item = Fingerprint> {
-        let other = (self.with_query != self.without_query).then_some(self.with_query);
-        std::iter::once(self.without_query).chain(other)
+        let of_address = self.of_address.into_iter().flat_map(different);
+        different([self.with_query, self.without_query]).chain(of_address)
     }
 }
 
+impl From<Fingerprint> for Fingerprints {
+    /// Returns the fingerprints of a request that has no query, and of whose caller nothing is known.
+    fn from(fingerprint: Fingerprint) -> Fingerprints {
+        Fingerprints {
+            with_query: fingerprint,
+            without_query: fingerprint,
+            of_address: None,
+            of_earlier_release: None,
+        }
+    }
+}
+
+/// Returns the fingerprint without the query, and the one with it if that is another.
+fn different([with_query, without_query]: [Fingerprint; 2]) -> impl Iterator<Item = Fingerprint> {
+    let other = (with_query != without_query).then_some(with_query);
+    std::iter::once(without_query).chain(other)
+}
+
 /// What a host has seen of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum RequestEvent {
@@ -278,8 +355,7 @@
         now: Time,
         is_owner: impl FnOnce() -> bool,
     ) -> BlockDecision {
-        let found = fingerprints.iter().filter_map(|f| self.find(f).ok());
-        let rows: Vec<usize> = found.filter(|&i| self.rows[i].is_blocked(now)).collect();
+        let rows = self.blocking_rows(fingerprints, now);
         if rows.is_empty() {
             return BlockDecision::Allow;
         }
@@ -294,6 +370,29 @@
         BlockDecision::Trial
     }
 
+    /// Returns the fingerprint under which a request is blocked, on trial or not. `None` if it is not
+    /// blocked.
+    pub fn blocking(&self, fingerprints: Fingerprints, now: Time) -> Option<Fingerprint> {
+        let row = self.blocking_rows(fingerprints, now).into_iter().next();
+        row.map(|i| self.rows[i].fingerprint)
+    }
+
+    /// Returns the rows by which a request is blocked.
+    ///
+    /// What earlier releases report names no caller. So it blocks a request only if an upstream has
+    /// ended under a copy of the same caller too.
+    fn blocking_rows(&self, fingerprints: Fingerprints, now: Time) -> Vec<usize> {
+        let is_blocked = |f: Fingerprint| self.is_blocked(f, now);
+        let of_earlier_release = fingerprints.of_earlier_release.into_iter().flatten();
+        let is_blocked_for_anyone = of_earlier_release.into_iter().any(is_blocked);
+        let rows = fingerprints.iter().filter_map(|f| self.find(f).ok());
+        let blocks = |i: &usize| {
+            let suspect = &self.rows[*i];
+            suspect.is_blocked(now) || is_blocked_for_anyone && !suspect.crashes.is_empty()
+        };
+        rows.filter(blocks).collect()
+    }
+
     /// Returns whether the request with a fingerprint is blocked.
     pub fn is_blocked(&self, fingerprint: Fingerprint, now: Time) -> bool {
         self.find(fingerprint).is_ok_and(|i| self.rows[i].is_blocked(now))
@@ -345,11 +444,13 @@
             suspect.crashes.retain(|c| now.since(c.at) < SUSPICION_PERIOD);
         }
         self.rows.retain(|s| now.since(s.last_seen()) < SUSPICION_PERIOD);
-        while self.rows.len() > SUSPECTS_MAX {
-            let order = |s: &Suspect| (s.is_over_threshold(), s.crashes_in_turn(), s.last_seen());
-            let least = (0..self.rows.len()).min_by_key(|&i| order(&self.rows[i]));
-            self.rows.remove(least.unwrap_or(0));
+        if self.rows.len() <= SUSPECTS_MAX {
+            return;
         }
+        let order = |s: &Suspect| (s.is_over_threshold(), s.crashes_in_turn(), s.last_seen());
+        self.rows.sort_by_cached_key(|s| std::cmp::Reverse(order(s)));
+        self.rows.truncate(SUSPECTS_MAX);
+        self.rows.sort_unstable_by_key(|s| s.fingerprint);
     }
 
     /// Returns the row of a request, and adds one if there is none.
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -1,6 +1,7 @@
 //! Reads a caller's request completely, and rejects it if it is malformed or exceeds a limit.
 
 use std::future::poll_fn;
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -16,7 +17,7 @@
 use crate::config::{Service, Team};
 use crate::decide::kinds::LatencyGoal;
 use crate::decide::matching::{Match, Routes};
-use crate::decide::poison::Fingerprints;
+use crate::decide::poison::{Caller, Fingerprints};
 use crate::decide::teams::{self, UnknownKey};
 use crate::entry::socket::CallerConnection;
 use crate::error::Code;
@@ -111,7 +112,17 @@
     if caller.is_read_closed() {
         return Err(Code::BodyCut);
     }
-    let fingerprints = Fingerprints::new(parts.method.as_str(), &target.host, &target.path, &body);
+    let caller_address = match is_relayed {
+        true => relayed_address(&parts.headers),
+        false => caller.address(),
+    };
+    let whose = match &team {
+        Some(team) => Caller::Team(&team.name),
+        None if !routes.teams().is_empty() => Caller::Keyless(caller_address),
+        None => Caller::Nameless(caller_address),
+    };
+    let fingerprints =
+        Fingerprints::new(whose, parts.method.as_str(), &target.host, &target.path, &body);
     let mut headers = upstream_headers(&node.header_names, parts.headers, id);
     if !routes.teams().is_empty() {
         set_team(&node.header_names, &mut headers, team.as_deref());
@@ -121,6 +132,7 @@
         fingerprints,
         is_relayed,
         team,
+        caller_address,
         service,
         treatment,
         deadline,
@@ -280,6 +292,11 @@
     version.unwrap_or(0)
 }
 
+/// Returns the address of the caller of a request that a peer passes on, if the peer states it.
+fn relayed_address(headers: &HeaderMap) -> Option<IpAddr> {
+    headers.get(header::RELAYED_CALLER)?.to_str().ok()?.parse().ok()
+}
+
 fn content_length(headers: &HeaderMap) -> Option<u64> {
     headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
 }
--- a/src/entry/socket.rs
+++ b/src/entry/socket.rs
@@ -2,7 +2,7 @@
 
 use std::cell::{Cell, OnceCell};
 use std::io;
-use std::net::Shutdown;
+use std::net::{IpAddr, Shutdown};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -28,6 +28,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct CallerConnection {
     stream: OnceCell<TcpStream>,
+    /// The address of the other side.
+    address: Cell<Option<IpAddr>>,
     /// Whether any request has been handled.
     responded: Cell<bool>,
     /// Whether a request is being handled.
@@ -57,6 +59,7 @@
         let stream = TcpStream::from_std(stream.into_std()?)?;
         stream.set_nodelay(true)?;
         let caller = CALLER_CONNECTION.with(Rc::clone);
+        caller.address.set(stream.peer_addr().ok().map(|a| a.ip()));
         caller.stream.set(stream).expect("attached once");
         Ok(CallerSocket(caller))
     }
@@ -65,6 +68,11 @@
         self.stream.get().expect("attached before it is read or written")
     }
 
+    /// Returns the address of the other side, if the connection still had one when it was accepted.
+    pub(crate) fn address(&self) -> Option<IpAddr> {
+        self.address.get()
+    }
+
     /// Marks the connection as busy until the guard is dropped.
     pub(crate) fn begin_request(self: &Rc<CallerConnection>) -> RequestGuard {
         self.busy.set(true);
--- a/src/forward/crash.rs
+++ b/src/forward/crash.rs
@@ -5,7 +5,9 @@
 
 use crate::config::Service;
 use crate::decide::admission::Target;
-use crate::decide::poison::{BlockDecision, Fingerprints, RequestEvent, RequestReport, crash_hash};
+use crate::decide::poison::{
+    BlockDecision, Fingerprint, Fingerprints, RequestEvent, RequestReport, crash_hash,
+};
 use crate::event::{EventCode, Subject};
 use crate::forward::connection::{ConnectError, Connection};
 use crate::node::Node;
@@ -113,10 +115,8 @@
         self.poison_requests.lock().decide(fingerprints, now, is_owner)
     }
 
-    /// Returns whether a request is blocked, on trial or not.
-    pub(crate) fn is_blocked(&self, fingerprints: Fingerprints) -> bool {
-        let now = self.clock.now();
-        let suspects = self.poison_requests.lock();
-        fingerprints.iter().any(|f| suspects.is_blocked(f, now))
+    /// Returns the fingerprint under which a request is blocked, on trial or not, if it is.
+    pub(crate) fn blocking(&self, fingerprints: Fingerprints) -> Option<Fingerprint> {
+        self.poison_requests.lock().blocking(fingerprints, self.clock.now())
     }
 }
--- a/src/forward/driver.rs
+++ b/src/forward/driver.rs
@@ -12,7 +12,7 @@
 
 use crate::decide::admission::{Admission, Refusal, Target};
 use crate::decide::attempt::{AttemptLimits, AttemptNumber, Attempts, Event, RequestResult, Step};
-use crate::decide::poison::BlockDecision;
+use crate::decide::poison::{BlockDecision, Fingerprint};
 use crate::decide::service::NextAttempt;
 use crate::decide::upstream::UpstreamId;
 use crate::dispatch::Dispatch;
@@ -79,7 +79,10 @@
             ProxyResponse::local(Code::Stopping)
         }
         // It may have been blocked while it waited.
-        Ok(target) if decision == BlockDecision::Allow && node.is_blocked(request.fingerprints) => {
+        Ok(target)
+            if decision == BlockDecision::Allow
+                && node.blocking(request.fingerprints).is_some() =>
+        {
             node.cancel_attempt(&request.service.name, &target);
             *blocked_response(node, request)
         }
@@ -130,27 +133,30 @@
 /// Returns the response to a request that is blocked.
 fn blocked_response(node: &Node, request: &BufferedRequest) -> Box<ProxyResponse> {
     let refusal = Refusal { code: Code::Blocked, retry_after: BLOCKED_RETRY_AFTER };
-    refusal_response(node, request, &refusal)
+    refusal_response(node, request, &refusal, node.blocking(request.fingerprints))
 }
 
 /// Counts and returns the response to a request that admission has refused.
 fn shed_response(node: &Node, request: &BufferedRequest, refusal: &Refusal) -> Box<ProxyResponse> {
     count_shed(node, request, Some(refusal.code));
-    refusal_response(node, request, refusal)
+    refusal_response(node, request, refusal, None)
 }
 
 fn count_shed(node: &Node, request: &BufferedRequest, refused: Option<Code>) {
     node.metrics.count_shed(&request.service.name, request.treatment.priority, refused);
 }
 
+/// Returns the response to a refused request. `fingerprint` is the one under which it is blocked, if it
+/// is.
 fn refusal_response(
     node: &Node,
     request: &BufferedRequest,
     refusal: &Refusal,
+    fingerprint: Option<Fingerprint>,
 ) -> Box<ProxyResponse> {
     let entry = LogEntry::new(node.clock.now(), EventCode::Refused);
     let after = u64::try_from(refusal.retry_after.as_millis()).ok();
-    request.log.add(LogEntry { value: after, ..entry });
+    request.log.add(LogEntry { value: after, fingerprint, ..entry });
     let retry_after = Some(refusal.retry_after);
     Box::new(ProxyResponse { retry_after, ..ProxyResponse::local(refusal.code) })
 }
@@ -243,7 +249,7 @@
             Step::Retry => (NextAttempt::Retry, EventCode::Retried),
             Step::Hedge => (NextAttempt::Hedge, EventCode::Hedged),
         };
-        if self.node.is_blocked(self.request.fingerprints) {
+        if self.node.blocking(self.request.fingerprints).is_some() {
             return self.finish_with(Event::NoTarget);
         }
         let target = match reason {
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -11,6 +11,7 @@
 pub(crate) mod relay;
 pub(crate) mod response;
 
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -44,6 +45,8 @@
     pub(crate) is_relayed: bool,
     /// The team of its caller, if callers identify themselves.
     pub(crate) team: Option<Arc<Team>>,
+    /// The address of its caller, unless a peer that doesn't tell has passed it on.
+    pub(crate) caller_address: Option<IpAddr>,
     /// The log of the decisions on this request.
     pub(crate) log: Rc<RequestLog>,
     /// The memory reserved for the body.
--- a/src/forward/relay.rs
+++ b/src/forward/relay.rs
@@ -150,6 +150,10 @@
     if let Some(Ok(name)) = team {
         headers.insert(header::RELAYED_TEAM, name);
     }
+    let address = request.caller_address.map(|a| HeaderValue::try_from(a.to_string()));
+    if let Some(Ok(address)) = address {
+        headers.insert(header::RELAYED_CALLER, address);
+    }
     req
 }
 
--- a/src/header.rs
+++ b/src/header.rs
@@ -23,6 +23,10 @@
 /// The name of the caller's team, as the host that passes a request on has found it. On requests
 /// between hosts.
 pub(crate) const RELAYED_TEAM: HeaderName = HeaderName::from_static("x-cornelferry-relayed-team");
+/// The address of the caller, as the host that passes a request on has seen it. On requests between
+/// hosts.
+pub(crate) const RELAYED_CALLER: HeaderName =
+    HeaderName::from_static("x-cornelferry-relayed-caller");
 /// The key of the caller's team. On requests from callers.
 pub const KEY: HeaderName = HeaderName::from_static("x-cornelferry-key");
 /// The name of the caller's team. On requests to upstreams.
