Count a request without a query apart from those with one

Cause: a request without a query had one fingerprint, which stood for the path with any query too, so that an answer to any of these cleared it. Found by the model below, which draws who shares a path, a query, a team or an address.

Change: the path without a query has a fingerprint of its own beside the one for any query. The latter, and those with a query, stay as earlier releases have them.

Before: answers_to_requests_with_a_query_do_not_clear_the_same_path_without_one (None instead of the fingerprint that blocks) and a_request_is_blocked_by_what_its_own_caller_sends failed.

--- a/src/decide/poison.rs
+++ b/src/decide/poison.rs
@@ -45,12 +45,11 @@
 pub struct Fingerprint(pub u64);
 
 impl Fingerprint {
-    /// Returns the fingerprint of the request's copies that one caller sends. `kind` tells apart what
-    /// is known of callers.
-    fn of_caller(self, kind: CallerKind, caller: &[u8]) -> Fingerprint {
+    /// Returns the fingerprint of those copies that bear a mark.
+    fn marked(self, mark: Mark, value: &[u8]) -> Fingerprint {
         let mut hasher = XxHash64::with_seed(self.0);
-        hasher.write(&[kind as u8]);
-        hasher.write(caller);
+        hasher.write(&[mark as u8]);
+        hasher.write(value);
         Fingerprint(hasher.finish())
     }
 }
@@ -66,28 +65,31 @@
     Nameless(Option<IpAddr>),
 }
 
-/// What a fingerprint of one caller's copies is made of.
+/// What tells some copies of a request from others.
 #[derive(Clone, Copy, Debug)]
-enum CallerKind {
+enum Mark {
     Team = 1,
     Keyless = 2,
     Address = 3,
+    NoQuery = 4,
 }
 
-/// The fingerprints of a request: with the query of its path and without it, as the copies of a
-/// request may differ there.
+/// The fingerprints of a request: by its whole path, and by its path without the query, as the copies
+/// of a request may differ there.
 ///
 /// Without a team, one caller may come from several addresses, and several callers from one. So the
 /// copies from all addresses are counted together, and those from one address by themselves besides.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Fingerprints {
-    /// Over method, host, path with query, and body, and over the team if there are teams.
-    pub with_query: Fingerprint,
-    /// The same without the query. Equal to `with_query` if there is none.
-    pub without_query: Fingerprint,
+    /// Over method, host, path, query or the lack of one, and body, and over the team if there are
+    /// teams.
+    pub exact: Fingerprint,
+    /// The same for any query or none.
+    pub any_query: Fingerprint,
     /// Both for the copies from one address. `None` if a team sends them.
     of_address: Option<[Fingerprint; 2]>,
-    /// Both as earlier releases have them, which don't tell callers apart. `None` if those are equal.
+    /// Both as earlier releases have them, which don't tell callers apart. `None` if there are no teams,
+    /// where this release counts under those too.
     of_earlier_release: Option<[Fingerprint; 2]>,
 }
 
@@ -108,49 +110,46 @@
             }
             Fingerprint(hasher.finish())
         };
-        let without_query = of(path.path());
-        let with_query = path.query().map_or(without_query, |_| of(path.as_str()));
-        let of_anyone = [with_query, without_query];
-        let of_caller = |kind, caller: &[u8]| of_anyone.map(|f| f.of_caller(kind, caller));
+        let any_query = of(path.path());
+        let with_query = path.query().map(|_| of(path.as_str()));
+        let exact = with_query.unwrap_or_else(|| any_query.marked(Mark::NoQuery, &[]));
+        let of_anyone = [exact, any_query];
+        let marked = |mark, value: &[u8]| of_anyone.map(|f| f.marked(mark, value));
         let (of_callers, address) = match caller {
-            Caller::Team(name) => (of_caller(CallerKind::Team, name.as_bytes()), None),
-            Caller::Keyless(address) => (of_caller(CallerKind::Keyless, &[]), address),
+            Caller::Team(name) => (marked(Mark::Team, name.as_bytes()), None),
+            Caller::Keyless(address) => (marked(Mark::Keyless, &[]), address),
             Caller::Nameless(address) => (of_anyone, address),
         };
         let address = address.map(|a| a.to_canonical().to_string());
+        let of_earlier_release = [with_query.unwrap_or(any_query), any_query];
         Fingerprints {
-            with_query: of_callers[0],
-            without_query: of_callers[1],
-            of_address: address.map(|a| of_caller(CallerKind::Address, a.as_bytes())),
-            of_earlier_release: (of_callers != of_anyone).then_some(of_anyone),
+            exact: of_callers[0],
+            any_query: of_callers[1],
+            of_address: address.map(|a| marked(Mark::Address, a.as_bytes())),
+            of_earlier_release: (of_callers != of_anyone).then_some(of_earlier_release),
         }
     }
 
-    /// Returns the different ones under which this release counts the copies.
+    /// Returns those under which this release counts the copies.
     pub fn iter(self) -> impl Iterator<Item = Fingerprint> {
-        let of_address = self.of_address.into_iter().flat_map(different);
-        different([self.with_query, self.without_query]).chain(of_address)
+        let exact = (self.exact != self.any_query).then_some(self.exact);
+        let of_address = self.of_address.into_iter().flatten();
+        std::iter::once(self.any_query).chain(exact).chain(of_address)
     }
 }
 
 impl From<Fingerprint> for Fingerprints {
-    /// Returns the fingerprints of a request that has no query, and of whose caller nothing is known.
+    /// Returns the fingerprints of a request of which only one is known.
     fn from(fingerprint: Fingerprint) -> Fingerprints {
         Fingerprints {
-            with_query: fingerprint,
-            without_query: fingerprint,
+            exact: fingerprint,
+            any_query: fingerprint,
             of_address: None,
             of_earlier_release: None,
         }
     }
 }
 
-/// Returns the fingerprint without the query, and the one with it if that is another.
-fn different([with_query, without_query]: [Fingerprint; 2]) -> impl Iterator<Item = Fingerprint> {
-    let other = (with_query != without_query).then_some(with_query);
-    std::iter::once(without_query).chain(other)
-}
-
 /// What a host has seen of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum RequestEvent {
--- a/src/entry/handler.rs
+++ b/src/entry/handler.rs
@@ -93,7 +93,7 @@
     let time_left = u64::try_from(start.until(request.deadline).as_millis()).ok();
     request.log.add(LogEntry {
         value: time_left,
-        fingerprint: Some(request.fingerprints.with_query),
+        fingerprint: Some(request.fingerprints.exact),
         ..LogEntry::new(start, EventCode::Accepted)
     });
     node.events.record(EventCode::Accepted, subject.clone(), time_left);
--- a/src/forward/crash.rs
+++ b/src/forward/crash.rs
@@ -49,7 +49,7 @@
 fn record(node: &Node, crash: &Crash) {
     let subject = Subject {
         request: Some(crash.request_id.clone()),
-        fingerprint: Some(crash.fingerprints.with_query.to_string().into()),
+        fingerprint: Some(crash.fingerprints.exact.to_string().into()),
         service: Some(crash.service.name.clone()),
         upstream: Some(crash.target.name.clone()),
         ..Subject::default()
@@ -110,7 +110,7 @@
     /// Decides whether a request that has come may be sent to an upstream.
     pub(crate) fn decide_block(&self, fingerprints: Fingerprints) -> BlockDecision {
         let now = self.clock.now();
-        let duty = || format!("trial/{}", fingerprints.without_query);
+        let duty = || format!("trial/{}", fingerprints.any_query);
         let is_owner = || self.members.lock().owns(&duty(), now);
         self.poison_requests.lock().decide(fingerprints, now, is_owner)
     }
