Let nobody through by an empty list of teams

Change: the list is an Option from the decoder to the routes, so that the lack of one is a case of its own; null and other values that are no list are faults. It travels whole in records and changes. The release before decodes an empty list as none, so that its records without a list (change id 1) leave unclear whether keys are needed: requests with a key get 503 then, and the host reads for itself.

Before: once_the_last_key_is_withdrawn_nobody_gets_through ("/book/7 gets no 401") and a_host_without_the_registry_lets_nobody_through_once_the_last_key_is_withdrawn ("1000 for []") failed. After: both pass, for the last key, the last team and the whole list at once, after a restart and from a peer alone. The unit test without_teams_no_request_needs_a_key held the choice for an empty table; in its place stands a_list_without_any_key_lets_nobody_through, and without_teams_the_fields_pass_through holds for a config without the list.

--- a/src/config.rs
+++ b/src/config.rs
@@ -9,6 +9,8 @@
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
+use crate::document;
+
 /// A named set of rules that assign treatments to requests.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
@@ -242,17 +244,18 @@
     pub services: Vec<Service>,
     /// Maximum size of a request head, in bytes; 0 for the host's own limit.
     pub head_max_bytes: u64,
-    /// The teams whose callers identify themselves by a key. If there are any, every request needs a
-    /// key except on public routes.
-    #[serde(skip_serializing_if = "Vec::is_empty")]
-    pub teams: Vec<Arc<Team>>,
+    /// The teams whose callers identify themselves by a key. If there is a list, even an empty one,
+    /// every request needs a key of it except on public routes. `None` if no request needs a key.
+    #[serde(deserialize_with = "document::present", skip_serializing_if = "Option::is_none")]
+    pub teams: Option<Vec<Arc<Team>>>,
 }
 
 impl Routing {
     /// Returns the routing as it may be shown: without the keys of teams.
     pub fn without_keys(&self) -> Routing {
         let without_keys = |t: &Arc<Team>| Arc::new(Team { keys: Vec::new(), ..Team::clone(t) });
-        Routing { teams: self.teams.iter().map(without_keys).collect(), ..self.clone() }
+        let teams = self.teams.as_ref().map(|teams| teams.iter().map(without_keys).collect());
+        Routing { teams, ..self.clone() }
     }
 }
 
--- a/src/decide/catalog.rs
+++ b/src/decide/catalog.rs
@@ -14,6 +14,9 @@
 use crate::decide::stored::UnreadableVersion;
 use crate::decide::upstream::State;
 
+/// The change id of routing records of releases that decode an empty list of teams as none.
+const EMPTY_LIST_LOST_FORMAT: &str = "1";
+
 /// The kind of a [`Record`].
 #[derive(
     Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
@@ -94,10 +97,17 @@
         matches!(self.body, Body::Routing(_)) && self.change.is_empty()
     }
 
+    /// Returns whether this is a routing record without a list of teams of a release that passes an empty
+    /// list on as none.
+    pub(crate) fn may_lack_teams(&self) -> bool {
+        let Body::Routing(routing) = &self.body else { return false };
+        routing.teams.is_none() && &*self.change == EMPTY_LIST_LOST_FORMAT
+    }
+
     /// Returns the record as it may be shown: without the keys of teams.
     pub fn without_keys(&self) -> Record {
         match &self.body {
-            Body::Routing(routing) if !routing.teams.is_empty() => {
+            Body::Routing(routing) if routing.teams.is_some() => {
                 Record { body: Body::Routing(Arc::new(routing.without_keys())), ..self.clone() }
             }
             _ => self.clone(),
@@ -238,12 +248,17 @@
 
     /// Returns the routing in force.
     pub fn routing(&self) -> Option<&Arc<Routing>> {
-        self.records.iter().find_map(|r| match &r.body {
+        self.routing_record().and_then(|r| match &r.body {
             Body::Routing(routing) => Some(routing),
             _ => None,
         })
     }
 
+    /// Returns the routing record in force.
+    pub(crate) fn routing_record(&self) -> Option<&Record> {
+        self.records.iter().find(|r| matches!(r.body, Body::Routing(_)))
+    }
+
     /// Returns the hosts in force.
     pub fn hosts(&self) -> impl Iterator<Item = &Arc<Host>> {
         self.records.iter().filter_map(|r| match &r.body {
--- a/src/decide/matching.rs
+++ b/src/decide/matching.rs
@@ -7,7 +7,7 @@
 use wildmatch::WildMatch;
 
 use crate::config::{self, Profile, Routing, Service, Treatment};
-use crate::decide::teams::TeamTable;
+use crate::decide::teams::Keys;
 
 /// The routes, services and profiles in force, in matching order.
 #[derive(Debug, Default)]
@@ -16,7 +16,7 @@
     hosts: Vec<HostRoute>,
     routes: Vec<ServiceRoute>,
     head_max_bytes: Option<usize>,
-    teams: Arc<TeamTable>,
+    keys: Keys,
 }
 
 /// A route of one host name.
@@ -92,7 +92,7 @@
     /// Identifies the kind of request: that of its route by host name, or 0 for all requests of a
     /// service that matched no such route.
     pub kind: u64,
-    /// Whether its requests need no key where there are teams.
+    /// Whether its requests need no key where others need one.
     pub is_public: bool,
 }
 
@@ -132,15 +132,15 @@
         self
     }
 
-    /// Sets the teams of the callers.
+    /// Sets whether requests need a key, and of whom.
     #[must_use]
-    pub fn with_teams(self, teams: Arc<TeamTable>) -> Routes {
-        Routes { teams, ..self }
+    pub fn with_keys(self, keys: Keys) -> Routes {
+        Routes { keys, ..self }
     }
 
-    /// Returns the teams of the callers.
-    pub fn teams(&self) -> &Arc<TeamTable> {
-        &self.teams
+    /// Returns whether requests need a key, and of whom.
+    pub fn keys(&self) -> &Keys {
+        &self.keys
     }
 
     /// Returns the largest request head in bytes, if the routing limits it.
--- a/src/decide/routes_change/tests.rs
+++ b/src/decide/routes_change/tests.rs
@@ -1,10 +1,13 @@
 //! Tests of changes of the routes, and of what is remembered of them.
 
 use proptest::collection::vec;
+use proptest::option::of;
 use proptest::prelude::*;
 
 use super::*;
-use crate::config::{Service, Treatment, WeightedService};
+use crate::config::{Service, Team, Treatment, WeightedService};
+use crate::decide::catalog::RecordKind;
+use crate::decide::stored::{self, StoredRecord};
 
 /// Returns a record whose routes have the given deadlines, and whose only service has a size limit.
 fn record(version: u64, deadlines: &[u64], body_max_bytes: u64) -> Record {
@@ -66,6 +69,49 @@
     }
 }
 
+/// Returns a record with a list of teams, each with as many keys as it says, or without a list.
+fn with_teams(version: u64, sizes: Option<Vec<usize>>) -> Record {
+    let team = |(i, &count): (usize, &usize)| {
+        let keys = (0..count).map(|k| format!("key-{i}-{k}").into()).collect();
+        Arc::new(Team { name: format!("team-{i}").into(), keys, ..Team::default() })
+    };
+    let teams = sizes.map(|sizes| sizes.iter().enumerate().map(team).collect());
+    let plain = record(1, &[1], 1);
+    let routing = Routing { teams, services: Vec::new(), ..routing(&plain).clone() };
+    Record { body: Body::Routing(Arc::new(routing)), ..record(version, &[], 1) }
+}
+
+proptest! {
+    /// Guards against an empty list of teams that becomes none on its way between hosts or into a store,
+    /// so that no request needs a key.
+    #[test]
+    fn a_list_of_teams_travels_whole(
+        from in of(vec(0_usize..2, 0..3)), to in of(vec(0_usize..2, 0..3)),
+    ) {
+        let (from, to) = (with_teams(1, from), with_teams(2, to));
+        let json = serde_json::to_vec(&change(&from, &to)).unwrap();
+        let change: RoutesChange = serde_json::from_slice(&json).unwrap();
+        let made = change.apply(&digest(&from), routing(&from));
+        prop_assert_eq!(made.as_ref(), Ok(&(to.clone(), digest(&to))));
+        let json = serde_json::to_vec(&to).unwrap();
+        let read = stored::read(RecordKind::Routing, &to.name, &json);
+        prop_assert_eq!(read, StoredRecord::Readable(to.clone()));
+        let shown = to.without_keys();
+        let (own, shown) = (&routing(&to).teams, &routing(&shown).teams);
+        prop_assert_eq!(own.as_ref().map(Vec::len), shown.as_ref().map(Vec::len));
+    }
+}
+
+/// Guards against a null that is read as the lack of a list of teams.
+#[test]
+fn a_record_whose_list_of_teams_is_null_is_unreadable() {
+    let mut json = serde_json::to_value(with_teams(1, Some(Vec::new()))).unwrap();
+    let teams = json.pointer_mut("/body/routing/teams").expect("an empty list");
+    *teams = serde_json::Value::Null;
+    let read = stored::read(RecordKind::Routing, "routes", json.to_string().as_bytes());
+    assert!(matches!(read, StoredRecord::Unreadable(_)), "{read:?}");
+}
+
 #[test]
 fn a_change_of_one_route_holds_one_route() {
     let deadlines: Vec<u64> = (0..1_400).collect();
--- a/src/decide/stored.rs
+++ b/src/decide/stored.rs
@@ -55,7 +55,8 @@
         Body::Service(s) => body_faults(is_named(&s.name), service_faults(s, "")),
         Body::Routing(r) => {
             let of_services = r.services.iter().flat_map(|s| service_faults(s, ""));
-            of_services.chain(teams::faults(&r.teams, "/teams")).collect()
+            let teams = r.teams.as_deref().unwrap_or_default();
+            of_services.chain(teams::faults(teams, "/teams")).collect()
         }
         Body::Host(h) => body_faults(h.name == record.name, Vec::new()),
         Body::Deleted(_) => Vec::new(),
--- a/src/decide/teams.rs
+++ b/src/decide/teams.rs
@@ -15,6 +15,29 @@
 /// The longest key or name of a team, in bytes. Longer ones don't fit in a request head.
 const TEXT_MAX_BYTES: usize = 4_096;
 
+/// Whether requests need a key by one version of the routing.
+#[derive(Clone, Debug, Default)]
+pub enum Keys {
+    /// No request needs a key.
+    #[default]
+    NotNeeded,
+    /// Requests need a key of one of these teams, except on public routes. There may be no teams.
+    Needed(Arc<TeamTable>),
+    /// A peer of an earlier release has passed the version on, and its release passes an empty list of
+    /// teams on as none.
+    Unclear,
+}
+
+impl Keys {
+    /// Returns the teams, if requests need a key of theirs.
+    pub fn teams(&self) -> Option<&Arc<TeamTable>> {
+        match self {
+            Keys::Needed(teams) => Some(teams),
+            Keys::NotNeeded | Keys::Unclear => None,
+        }
+    }
+}
+
 /// A request has no key, several, or one that no team holds.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, derive_more::Error)]
 #[display("no team holds the request's key")]
@@ -57,11 +80,6 @@
         TeamTable { teams: teams.to_vec(), seed, keys }
     }
 
-    /// Returns whether there are no teams, so that no request needs a key.
-    pub fn is_empty(&self) -> bool {
-        self.teams.is_empty()
-    }
-
     /// Returns whether this is the table of exactly these teams.
     pub fn is_of(&self, teams: &[Arc<Team>]) -> bool {
         self.teams.len() == teams.len()
@@ -93,16 +111,13 @@
     ///
     /// # Errors
     ///
-    /// Returns [`UnknownKey`] if there are teams, the route is not public and the request doesn't
-    /// have exactly one key that a team holds.
+    /// Returns [`UnknownKey`] if the route is not public and the request doesn't have exactly one key
+    /// that a team holds.
     pub fn identify<'a>(
         &self,
         is_public: bool,
         keys: impl IntoIterator<Item = &'a [u8]>,
     ) -> Result<Option<&Arc<Team>>, UnknownKey> {
-        if self.is_empty() {
-            return Ok(None);
-        }
         let mut keys = keys.into_iter();
         let only = keys.next().filter(|_| keys.next().is_none());
         match only.and_then(|key| self.find(key)) {
--- a/src/decide/teams/tests.rs
+++ b/src/decide/teams/tests.rs
@@ -34,18 +34,17 @@
     }
 }
 
+/// Guards against a list that lets every key through since its last team, or its last key, is gone.
 #[test]
-fn without_teams_no_request_needs_a_key() {
-    let table = TeamTable::new(&[], 7);
-    assert!(table.is_empty());
-    assert_eq!(table.identify(false, [&b"k1"[..]]), Ok(None));
-}
-
-#[test]
-fn teams_without_any_key_let_nobody_through() {
-    let table = TeamTable::new(&[team("salt", &[])], 7);
-    assert_eq!(table.identify(false, [&b""[..]]), Err(UnknownKey));
-    assert_eq!(table.identify(false, []), Err(UnknownKey));
+fn a_list_without_any_key_lets_nobody_through() {
+    for teams in [&[][..], &[team("salt", &[])]] {
+        let table = TeamTable::new(teams, 7);
+        for key in [&b""[..], b"k1", b"salt"] {
+            assert_eq!(table.identify(false, [key]), Err(UnknownKey), "{teams:?}");
+            assert_eq!(table.identify(true, [key]), Ok(None), "{teams:?}");
+        }
+        assert_eq!(table.identify(false, []), Err(UnknownKey), "{teams:?}");
+    }
 }
 
 #[test]
--- a/src/document.rs
+++ b/src/document.rs
@@ -9,6 +9,7 @@
 use jsonschema::error::ValidationErrorKind;
 use schemars::{JsonSchema, Schema, SchemaGenerator, json_schema};
 use serde::de::DeserializeOwned;
+use serde::{Deserialize, Deserializer};
 use serde_json::Value;
 use serde_path_to_error::Segment;
 
@@ -45,6 +46,17 @@
     }
 }
 
+/// Deserializes a field that is there. A null is a value like others, and not the lack of one.
+///
+/// # Errors
+///
+/// Returns an error if the value is malformed.
+pub(crate) fn present<'de, T: Deserialize<'de>, D: Deserializer<'de>>(
+    deserializer: D,
+) -> Result<Option<T>, D::Error> {
+    T::deserialize(deserializer).map(Some)
+}
+
 /// The schema of a `SocketAddr`: a string with an IP address and port.
 #[derive(Debug)]
 pub(crate) struct SocketAddrSchema;
--- a/src/entry/allowance.rs
+++ b/src/entry/allowance.rs
@@ -58,7 +58,8 @@
     /// Applies the routes in force.
     pub(crate) fn set_routing(&self, routing: &Routing, version: u64) {
         let has_limit = |t: &&Arc<Team>| Limit::of(t).is_some();
-        let mut teams: Vec<Arc<Team>> = routing.teams.iter().filter(has_limit).cloned().collect();
+        let mut teams: Vec<Arc<Team>> =
+            routing.teams.iter().flatten().filter(has_limit).cloned().collect();
         teams.sort_unstable_by(|a, b| a.name.cmp(&b.name));
         self.requests.lock().asker.retain(&teams);
         *self.teams.write() = Arc::new(teams);
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -18,7 +18,7 @@
 use crate::decide::kinds::LatencyGoal;
 use crate::decide::matching::{Match, Routes};
 use crate::decide::poison::{Caller, Fingerprints};
-use crate::decide::teams::{self, UnknownKey};
+use crate::decide::teams::{self, Keys, UnknownKey};
 use crate::entry::socket::CallerConnection;
 use crate::error::Code;
 use crate::forward::BufferedRequest;
@@ -118,13 +118,13 @@
     };
     let whose = match &team {
         Some(team) => Caller::Team(&team.name),
-        None if !routes.teams().is_empty() => Caller::Keyless(caller_address),
+        None if routes.keys().teams().is_some() => Caller::Keyless(caller_address),
         None => Caller::Nameless(caller_address),
     };
     let fingerprints =
         Fingerprints::new(whose, parts.method.as_str(), &target.host, &target.path, &body);
     let mut headers = upstream_headers(&node.header_names, parts.headers, id);
-    if !routes.teams().is_empty() {
+    if !matches!(routes.keys(), Keys::NotNeeded) {
         set_team(&node.header_names, &mut headers, team.as_deref());
     }
     Ok(BufferedRequest {
@@ -153,13 +153,14 @@
     if is_current { code } else { Code::RoutesOutdated }
 }
 
-/// Returns the team of the caller, if there are teams and the request needs or has a key. A peer
-/// that passes a request on has found its team and names it.
+/// Returns the team of the caller, if the request needs or has a key. A peer that passes a request on
+/// has found its team and names it.
 ///
 /// # Errors
 ///
 /// Returns [`Code::Unauthorized`] if the request lacks the key that it needs, or
-/// [`Code::RoutesOutdated`] if the teams may be outdated or differ from the peer's.
+/// [`Code::RoutesOutdated`] if the teams may be outdated or differ from the peer's, or if the request
+/// has a key and it is unclear whether any team holds it.
 fn find_team(
     node: &Node,
     routes: &Routes,
@@ -167,12 +168,16 @@
     headers: &HeaderMap,
     is_relayed: bool,
 ) -> Result<Option<Arc<Team>>, Code> {
-    let teams = routes.teams();
+    let teams = routes.keys().teams();
     if is_relayed && let Some(name) = headers.get(header::RELAYED_TEAM) {
-        let team = teams.find_named(name.as_bytes()).ok_or(Code::RoutesOutdated)?;
+        let team = teams.and_then(|t| t.find_named(name.as_bytes())).ok_or(Code::RoutesOutdated)?;
         return Ok(Some(team.clone()));
     }
     let keys = headers.get_all(&node.header_names.key);
+    let Some(teams) = teams else {
+        let is_unclear = matches!(routes.keys(), Keys::Unclear) && keys.iter().next().is_some();
+        return if is_unclear { Err(Code::RoutesOutdated) } else { Ok(None) };
+    };
     match teams.identify(route.is_public, keys.iter().map(HeaderValue::as_bytes)) {
         Ok(team) => Ok(team.cloned()),
         Err(UnknownKey) if is_relayed => Err(Code::RoutesOutdated),
--- a/src/node/routes.rs
+++ b/src/node/routes.rs
@@ -9,7 +9,7 @@
 use crate::decide::matching::Routes;
 use crate::decide::routes_change::{RoutesChange, RoutesDigest, RoutesUpdate};
 use crate::decide::stored;
-use crate::decide::teams::TeamTable;
+use crate::decide::teams::{Keys, TeamTable};
 use crate::node::Node;
 use crate::peer::deflate;
 
@@ -64,8 +64,13 @@
     pub(super) fn rebuild_routes(&self, catalog: &Catalog) {
         let mut routes = Routes::new(&catalog.services(), &catalog.profiles());
         if let Some(routing) = catalog.routing() {
-            let teams = self.team_table(&routing.teams);
-            routes = routes.with_routing(routing, rand::random()).with_teams(teams);
+            let may_lack_teams = catalog.routing_record().is_some_and(Record::may_lack_teams);
+            let keys = match &routing.teams {
+                Some(teams) => Keys::Needed(self.team_table(teams)),
+                None if may_lack_teams && self.settings.registry.is_some() => Keys::Unclear,
+                None => Keys::NotNeeded,
+            };
+            routes = routes.with_routing(routing, rand::random()).with_keys(keys);
             self.allowances.set_routing(routing, routing_version(catalog));
         }
         *self.routes.write() = Arc::new(routes);
@@ -73,10 +78,10 @@
 
     /// Returns the table of the teams in a routing record, which is built once for each version.
     fn team_table(&self, teams: &[Arc<Team>]) -> Arc<TeamTable> {
-        let current = self.routes().teams().clone();
-        match current.is_of(teams) {
-            true => current,
-            false => Arc::new(TeamTable::new(teams, rand::random())),
+        let routes = self.routes();
+        match routes.keys().teams().filter(|current| current.is_of(teams)) {
+            Some(current) => current.clone(),
+            None => Arc::new(TeamTable::new(teams, rand::random())),
         }
     }
 
--- a/src/peer/tests/allowance.rs
+++ b/src/peer/tests/allowance.rs
@@ -23,7 +23,7 @@
 }
 
 fn routes(team: &Team) -> Record {
-    let routing = Routing { teams: vec![Arc::new(team.clone())], ..Routing::default() };
+    let routing = Routing { teams: Some(vec![Arc::new(team.clone())]), ..Routing::default() };
     Record {
         name: "routes".into(),
         version: 1,
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -9,7 +9,7 @@
     Priority, ProbeConfig, Route, Routing, Service, Team, Treatment, WeightedService,
 };
 use crate::decide::teams;
-use crate::document::Fault;
+use crate::document::{self, Fault};
 use crate::platform::headers;
 
 /// Key of the document in the registry.
@@ -22,8 +22,8 @@
     listeners: Vec<Listener>,
     clusters: Vec<Cluster>,
     /// The teams, decoded by [`decode_teams`]: an error of the parser would quote keys.
-    #[serde(default)]
-    tenants: Value,
+    #[serde(default, deserialize_with = "document::present")]
+    tenants: Option<Value>,
 }
 
 #[derive(Deserialize)]
@@ -108,7 +108,7 @@
 pub(crate) fn decode(value: &[u8]) -> Result<(u64, Routing), Fault> {
     let document: Document =
         serde_json::from_slice(value).map_err(|e| Fault::new("", &e.to_string()))?;
-    let teams = decode_teams(document.tenants)?;
+    let teams = document.tenants.map(decode_teams).transpose()?;
     let body_max = document.limits.max_body_bytes;
     let services = document.clusters.into_iter().map(|c| c.into_service(body_max));
     let routes = document.listeners.into_iter().flat_map(Listener::into_routes);
@@ -157,11 +157,7 @@
 
 /// Decodes the list of teams.
 fn decode_teams(value: Value) -> Result<Vec<Arc<Team>>, Fault> {
-    let tenants = match value {
-        Value::Null => Vec::new(),
-        Value::Array(tenants) => tenants,
-        _ => return Err(malformed("/tenants".to_owned())),
-    };
+    let Value::Array(tenants) = value else { return Err(malformed("/tenants".to_owned())) };
     let decode = |(i, value): (usize, Value)| match Tenant::deserialize(value) {
         Ok(tenant) => Ok(Arc::new(tenant.into_team())),
         Err(_) => Err(malformed(format!("/tenants/{i}"))),
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -81,12 +81,14 @@
 #[test]
 fn teams_and_public_routes_are_decoded() {
     let (_, routing) = config::decode(CONFIG.as_bytes()).expect("config");
-    assert!(routing.teams.is_empty() && routing.routes.iter().all(|r| !r.public));
+    assert!(routing.teams.is_none() && routing.routes.iter().all(|r| !r.public));
     let text = config_with_teams().replacen(r#""priority":2"#, r#""priority":2,"public":true"#, 1);
     let (_, routing) = config::decode(text.as_bytes()).expect("config");
     let public: Vec<bool> = routing.routes.iter().map(|r| r.public).collect();
     assert_eq!(public, [false, true]);
-    let [large, plain, keyless] = &routing.teams[..] else { panic!("three teams") };
+    let [large, plain, keyless] = &routing.teams.expect("a list")[..] else {
+        panic!("three teams")
+    };
     assert_eq!((&*large.name, large.priority), ("huka270", Some(Priority::Urgent)));
     assert_eq!((large.per_second, large.burst), (283.0, 29.5));
     assert_eq!(*large.keys[1], *"r26tta828m82thhkmgjq");
@@ -94,6 +96,26 @@
     assert_eq!((&*keyless.name, keyless.keys.len()), ("mote7", 0));
 }
 
+/// Guards against an empty list of teams that is taken for none, so that no request needs a key, and
+/// against the same for what is no list.
+#[test]
+fn only_a_config_without_a_list_of_teams_needs_no_keys() {
+    let with = |teams: &str| CONFIG.replacen(r#""limits""#, &format!("{teams}\"limits\""), 1);
+    let teams = |text: &str| config::decode(text.as_bytes()).map(|(_, routing)| routing.teams);
+    assert_eq!(teams(CONFIG), Ok(None));
+    assert_eq!(teams(&with(r#""tenants":[],"#)), Ok(Some(Vec::new())));
+    for no_list in ["null", "{}", "0", "false", r#""""#] {
+        let fault = teams(&with(&format!(r#""tenants":{no_list},"#))).expect_err("a fault");
+        assert_eq!(fault.pointer, "/tenants", "{no_list}");
+    }
+    for no_team in ["null", "{}", r#"{"name":"a","apiKeys":null}"#, r#"{"apiKeys":["k"]}"#] {
+        let fault = teams(&with(&format!(r#""tenants":[{no_team}],"#))).expect_err("a fault");
+        assert_eq!(fault.pointer, "/tenants/0", "{no_team}");
+    }
+    let keyless = teams(&with(r#""tenants":[{"name":"a"}],"#)).expect("a config");
+    assert_eq!(keyless.map(|t| t[0].keys.len()), Some(0));
+}
+
 #[test]
 fn a_config_with_faulty_teams_is_rejected_with_the_place_and_without_keys() {
     let replaced = |from: &str, to: &str| {
@@ -181,7 +203,7 @@
         bytes[at] = byte;
         if let Ok((_, routing)) = config::decode(&bytes) {
             let mut keys: Vec<&str> =
-                routing.teams.iter().flat_map(|t| &t.keys).map(|k| &**k).collect();
+                routing.teams.iter().flatten().flat_map(|t| &t.keys).map(|k| &**k).collect();
             let count = keys.len();
             keys.sort_unstable();
             keys.dedup();
--- a/src/registry/follower.rs
+++ b/src/registry/follower.rs
@@ -16,6 +16,7 @@
 use crate::decide::registered::{
     Known, Reading, RegistrationVersion, Revision, SeenRegistrations, gone_version, next_version,
 };
+use crate::decide::teams::Keys;
 use crate::decide::upstream::State;
 use crate::decide::warmup;
 use crate::event::{EventCode, Subject};
@@ -54,9 +55,13 @@
 /// The random factor on that time.
 const PEER_CONFIRMATION_SPREAD: std::ops::RangeInclusive<f64> = 0.25..=1.0;
 
-/// The change id of routing records that this release decodes. Earlier releases leave it empty, and
-/// decode a config without its teams. Of two records of one version, the greater id wins.
-const ROUTING_FORMAT: &str = "1";
+/// The change id of routing records that this release decodes. The release before has `1`, and decodes
+/// an empty list of teams as none. Earlier ones leave it empty, and decode a config without its teams.
+/// Of two records of one version, the greater id wins.
+const ROUTING_FORMAT: &str = "2";
+/// The time after its own last read at which a host reads again that can't tell from a peer's config
+/// whether requests need keys.
+const UNCLEAR_KEYS_INTERVAL: Duration = Duration::from_millis(500);
 
 /// The state of the task that reads the registry and applies its changes to the node.
 pub(super) struct Follower<'a> {
@@ -184,7 +189,13 @@
         let freshness = &self.node.registry_freshness;
         let Some(as_of) = freshness.as_of() else { return now };
         let rank = self.node.members.lock().rank(READ_DUTY, now);
-        freshness.schedule.due(as_of, rank, self.age_factor)
+        let due = freshness.schedule.due(as_of, rank, self.age_factor);
+        match self.last_read {
+            Some((_, at)) if matches!(self.node.routes().keys(), Keys::Unclear) => {
+                due.min(at + UNCLEAR_KEYS_INTERVAL)
+            }
+            _ => due,
+        }
     }
 
     /// Reads the changes since the last read. If that was too long ago or its history is no longer
--- a/src/registry/follower/tests.rs
+++ b/src/registry/follower/tests.rs
@@ -4,11 +4,12 @@
 
 use tokio::sync::oneshot;
 
-use super::{Follower, latest_changes, record};
+use super::{Follower, UNCLEAR_KEYS_INTERVAL, latest_changes, record};
 use crate::config::{Routing, Treatment};
 use crate::decide::catalog::{Body, Catalog, OfferOutcome, Record, RecordKind};
 use crate::decide::registered::{Reading, Revision};
 use crate::decide::stored::{self, StoredRecord};
+use crate::decide::teams::Keys;
 use crate::decide::upstream::State;
 use crate::node::Node;
 use crate::platform::{Change, Client, ClientHooks, config};
@@ -88,7 +89,8 @@
 
 /// Returns the number of teams in force.
 fn teams(node: &Node) -> usize {
-    node.catalog.lock().routing().map_or(0, |r| r.teams.len())
+    let catalog = node.catalog.lock();
+    catalog.routing().and_then(|r| r.teams.as_ref()).map_or(0, Vec::len)
 }
 
 /// Guards against a host that lets every key through: a peer of the release before passes on the
@@ -105,7 +107,7 @@
     for record in [earlier_record(), newer] {
         assert_eq!(node.offer(vec![record]), [OfferOutcome::Unreadable]);
         assert_eq!((teams(&node), node.routes_version()), (1, 7));
-        assert!(!node.routes().teams().is_empty());
+        assert!(node.routes().keys().teams().is_some());
     }
 }
 
@@ -118,10 +120,66 @@
         for record in records {
             catalog.offer(record);
         }
-        assert_eq!(catalog.routing().map(|r| r.teams.len()), Some(1));
+        let teams = catalog.routing().and_then(|r| r.teams.as_ref());
+        assert_eq!(teams.map(Vec::len), Some(1));
     }
 }
 
+/// Returns the routing record of [`CONFIG`] with another list of teams, as a release makes it that gives
+/// it a change id.
+fn record_of(change: &str, version: u64, teams: Option<&str>) -> Record {
+    let list = r#""tenants":[{"name":"huka270","apiKeys":["rjvz48wuakn2ftimaj3n"]}],"#;
+    let list_of = teams.map(|teams| format!(r#""tenants":{teams},"#)).unwrap_or_default();
+    let text = CONFIG.replace(list, &list_of);
+    let (_, routing) = config::decode(text.as_bytes()).expect("config");
+    Record {
+        change: change.into(),
+        ..record(config::KEY, version, Body::Routing(Arc::new(routing)))
+    }
+}
+
+/// Guards against a host that lets every key through since a peer of the release before passes an empty
+/// list of teams on as none.
+#[test]
+fn a_config_of_the_release_before_without_a_list_of_teams_leaves_keys_unclear() {
+    let follows = node(r#", "registry": {"address": "127.0.0.1:3"}"#);
+    let told = record_of("1", 8, None);
+    assert_eq!(follows.offer(vec![record_of("2", 7, Some("[]")), told.clone()]).len(), 2);
+    assert!(matches!(follows.routes().keys(), Keys::Unclear));
+    for (own, is_needed) in [(Some("[]"), true), (None, false)] {
+        let node = node(r#", "registry": {"address": "127.0.0.1:3"}"#);
+        node.offer(vec![told.clone()]);
+        assert_eq!(node.offer(vec![record_of("2", 8, own)]), [OfferOutcome::InForce]);
+        assert_eq!(matches!(node.routes().keys(), Keys::Needed(_)), is_needed);
+        assert_eq!(matches!(node.routes().keys(), Keys::NotNeeded), !is_needed);
+        assert_eq!(node.offer(vec![told.clone()]), [OfferOutcome::Older]);
+    }
+    let node = node(r#", "registry": {"address": "127.0.0.1:3"}"#);
+    node.offer(vec![record_of("1", 8, Some(r#"[{"name":"a"}]"#))]);
+    assert!(matches!(node.routes().keys(), Keys::Needed(_)), "its other lists are whole");
+}
+
+/// Guards against a host that refuses requests with a key for as long as its peers read for it.
+#[test]
+fn a_host_reads_for_itself_while_keys_are_unclear() {
+    let node = node(r#", "registry": {"address": "127.0.0.1:3"}"#);
+    let cfg = node.settings.registry.clone().expect("a registry");
+    let address = "127.0.0.1:3".parse().expect("address");
+    let client = Client::connect(address, 1.0, node.metrics.call_counter(), ClientHooks::none());
+    let mut follower = Follower::new(&node, &cfg, &client, oneshot::channel().0);
+    let now = Time::from_millis(10_000);
+    follower.last_read = Some((Revision::default(), now));
+    follower.finish_read(now, 0);
+    node.offer(vec![record_of("2", 7, None)]);
+    let usual = follower.next_read(now);
+    node.offer(vec![record_of("1", 8, None)]);
+    assert_eq!(follower.next_read(now), usual.min(now + UNCLEAR_KEYS_INTERVAL));
+    assert!(follower.next_read(now) > now, "no read at once after the last one");
+    let told = now + UNCLEAR_KEYS_INTERVAL * 2;
+    node.registry_freshness.advance_to(told);
+    assert!(follower.next_read(told) <= told);
+}
+
 /// Guards against hosts of two releases that compare their catalogs as long as both run.
 #[test]
 fn catalogs_of_two_releases_are_equal() {
@@ -143,7 +201,7 @@
             .is_ok()
     };
     let mut plain = Routing::clone(&routing);
-    plain.teams.clear();
+    plain.teams = None;
     assert!(!is_readable(&routing) && !is_readable(&plain), "teams, and public routes");
     plain.routes[0].public = false;
     assert!(is_readable(&plain));
@@ -153,7 +211,8 @@
 fn a_record_with_faulty_teams_is_unreadable() {
     let Body::Routing(routing) = own_record().body else { panic!("a routing") };
     let mut routing = Routing::clone(&routing);
-    routing.teams.push(routing.teams[0].clone());
+    let teams = routing.teams.as_mut().expect("a list");
+    teams.push(teams[0].clone());
     let record = Record { body: Body::Routing(Arc::new(routing)), ..own_record() };
     let json = serde_json::to_vec(&record).expect("JSON");
     let read = stored::read(RecordKind::Routing, config::KEY, &json);
@@ -165,7 +224,7 @@
     let record = own_record();
     assert_eq!(record.without_keys().precedence(), record.precedence());
     let Body::Routing(routing) = &record.body else { panic!("a routing") };
-    assert_eq!(routing.teams[0].keys.len(), 1);
+    assert_eq!(routing.teams.as_ref().map(|t| t[0].keys.len()), Some(1));
     let shown = serde_json::to_string(&record.without_keys()).expect("JSON");
     for text in [shown, format!("{record:?}")] {
         assert!(text.contains("huka270") && !text.contains("rjvz48wuakn2ftimaj3n"), "{text}");
--- a/src/tool/tests.rs
+++ b/src/tool/tests.rs
@@ -190,7 +190,7 @@
 #[test]
 fn a_routing_is_shown_without_keys() {
     let team = Team { name: "harbour".into(), keys: vec!["secret".into()], ..Team::default() };
-    let routing = Routing { teams: vec![Arc::new(team)], ..Routing::default() };
+    let routing = Routing { teams: Some(vec![Arc::new(team)]), ..Routing::default() };
     let text = document::text(&Body::Routing(Arc::new(routing)));
     assert!(text.contains("harbour") && !text.contains("secret"), "{text}");
 }
--- a/tests/keys.rs
+++ b/tests/keys.rs
@@ -277,6 +277,98 @@
     }
 }
 
+/// Returns the config of [`config_with_keys`] with another list of teams.
+fn config_with_list(version: u64, teams: &Value) -> String {
+    let mut doc: Value = serde_json::from_str(&config_with_keys(version, KEYS)).expect("config");
+    doc["tenants"] = teams.clone();
+    doc.to_string()
+}
+
+/// The ways to withdraw the last key: it alone, its team, and the whole list at once.
+fn withdrawals() -> [Vec<Value>; 3] {
+    let only = json!([{"name": "harbour", "apiKeys": [HARBOUR_KEY]}]);
+    let without_keys = json!([{"name": "harbour", "apiKeys": []}]);
+    let both = json!([
+        {"name": "harbour", "apiKeys": [HARBOUR_KEY]}, {"name": "salt", "apiKeys": [SALT_KEY]}
+    ]);
+    [
+        vec![only.clone(), without_keys.clone()],
+        vec![only, without_keys, json!([])],
+        vec![both, json!([])],
+    ]
+}
+
+/// Asserts that a host whose config holds no key runs requests on public routes alone, and passes on no
+/// key and nothing that callers say of their team.
+async fn assert_closed(host: SocketAddr, heads: &Heads, allowed: &[u16]) {
+    let before = heads.lock().expect("heads").len();
+    let made_up = ("x-tenant-name", "harbour");
+    for fields in [
+        &[][..],
+        &[made_up],
+        &[("x-key", ""), made_up],
+        &[("x-key", HARBOUR_KEY), made_up],
+        &[("x-key", SALT_KEY), made_up],
+        &[("x-key", UNKNOWN_KEY), made_up],
+    ] {
+        let refused = code(&call(host, "/book/7", fields).await);
+        assert!(allowed.contains(&refused), "{refused} for {fields:?}");
+    }
+    assert_eq!(heads.lock().expect("heads").len(), before, "a request has run");
+    let res = call(host, "/open/7", &[("x-key", HARBOUR_KEY), made_up]).await;
+    assert_eq!(code(&res), 1000);
+    let head = last(heads);
+    assert_eq!(field(&head, "x-tenant-name"), "", "{head}");
+    assert!(ALL_KEYS.iter().all(|k| !head.contains(k)), "{head}");
+}
+
+/// Guards against a config that lets every key through since its last one is gone.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn once_the_last_key_is_withdrawn_nobody_gets_through() {
+    for versions in withdrawals() {
+        let (upstream, heads) = upstream("u-1");
+        let first = config_with_list(3, &versions[0]);
+        let fleet = Fleet::start(&first, &[("u-1", &upstream)]).await;
+        let key = [("x-key", HARBOUR_KEY)];
+        assert_eq!(code(&fleet.call("/book/7", &key).await), 1000);
+        for (version, teams) in (4..).zip(&versions[1..]) {
+            fleet.registry.put("op/config", &config_with_list(version, teams));
+        }
+        fleet.wait_for("/book/7", &key, 401).await;
+        let newest = format!("cornelferry_config_version {}", versions.len() + 2);
+        wait_until("the newest version", || admin(&fleet.daemon, "/metrics").contains(&newest));
+        assert_closed(fleet.daemon.caller, &heads, &[UNAUTHORIZED]).await;
+        drop(fleet.daemon);
+        let daemon = Daemon::run(&fleet.settings);
+        assert_closed(daemon.caller, &heads, &[UNAUTHORIZED]).await;
+    }
+}
+
+/// Guards against the same on a host that learns of the withdrawal from a peer alone: as a change of the
+/// config that it holds, and as a whole config after its start.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_host_without_the_registry_lets_nobody_through_once_the_last_key_is_withdrawn() {
+    for versions in withdrawals() {
+        let (upstream, heads) = upstream("u-1");
+        let first = config_with_list(3, &versions[0]);
+        let registries = [
+            start_registry(&first, &[("u-1", &upstream)]).await,
+            start_registry(&first, &[("u-1", &upstream)]).await,
+        ];
+        let Pair { hosts, settings, .. } = start_pair(&registries);
+        registries[0].set_refusing(true);
+        for (version, teams) in (4..).zip(&versions[1..]) {
+            registries[1].put("op/config", &config_with_list(version, teams));
+        }
+        let newest = format!("cornelferry_config_version {}", versions.len() + 2);
+        wait_until("the newest version", || admin(&hosts[0], "/metrics").contains(&newest));
+        assert_closed(hosts[0].caller, &heads, &[UNAUTHORIZED, ROUTES_OUTDATED]).await;
+        let mut hosts = hosts.into_iter();
+        let restarted = hosts.next().expect("two hosts").restart(&settings[0]);
+        assert_closed(restarted.caller, &heads, &[UNAUTHORIZED, ROUTES_OUTDATED]).await;
+    }
+}
+
 /// Guards against a false 401 for a key that was added while the host couldn't read the registry.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_host_with_outdated_keys_does_not_return_401() {
@@ -335,6 +427,7 @@
 /// Two hosts that know each other, each with a registry of its own.
 struct Pair {
     hosts: Vec<Daemon>,
+    settings: Vec<Value>,
     /// The address at which the second one takes requests of the first.
     relay: SocketAddr,
 }
@@ -342,7 +435,7 @@
 fn start_pair(registries: &[Arc<Registry>; 2]) -> Pair {
     let addresses = [Ipv4Addr::new(127, 0, 0, 2), Ipv4Addr::new(127, 0, 0, 3)];
     let (peer_port, relay_port) = (common_port(&addresses), common_port(&addresses));
-    let start = |i: usize| {
+    let settings_of = |i: usize| {
         let mut settings = settings(registries[i].address);
         settings["host"] = json!(format!("entry-{i}"));
         settings["peer"] = json!(SocketAddr::from((addresses[i], peer_port)));
@@ -351,11 +444,12 @@
             "host": format!("entry-{}", 1 - i), "data_centre": "a",
             "address": SocketAddr::from((addresses[1 - i], peer_port)),
         }]);
-        Daemon::run(&settings)
+        settings
     };
-    let hosts: Vec<Daemon> = (0..2).map(start).collect();
+    let settings: Vec<Value> = (0..2).map(settings_of).collect();
+    let hosts: Vec<Daemon> = settings.iter().map(Daemon::run).collect();
     wait_until("the hosts know each other", || hosts.iter().all(|d| live_peers(d) == 1));
-    Pair { hosts, relay: SocketAddr::from((addresses[1], relay_port)) }
+    Pair { hosts, settings, relay: SocketAddr::from((addresses[1], relay_port)) }
 }
 
 /// A host without a path to the registry learns of added, moved and withdrawn keys from its peer.
@@ -399,7 +493,7 @@
     let registries =
         [start_registry(&config, &[]).await, start_registry(&config, &[("u-1", &reachable)]).await];
     registries[0].put("servers/u-1", &unreachable);
-    let Pair { hosts, relay } = start_pair(&registries);
+    let Pair { hosts, relay, .. } = start_pair(&registries);
     let fields = [("x-key", SALT_KEY), ("x-tenant-name", "harbour")];
     let start = Instant::now();
     while event_count(&hosts[0], UNREACHABLE) == 0 {
