Take only final statuses for responses

Callers saw: 600 and 999 of an upstream with their bodies, as answers. 000, 099, 20, 0200, 100, 101, 103 and 199 were rejected by the HTTP layer or here.

Cause: the HTTP layer takes any three digits from 100 to 999 for a status, and the one check here, on answers to requests, looked for statuses below 200.

Change: the connection returns no response whose status is outside 200 to 599 (RFC 9110, section 15), so that the same holds for requests, health checks and requests that a peer relays. Statuses of the registry other than 2xx, 404, 410 and 412 were errors already.

--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -334,9 +334,6 @@
         {
             conn.observe_keep_alive(&head.headers);
         }
-        if head.status.is_informational() {
-            return (self.fail(AttemptOutcome::InvalidResponse, UpstreamOutcome::Lost), None);
-        }
         if !is_response_to(&self.service, &request.id, &head) {
             self.record(EventCode::AnswerDiscarded, Some(head.status.as_u16().into()));
             self.node.pool.disable_reuse(self.target.address, self.node.clock.now());
--- a/src/forward/connection.rs
+++ b/src/forward/connection.rs
@@ -1,6 +1,7 @@
 //! One HTTP/1.1 connection to an upstream.
 
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -24,6 +25,9 @@
 /// connection.
 const HEAD_MAX_BYTES: usize = 64 << 10;
 
+/// The statuses of final responses (RFC 9110, section 15). The HTTP layer lets others pass.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// Time before the end of an upstream's idle timeout at which this host closes a connection.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_secs(1);
 /// The longest time that an idle connection is kept, whatever its upstream says.
@@ -121,7 +125,7 @@
     ///
     /// # Errors
     ///
-    /// Returns how the attempt ended if no response head was received.
+    /// Returns how the attempt ended if no head of a final response was received.
     pub(crate) async fn send(
         &mut self,
         req: Request<Full<Bytes>>,
@@ -133,11 +137,15 @@
             return Err(AttemptOutcome::NotSent);
         }
         let sent = self.tx.try_send_request(req).await;
-        sent.map_err(|e| match () {
+        let res = sent.map_err(|e| match () {
             () if !self.gate.revoke() => AttemptOutcome::NotSent,
             () if e.error().is_parse() => AttemptOutcome::InvalidResponse,
             () => AttemptOutcome::Lost,
-        })
+        })?;
+        match FINAL_STATUSES.contains(&res.status().as_u16()) {
+            true => Ok(res),
+            false => Err(AttemptOutcome::InvalidResponse),
+        }
     }
 }
 
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -491,6 +491,41 @@
     }
 }
 
+/// Returns the answer whose status line ends with the last part of the request's path, signed and with a
+/// body.
+fn answer_with_status(head: &str) -> String {
+    let path = head.split(' ').nth(1).unwrap_or_default();
+    let status = path.rsplit('/').next().unwrap_or_default().replace('_', " ");
+    signed(head).replacen("200 OK", &status, 1)
+}
+
+/// Guards against an answer whose status is none of HTTP that is handed to the caller as it came.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_answer_without_a_status_of_http_is_no_answer() {
+    let upstream = SigningUpstream::start("u-1", answer_with_status);
+    let fleet = Fleet::start(&[("u-1", &upstream)]).await;
+    let none =
+        ["000", "000_ok", "099", "20", "0200", "2000", "2x0", "+20", "-20", "-200", "ok", ""];
+    let not_final = ["100", "101", "103_early", "199"];
+    let beyond = ["600", "600_odd", "601", "777", "999"];
+    for status in none.iter().chain(&not_final).chain(&beyond) {
+        for (method, path) in [("GET", "/book/read/"), ("POST", "/book/")] {
+            let res = fleet.call(method, &format!("{path}{status}")).await;
+            let code = res.status().as_u16();
+            assert!(matches!(code, 502..=504), "{status}: {code}");
+            assert_ne!(header_text(&res, "x-cornelferry-outcome"), "answered", "{status}");
+            assert!(!res.headers().contains_key("x-response-signature"), "{status}");
+            assert_ne!(&res.body()[..], b"body", "{status}");
+        }
+    }
+    for (status, code) in
+        [("200", 200), ("200_", 200), ("299_odd", 299), ("404_none", 404), ("599", 599)]
+    {
+        let res = fleet.call("POST", &format!("/book/{status}")).await;
+        assert_eq!((res.status().as_u16(), &res.body()[..]), (code, &b"body"[..]), "{status}");
+    }
+}
+
 /// Guards against a response to a probe without an end: it was read into memory until the probe
 /// timed out.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
