Give up a response whose head has no end

Callers saw: 504 at the deadline from an upstream that sends interim responses (103) one after another; other callers of the host waited.

Cause: the HTTP layer skips interim responses without end, and bounds each head by itself.

Change: the stream under the HTTP layer counts what comes from the sending of a request to the end of its response's head, and fails beyond 256 KiB. The answer is malformed then (502, 3006). Health checks and requests to peers go the same way.

Before: a_response_whose_head_has_no_end_is_given_up still waited after 20 s; after: it passes, and so does interim_responses_without_end_are_a_malformed_answer.

--- a/src/forward/connection.rs
+++ b/src/forward/connection.rs
@@ -140,8 +140,10 @@
         let res = sent.map_err(|e| match () {
             () if !self.gate.revoke() => AttemptOutcome::NotSent,
             () if e.error().is_parse() => AttemptOutcome::InvalidResponse,
+            () if self.gate.is_head_too_long() => AttemptOutcome::InvalidResponse,
             () => AttemptOutcome::Lost,
         })?;
+        self.gate.end_head();
         match FINAL_STATUSES.contains(&res.status().as_u16()) {
             true => Ok(res),
             false => Err(AttemptOutcome::InvalidResponse),
--- a/src/forward/connection/tests.rs
+++ b/src/forward/connection/tests.rs
@@ -5,8 +5,7 @@
 
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response};
-use http_body_util::Full;
-use hyper::body::Incoming;
+use http_body_util::{BodyExt, Full};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 
@@ -15,23 +14,35 @@
 use crate::forward::pool::Pool;
 use crate::time::Clock;
 
+/// The time after which a request that should have failed at once counts as hanging.
+const HANG_TIMEOUT: Duration = Duration::from_secs(20);
+
 /// Sends a request to an upstream that answers any with `response`.
-async fn send(response: String) -> Result<Response<Incoming>, AttemptOutcome> {
+async fn send(response: String) -> Result<Response<Bytes>, AttemptOutcome> {
+    send_to(response, String::new()).await
+}
+
+/// Sends a request to an upstream that answers any with `once`, and then `repeated` without end.
+async fn send_to(once: String, repeated: String) -> Result<Response<Bytes>, AttemptOutcome> {
     let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("bind");
     let address = listener.local_addr().expect("bound");
     tokio::spawn(async move {
         let (mut stream, _) = listener.accept().await.expect("accept");
         let mut buf = [0; 1_024];
         let _ = stream.read(&mut buf).await;
-        let _ = stream.write_all(response.as_bytes()).await;
+        let _ = stream.write_all(once.as_bytes()).await;
+        while !repeated.is_empty() && stream.write_all(repeated.as_bytes()).await.is_ok() {}
         let _ = stream.read(&mut buf).await;
     });
     let clock = Clock::start();
-    let deadline = clock.now() + Duration::from_secs(10);
+    let deadline = clock.now() + 2 * HANG_TIMEOUT;
     let permit = Pool::default().reserve(address, 1).expect("a permit");
     let until = clock.instant(deadline);
     let mut conn = Connection::open(address, clock, until, permit).await.expect("connect");
-    conn.send(Request::new(Full::new(Bytes::new())), deadline).await
+    let res = conn.send(Request::new(Full::new(Bytes::new())), deadline).await?;
+    let (head, body) = res.into_parts();
+    let body = body.collect().await.expect("a whole body");
+    Ok(Response::from_parts(head, body.to_bytes()))
 }
 
 /// Guards against such an answer on each path that sends requests: to upstreams, to their health checks
@@ -70,3 +81,28 @@
     let kept = |seconds| idle_timeout(Duration::from_secs(seconds)).as_secs();
     assert_eq!([kept(0), kept(1), kept(2), kept(10), kept(3_600)], [0, 0, 1, 9, 30]);
 }
+
+/// Guards against an upstream that keeps a whole processor busy until the deadline of one request by
+/// interim responses without end.
+#[tokio::test]
+async fn a_response_whose_head_has_no_end_is_given_up() {
+    for repeated in [
+        "HTTP/1.1 103 Early Hints\r\n\r\n".repeat(100),
+        "HTTP/1.1 100 Continue\r\nx-any: 1\r\n\r\n".to_owned(),
+        "HTTP/1.1 102 \r\n\r\nHTTP/1.1 103 \r\n\r\n".to_owned(),
+    ] {
+        let sent = tokio::time::timeout(HANG_TIMEOUT, send_to(String::new(), repeated)).await;
+        let outcome = sent.map(|res| res.map(|_| ()));
+        assert_eq!(outcome, Ok(Err(AttemptOutcome::InvalidResponse)));
+    }
+}
+
+/// Guards against a bound on heads that counts bodies or the requests before on a connection.
+#[tokio::test]
+async fn a_response_after_some_interim_ones_may_be_long() {
+    let interim = "HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n".repeat(100);
+    let body = "a".repeat(3 << 20);
+    let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", body.len());
+    let res = send(format!("{interim}{head}{body}")).await.expect("a response");
+    assert_eq!(res.body().len(), body.len());
+}
--- a/src/forward/gate.rs
+++ b/src/forward/gate.rs
@@ -4,7 +4,7 @@
 use std::io::{self, IoSlice};
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU64, AtomicUsize, Ordering};
 use std::task::{Context, Poll};
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -15,6 +15,10 @@
 #[cfg(test)]
 mod tests;
 
+/// The bytes that may be received until the head of a response is complete: several times the longest
+/// head, for interim responses and for the part of the body that comes with the head.
+const HEAD_MAX_BYTES: usize = 256 << 10;
+
 /// No request may be written.
 const IDLE: u8 = 0;
 /// A request may be written, and no byte of it has been.
@@ -33,7 +37,11 @@
     state: AtomicU8,
     /// In microseconds on the host's clock.
     deadline: AtomicU64,
-    received: AtomicBool,
+    /// The bytes received since the request was armed, as long as they may belong to the head of its
+    /// response or to interim responses.
+    head_bytes: AtomicUsize,
+    /// Whether the head of the response is complete.
+    has_head: AtomicBool,
 }
 
 impl SendGate {
@@ -43,14 +51,16 @@
             clock,
             state: AtomicU8::new(IDLE),
             deadline: AtomicU64::new(0),
-            received: AtomicBool::new(false),
+            head_bytes: AtomicUsize::new(0),
+            has_head: AtomicBool::new(false),
         }
     }
 
     /// Allows a request to be written if its first byte is sent before `deadline`.
     pub(crate) fn arm(&self, deadline: Time) {
         self.deadline.store(deadline.as_micros(), Ordering::Relaxed);
-        self.received.store(false, Ordering::Relaxed);
+        self.head_bytes.store(0, Ordering::Relaxed);
+        self.has_head.store(false, Ordering::Relaxed);
         self.state.store(ARMED, Ordering::Release);
     }
 
@@ -73,7 +83,35 @@
 
     /// Returns whether any byte was received since the request was armed.
     pub(crate) fn has_received(&self) -> bool {
-        self.received.load(Ordering::Relaxed)
+        self.head_bytes.load(Ordering::Relaxed) > 0
+    }
+
+    /// Records that the head of the response is complete, so that its length is no longer limited.
+    pub(crate) fn end_head(&self) {
+        self.has_head.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether the response was given up since its head, with the interim responses before it,
+    /// was longer than [`HEAD_MAX_BYTES`].
+    pub(crate) fn is_head_too_long(&self) -> bool {
+        self.head_bytes.load(Ordering::Relaxed) > HEAD_MAX_BYTES
+            && !self.has_head.load(Ordering::Relaxed)
+    }
+
+    /// Records that bytes were received.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the head of the response is too long.
+    fn record_received(&self, count: usize) -> io::Result<()> {
+        if self.has_head.load(Ordering::Relaxed) {
+            return Ok(());
+        }
+        self.head_bytes.fetch_add(count, Ordering::Relaxed);
+        match self.is_head_too_long() {
+            true => Err(io::Error::other("the head of a response has no end")),
+            false => Ok(()),
+        }
     }
 
     /// Starts a write. Returns whether it is the first of the request; if so, its result must be
@@ -147,8 +185,8 @@
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
         let read = Pin::new(&mut self.stream).poll_read(cx, buf);
-        if buf.filled().len() > before {
-            self.gate.received.store(true, Ordering::Relaxed);
+        if let Err(e) = self.gate.record_received(buf.filled().len() - before) {
+            return Poll::Ready(Err(e));
         }
         read
     }
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -19,7 +19,7 @@
     CUT, ENDLESS, ENDLESS_HEALTH, REFUSES_HEALTH, REPEATS_REFUSALS, SigningUpstream, config, field,
     signed,
 };
-use harness::{Caller, Daemon, wait_until};
+use harness::{Caller, Daemon, code, wait_until};
 use standin::registry::Registry;
 
 fn for_another_request(_: &str) -> String {
@@ -90,6 +90,9 @@
     "HTTP/1.1 503 Service Unavailable\r\nx-not-executed: 1\r\ncontent-length: 0\r\n\r\n".to_owned()
 }
 
+/// The code of a malformed answer.
+const BAD_ANSWER: u16 = 3006;
+
 /// Returns an upstream's response to the head of a request.
 type Respond = fn(&str) -> String;
 
@@ -491,6 +494,18 @@
     }
 }
 
+/// Guards against interim responses that keep the host busy until the deadline of each request: they
+/// are a malformed answer at once.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn interim_responses_without_end_are_a_malformed_answer() {
+    let upstream = SigningUpstream::start("u-1", endless_interim_responses);
+    let fleet = Fleet::start(&[("u-1", &upstream)]).await;
+    for (method, path) in [("POST", "/book/7"), ("GET", "/book/read/7")] {
+        let res = fleet.call(method, path).await;
+        assert_eq!((res.status().as_u16(), code(&res)), (502, BAD_ANSWER), "{method}");
+    }
+}
+
 /// Returns the answer whose status line ends with the last part of the request's path, signed and with a
 /// body.
 fn answer_with_status(head: &str) -> String {
