End a streamed body at its deadline also if its caller reads slowly

Seen: an answer without end to callers that read 20 kB/s went on after the deadline of 5 s until they left (trial: 6 callers for 20 s, upstreams' connections open all the while). An upstream's connection and its slot were held for as long as a caller liked; memory was flat.

Cause: the deadline of a streamed body was looked at only when the HTTP layer asked for more of it, which it does once the caller has read what was written before.

Change: a task closes the source of the body at the deadline. What the caller reads afterwards ends with a broken connection, never like a whole body: the HTTP layer takes the end of an upstream's connection task for the end of a body in chunks, so that the state of the source decides.

Before: a_body_that_nobody_reads_ends_at_its_deadline failed ("the connection is still open"). After: it passes for bodies in chunks, with and without a length.

--- a/src/forward/response.rs
+++ b/src/forward/response.rs
@@ -1,6 +1,8 @@
 //! The response to a caller and its body.
 
+use std::cell::RefCell;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
@@ -10,7 +12,9 @@
 use http::{HeaderMap, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
+use tokio::task::spawn_local;
 use tokio::time::Sleep;
+use tokio_util::task::AbortOnDropHandle;
 use xitca_web::body::{Body, Frame, SizeHint};
 
 use crate::decide::upstream::UpstreamOutcome;
@@ -82,10 +86,15 @@
     rest: Incoming,
     length: Option<u64>,
     deadline: Pin<Box<Sleep>>,
-    source: BodySource,
+    source: SharedSource,
+    /// The task that closes the source at the deadline, also while the caller reads nothing.
+    _expiry: AbortOnDropHandle<()>,
     _memory: Reservation,
 }
 
+/// The source of a streamed body; `None` once it has been closed before its end.
+type SharedSource = Rc<RefCell<Option<BodySource>>>;
+
 /// What a streamed body comes from.
 #[derive(Debug)]
 pub(crate) enum BodySource {
@@ -152,17 +161,22 @@
             return Poll::Ready(Some(Ok(Frame::Data(bytes))));
         }
         if self.deadline.as_mut().poll(cx).is_ready() {
-            self.source.close(UpstreamOutcome::Cancelled);
+            close(&self.source, UpstreamOutcome::Cancelled);
+        }
+        // A closed connection looks like the end of its body.
+        if self.source.borrow().is_none() {
             return Poll::Ready(Some(Err(Truncated)));
         }
         loop {
             match ready!(Pin::new(&mut self.rest).poll_frame(cx)) {
                 None => {
-                    self.source.complete();
+                    if let Some(source) = self.source.borrow_mut().as_mut() {
+                        source.complete();
+                    }
                     return Poll::Ready(None);
                 }
                 Some(Err(_)) => {
-                    self.source.close(UpstreamOutcome::Lost);
+                    close(&self.source, UpstreamOutcome::Lost);
                     return Poll::Ready(Some(Err(Truncated)));
                 }
                 Some(Ok(frame)) => {
@@ -174,6 +188,13 @@
     }
 }
 
+/// Closes the source of a body before its end, unless it is closed.
+fn close(source: &RefCell<Option<BodySource>>, outcome: UpstreamOutcome) {
+    if let Some(mut source) = source.borrow_mut().take() {
+        source.close(outcome);
+    }
+}
+
 /// The part of a body that was read into memory.
 #[derive(Debug)]
 pub(crate) enum Buffered {
@@ -184,7 +205,12 @@
 }
 
 impl Buffered {
-    /// Converts to a response body. The rest of an incomplete one is streamed until the deadline.
+    /// Converts to a response body. The rest of an incomplete one is streamed until the deadline, at which
+    /// its source is closed even if the caller has stopped reading.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the rest is to be streamed outside a `LocalSet`.
     pub(crate) fn into_body(
         self,
         rest: Incoming,
@@ -194,14 +220,26 @@
     ) -> ProxyBody {
         match self {
             Buffered::Complete(bytes, memory) => ProxyBody::Full { bytes, _memory: Some(memory) },
-            Buffered::Partial(bytes, memory) => ProxyBody::Streamed(Box::new(StreamedBody {
-                buffered: (!bytes.is_empty()).then_some(bytes),
-                rest,
-                length,
-                deadline: Box::pin(tokio::time::sleep_until(deadline.into())),
-                source,
-                _memory: memory,
-            })),
+            Buffered::Partial(bytes, memory) => {
+                let source = Rc::new(RefCell::new(Some(source)));
+                // The body alone keeps its source, so that a caller who leaves ends it at once.
+                let expiring = Rc::downgrade(&source);
+                let expiry = spawn_local(async move {
+                    tokio::time::sleep_until(deadline.into()).await;
+                    if let Some(source) = expiring.upgrade() {
+                        close(&source, UpstreamOutcome::Cancelled);
+                    }
+                });
+                ProxyBody::Streamed(Box::new(StreamedBody {
+                    buffered: (!bytes.is_empty()).then_some(bytes),
+                    rest,
+                    length,
+                    deadline: Box::pin(tokio::time::sleep_until(deadline.into())),
+                    source,
+                    _expiry: AbortOnDropHandle::new(expiry),
+                    _memory: memory,
+                }))
+            }
         }
     }
 }
@@ -246,3 +284,6 @@
     chunks.iter().for_each(|c| out.extend_from_slice(c));
     out.freeze()
 }
+
+#[cfg(test)]
+mod tests;
