Send request ids on as callers have sent them

Cause: an id that was longer, or not visible ASCII, counted as none, so that one was generated.

Change: an id of any length that the head may have goes on as it came; log lines show its first 256 bytes. An empty id, several ids and one that isn't visible ASCII get 400 and don't run. A request without an id still gets one.

Before: an_upstream_gets_the_request_id_as_the_caller_has_sent_it failed at 65 characters.

--- a/src/entry/handler.rs
+++ b/src/entry/handler.rs
@@ -38,21 +38,25 @@
     let caller = CALLER_CONNECTION.with(Rc::clone);
     let _guard = caller.begin_request();
     lateness::measure(node).await;
-    let id = request::request_id(&node.header_names, req.headers());
+    let given_id = request::request_id(&node.header_names, req.headers());
+    let id = given_id.clone().ok().flatten().unwrap_or_else(request::new_request_id);
     let upgrade = req.headers().contains_key(UPGRADE);
     let has_body = request::has_body(req.headers());
-    let (response, has_unread_body) =
-        match request::receive(node, &caller, &id, req, is_relayed).await {
-            Ok(request) => (process(node, &caller, &request).await, false),
-            Err(code) => {
-                node.metrics.count_request(NO_SERVICE, code);
-                // Events 1010 and 1011 tell of these; a line each would add to the overload.
-                if code != Code::HostOverloaded {
-                    log_rejected(node, &id, code);
-                }
-                (refusal(node, code), has_body || request::is_end_unknown(code))
+    let received = match given_id {
+        Ok(_) => request::receive(node, &caller, &id, req, is_relayed).await,
+        Err(code) => Err(code),
+    };
+    let (response, has_unread_body) = match received {
+        Ok(request) => (process(node, &caller, &request).await, false),
+        Err(code) => {
+            node.metrics.count_request(NO_SERVICE, code);
+            // Events 1010 and 1011 tell of these; a line each would add to the overload.
+            if code != Code::HostOverloaded {
+                log_rejected(node, &id, code);
             }
-        };
+            (refusal(node, code), has_body || request::is_end_unknown(code))
+        }
+    };
     let mut res = http_response(&node.header_names, &id, response);
     if has_unread_body || upgrade || caller.is_closing() || node.phase() >= Phase::Draining {
         caller.set_closing();
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -28,8 +28,6 @@
 use crate::settings::Limits;
 use crate::time::Time;
 
-/// The longest request id that is accepted from a caller.
-const REQUEST_ID_MAX_BYTES: usize = 64;
 /// Time limit for a body announced by `Expect`. xitca-http 0.9.6 does not see a body that arrived
 /// together with its head, so that reading it would last until the deadline.
 const EXPECT_BODY_TIMEOUT: Duration = Duration::from_secs(2);
@@ -42,16 +40,26 @@
 /// Bytes that a header field takes in addition to its name and value: `: ` and CRLF.
 const FIELD_OVERHEAD: usize = 4;
 
-/// Returns the caller's request id if it is visible ASCII and not too long. Otherwise generates
-/// one.
-pub(crate) fn request_id(names: &FieldNames, headers: &HeaderMap) -> Arc<str> {
-    let given = headers.get(&names.request_id).map(HeaderValue::as_bytes);
-    let given = given.filter(|id| !id.is_empty() && id.len() <= REQUEST_ID_MAX_BYTES);
-    let given = given.filter(|id| id.iter().all(u8::is_ascii_graphic));
-    match given.and_then(|id| std::str::from_utf8(id).ok()) {
-        Some(id) => id.into(),
-        None => format!("{:016x}", rand::random::<u64>()).into(),
-    }
+/// Returns the caller's request id, as the caller has sent it, or `None` if the caller has sent none.
+///
+/// # Errors
+///
+/// Returns [`Code::BadRequest`] if there are several ids, or if the id is empty or not visible ASCII. An
+/// upstream must not run such a request under another id, which nobody would know.
+pub(crate) fn request_id(
+    names: &FieldNames,
+    headers: &HeaderMap,
+) -> Result<Option<Arc<str>>, Code> {
+    let mut ids = headers.get_all(&names.request_id).iter();
+    let Some(id) = ids.next() else { return Ok(None) };
+    let is_visible = !id.is_empty() && id.as_bytes().iter().all(u8::is_ascii_graphic);
+    let id = id.to_str().ok().filter(|_| is_visible && ids.next().is_none());
+    id.map(|id| Some(id.into())).ok_or(Code::BadRequest)
+}
+
+/// Returns a request id for a request without a usable one.
+pub(crate) fn new_request_id() -> Arc<str> {
+    format!("{:016x}", rand::random::<u64>()).into()
 }
 
 /// Reads and checks a request.
--- a/src/request_log.rs
+++ b/src/request_log.rs
@@ -23,6 +23,8 @@
 use crate::logs;
 use crate::time::Time;
 
+/// The bytes of a request id that log lines show. Callers may send longer ones.
+const ID_SHOWN_MAX: usize = 256;
 /// One in this many ordinary requests is logged.
 const SAMPLE_INTERVAL: u64 = 64;
 /// Number of lines per second that a host may log for all its requests. A request whose lines would
@@ -162,7 +164,7 @@
     let mut set = |name: &str, value: Value| {
         out.insert(name.to_owned(), value);
     };
-    set("request", json!(summary.request));
+    set("request", json!(shown_id(summary.request)));
     set("service", json!(summary.service));
     if let Some(team) = summary.team {
         set("team", json!(team));
@@ -197,6 +199,11 @@
     out
 }
 
+/// Returns as much of a request id, which is ASCII, as a line shows.
+pub(crate) fn shown_id(id: &str) -> &str {
+    id.get(..ID_SHOWN_MAX).unwrap_or(id)
+}
+
 fn round_to_hundredths(value: f32) -> f64 {
     (f64::from(value) * 100.0).round() / 100.0
 }
--- a/src/tool/explain.rs
+++ b/src/tool/explain.rs
@@ -10,6 +10,7 @@
 
 use crate::cli::ExplainArgs;
 use crate::error::{Code, Error};
+use crate::request_log;
 
 /// Maximum number of bytes read as one log line. A longer line is read in parts, which are skipped
 /// because they aren't JSON objects.
@@ -56,7 +57,7 @@
         let unreadable = |e| Error::new(Code::Unreadable, format!("standard input: {e}"));
         lines = read(std::io::stdin().lock()).map_err(unreadable)?;
     }
-    let explanation = explain(&args.request, &lines);
+    let explanation = explain(request_log::shown_id(&args.request), &lines);
     if explanation.lines.is_empty() {
         let detail = format!("no line of {} names request {:?}", lines.len(), args.request);
         return Err(Error::new(Code::NoRecord, detail).into());
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -6,12 +6,12 @@
 mod standin;
 
 use std::net::{Ipv4Addr, SocketAddr};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, Response};
+use http::{HeaderValue, Request, Response};
 use http_body_util::Full;
 use serde_json::{Value, json};
 
@@ -506,6 +506,42 @@
     }
 }
 
+/// Guards against a request that an upstream runs under an id that no caller has sent.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_upstream_gets_the_request_id_as_the_caller_has_sent_it() {
+    let ids: Arc<Mutex<Vec<String>>> = Arc::default();
+    let seen = ids.clone();
+    let upstream = SigningUpstream::start("u-1", move |head| {
+        seen.lock().expect("ids").push(field(head, "x-attempt-id").to_owned());
+        signed(head)
+    });
+    let fleet = Fleet::start(&[("u-1", &upstream)]).await;
+    let call = async |ids: &[HeaderValue]| {
+        let mut caller = Caller::connect(fleet.daemon.caller).await.expect("connect");
+        let mut req =
+            Request::builder().method("POST").uri("/book/7").header("host", "port.example");
+        for id in ids {
+            req = req.header("x-attempt-id", id);
+        }
+        let req = req.header("x-deadline-ms", "700").body(Full::default()).expect("request");
+        caller.send(req).await.expect("response")
+    };
+    let text = |text: &str| HeaderValue::from_str(text).expect("a value");
+    for len in [1, 16, 64, 65, 73, 500, 8_000] {
+        let id = "5".repeat(len);
+        let res = call(&[text(&id)]).await;
+        assert_eq!((res.status().as_u16(), header_text(&res, "x-attempt-id")), (200, &*id));
+        assert_eq!(ids.lock().expect("ids").last(), Some(&id));
+    }
+    let runs = upstream.runs();
+    let odd = HeaderValue::from_bytes(b"caf\xc3\xa9").expect("a value");
+    for ids in [&[text("")][..], &[text("a b")], &[odd], &[text("a"), text("b")]] {
+        assert_eq!(call(ids).await.status(), 400, "{ids:?}");
+    }
+    assert_eq!(upstream.runs(), runs);
+    assert_eq!(call(&[]).await.status(), 200, "a caller may leave the id to the host");
+}
+
 /// Returns the answer whose status line ends with the last part of the request's path, signed and with a
 /// body.
 fn answer_with_status(head: &str) -> String {
