Keep the allowance of a withdrawn team until it is withdrawn everywhere

Callers of other teams would see a withdrawn team crowd them out: while hosts learn of the version without it, its requests at hosts with the older version passed without limit.

A team that an owner of allowances, or the host itself, no longer knew counted as one whose limit had been lifted, so that its questions were granted whole.

Change: teams without a limit are kept by name, and only these are granted all that they want. A question for a team that is not in force is answered as if its owner could not be reached: the asking host uses its share of the limit that it knows.

--- a/src/entry/allowance.rs
+++ b/src/entry/allowance.rs
@@ -28,6 +28,8 @@
 pub(crate) struct Allowances {
     /// The teams that have an allowance by the routes in force, sorted by name.
     teams: RwLock<Arc<Vec<Arc<Team>>>>,
+    /// The names of the teams that have none, sorted.
+    unlimited: RwLock<Vec<Arc<str>>>,
     /// The version of those routes.
     version: AtomicU64,
     pub(crate) ownership: Mutex<Ownership>,
@@ -48,6 +50,7 @@
     pub(crate) fn new(host: Arc<str>) -> Allowances {
         Allowances {
             teams: RwLock::default(),
+            unlimited: RwLock::default(),
             version: AtomicU64::new(0),
             ownership: Mutex::new(Ownership::new(host)),
             requests: Mutex::default(),
@@ -57,10 +60,13 @@
 
     /// Applies the routes in force.
     pub(crate) fn set_routing(&self, routing: &Routing, version: u64) {
-        let has_limit = |t: &&Arc<Team>| Limit::of(t).is_some();
-        let mut teams: Vec<Arc<Team>> =
-            routing.teams.iter().flatten().filter(has_limit).cloned().collect();
+        let all = routing.teams.iter().flatten().cloned();
+        let (mut teams, unlimited): (Vec<Arc<Team>>, Vec<Arc<Team>>) =
+            all.partition(|t| Limit::of(t).is_some());
         teams.sort_unstable_by(|a, b| a.name.cmp(&b.name));
+        let mut unlimited: Vec<Arc<str>> = unlimited.iter().map(|t| t.name.clone()).collect();
+        unlimited.sort_unstable();
+        *self.unlimited.write() = unlimited;
         self.requests.lock().asker.retain(&teams);
         *self.teams.write() = Arc::new(teams);
         self.version.store(version, Ordering::Relaxed);
@@ -84,6 +90,12 @@
         Limit::of(&teams[at])
     }
 
+    /// Returns whether a team has no allowance and may send what it wants. A team that has been withdrawn
+    /// may not.
+    pub(crate) fn is_unlimited(&self, team: &str) -> bool {
+        self.unlimited.read().binary_search_by(|name| (**name).cmp(team)).is_ok()
+    }
+
     /// Applies a change to the waiting requests, and tells those that it decides on.
     pub(crate) fn decide(&self, change: impl FnOnce(&mut Asker) -> Vec<Release>) {
         let mut requests = self.requests.lock();
@@ -185,7 +197,10 @@
             Some(limit) => {
                 Inquiry::new(ask.team.clone(), limit, ask.wanted, 0).next(&mut ownership, now)
             }
-            None => Step::Done(Reply::Granted(Grant::unlimited(ask.wanted))),
+            None if allowances.is_unlimited(&ask.team) => {
+                Step::Done(Reply::Granted(Grant::unlimited(ask.wanted)))
+            }
+            None => Step::Done(Reply::Unreachable),
         };
         allowances.decide(|asker| match step {
             Step::Done(Reply::Granted(grant)) => {
--- a/src/peer/allowance.rs
+++ b/src/peer/allowance.rs
@@ -130,10 +130,12 @@
     let node = &local.node;
     let Some(limit) = node.allowances.limit(&ask.team) else {
         // The routes have changed since the request came.
-        return if hops == 0 {
-            Reply::Granted(Grant::unlimited(ask.wanted))
-        } else {
-            Reply::NotOwner
+        return match hops {
+            0 if node.allowances.is_unlimited(&ask.team) => {
+                Reply::Granted(Grant::unlimited(ask.wanted))
+            }
+            0 => Reply::Unreachable,
+            _ => Reply::NotOwner,
         };
     };
     let mut inquiry = Inquiry::new(ask.team.clone(), limit, ask.wanted, hops);
@@ -253,7 +255,7 @@
 pub(crate) async fn serve(local: &Rc<LocalState>, asks: Vec<(Ask, u8)>, routes: u64) -> Vec<Reply> {
     let allowances = &local.node.allowances;
     let answer = async |(ask, hops): (Ask, u8)| {
-        let is_lifted = allowances.limit(&ask.team).is_none() && routes < allowances.version();
+        let is_lifted = allowances.is_unlimited(&ask.team) && routes < allowances.version();
         match is_lifted {
             // The peer will know in a moment.
             true => Reply::Granted(Grant::unlimited(ask.wanted)),
--- a/src/peer/tests/allowance.rs
+++ b/src/peer/tests/allowance.rs
@@ -67,6 +67,33 @@
     assert!(refused.iter().all(|after| !after.is_zero()));
 }
 
+/// Guards against a team that may send without limit for as long as hosts learn that it is withdrawn: its
+/// allowance counted as lifted.
+#[test]
+fn the_allowance_of_a_withdrawn_team_is_not_lifted() {
+    let begin = Instant::now();
+    let (hosts, _, team) = start(3, 50.0, 50.0);
+    let offer_teams = |version, teams| {
+        let routing = Routing { teams, ..Routing::default() };
+        let body = Body::Routing(Arc::new(routing));
+        let owner = hosts.iter().find(|h| keeps(h)).unwrap_or(&hosts[0]);
+        owner.node.offer(vec![Record { version, body, ..routes(&team) }]);
+    };
+    offer_teams(2, Some(Vec::new()));
+    let passed = |count| {
+        let results: Vec<Option<Duration>> =
+            hosts.iter().flat_map(|h| send_many(h, &team, count)).collect();
+        results.iter().filter(|r| r.is_none()).count()
+    };
+    let sent = passed(500) as f64;
+    let seconds = begin.elapsed().as_secs_f64();
+    assert!(sent <= (50.0 * seconds + 50.0) * 1.1 + 20.0, "{sent} passed in {seconds} s");
+    // A team that has no limit any more may send what it wants.
+    let unlimited = Team { per_second: 0.0, burst: 0.0, ..team.clone() };
+    offer_teams(3, Some(vec![Arc::new(unlimited)]));
+    wait_until("the limit is lifted", || passed(100) == 300);
+}
+
 #[test]
 fn another_host_takes_an_allowance_over_when_its_owner_ends() {
     let (mut hosts, _, team) = start(4, 50.0, 50.0);
