Count copies of a request that bear one id

Callers would see upstreams end one after the other under a request that a caller repeats with one id; it was never blocked where a service has few upstreams.

Change: the name of an end is over the host and the time of sending too.

Before: copies_with_one_id_count_each failed ("not blocked after 24 upstreams have ended"); after: it passes.

--- a/src/decide/poison.rs
+++ b/src/decide/poison.rs
@@ -188,7 +188,7 @@
 /// The end of an upstream under a request.
 #[derive(Clone, Copy, Debug)]
 struct Crash {
-    /// A hash of the upstream's name and the copy's id, see [`crash_hash`].
+    /// A hash of the upstream's name and the copy, see [`crash_hash`].
     hash: u64,
     /// When the copy was sent.
     sent: Time,
@@ -475,8 +475,8 @@
     }
 }
 
-/// Returns the hash by which reports name the end of an upstream under a copy of a request, which has
-/// this id: the low half tells the upstream, whose later processes may bear the same name, and the high
+/// Returns the hash by which reports name the end of an upstream under a copy of a request. `copy` differs
+/// for each copy and host: the low half tells the upstream, whose later processes may bear the same name, and the high
 /// half the copy.
 pub fn crash_hash(service: &str, upstream: &str, copy: &str) -> u64 {
     let upstream = XxHash64::oneshot(XxHash64::oneshot(0, service.as_bytes()), upstream.as_bytes());
--- a/src/forward/crash.rs
+++ b/src/forward/crash.rs
@@ -55,7 +55,10 @@
         ..Subject::default()
     };
     node.events.record(EventCode::UpstreamCrashed, subject, None);
-    let hash = crash_hash(&crash.service.name, &crash.target.name, &crash.request_id);
+    // Callers may send several copies under one id.
+    let (host, id, sent) = (&node.settings.host, &crash.request_id, crash.sent.as_micros());
+    let copy = format!("{host}/{sent}/{id}");
+    let hash = crash_hash(&crash.service.name, &crash.target.name, &copy);
     let event = RequestEvent::UpstreamCrashed(hash);
     let (sent, at) = (crash.sent, crash.lost);
     for fingerprint in crash.fingerprints.iter() {
--- a/tests/crash.rs
+++ b/tests/crash.rs
@@ -315,6 +315,27 @@
     assert!(served * 2 > codes.len(), "{served} of {} harmless copies are served", codes.len());
 }
 
+/// Guards against a request that ends upstreams and is never blocked, as its caller sends all copies under
+/// one id.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn copies_with_one_id_count_each() {
+    let crashes = Crashes::default();
+    let registry = Registry::start(SocketAddr::from((Ipv4Addr::LOCALHOST, 0))).await;
+    registry.put("op/config", &config(3, "/book/"));
+    for id in ["u-1", "u-2"] {
+        let upstream = FragileUpstream::start(id, &crashes);
+        registry.put(&format!("servers/{id}"), &upstream.registration());
+    }
+    let daemon = Daemon::run(&settings(1, &registry));
+    for _ in 0..40 {
+        if send(&daemon, POISON, 7).await == (503, BLOCKED) {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(250)).await;
+    }
+    panic!("not blocked after {} upstreams have ended", crashes.lock().expect("crashes").len());
+}
+
 /// The time from the sending of a request to the end of its upstream.
 const RUN_TIME: Duration = Duration::from_millis(5);
 
