Take no refusal without an id for proof on a used connection

Cause: a declared refusal without an id counted as the answer to whatever request was on its connection. Bytes that an upstream adds after an earlier, whole answer arrive there too, where the next answer is expected, and may look the same.

Change: where upstreams echo ids, a refusal that bears none leaves the outcome of a request that isn't idempotent unknown (502) if the connection has carried a response before. On a new connection it is proof as before.

Before: a_refusal_without_an_id_proves_nothing_on_a_used_connection failed ("it has run", 503).

--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -342,6 +342,14 @@
         self.load_report = LoadReport::new(&self.service, head.status, &head.headers);
         self.observe_limit(&head);
         let may_recur = is_anonymous_refusal(&self.service, &head);
+        // Where upstreams name the request, stray bytes after an earlier response may look like a refusal
+        // that names none.
+        let is_used = self.conn.as_ref().is_none_or(|c| c.is_used);
+        let names_requests = !self.service.echo_header.is_empty();
+        if may_recur && names_requests && is_used && !request.treatment.idempotent {
+            self.record(EventCode::AnswerDiscarded, Some(head.status.as_u16().into()));
+            return (self.fail(AttemptOutcome::InvalidResponse, UpstreamOutcome::Refused), None);
+        }
         let (outcome, upstream_outcome) = classify(&self.service, &head);
         self.upstream_outcome = upstream_outcome;
         let length = body.size_hint().exact();
--- a/src/forward/connection.rs
+++ b/src/forward/connection.rs
@@ -52,6 +52,8 @@
 pub(crate) struct Connection {
     tx: SendRequest<Full<Bytes>>,
     gate: Arc<SendGate>,
+    /// Whether it has delivered a response.
+    pub(crate) is_used: bool,
     /// When the connection was opened or last delivered a complete response.
     pub(crate) last_alive: Time,
     /// Time after which this host closes it if it is idle.
@@ -92,6 +94,7 @@
         Ok(Connection {
             tx,
             gate,
+            is_used: false,
             last_alive: clock.now(),
             idle_timeout: IDLE_TIMEOUT,
             task,
--- a/src/forward/pool.rs
+++ b/src/forward/pool.rs
@@ -84,6 +84,7 @@
     pub(crate) fn put(&self, address: SocketAddr, mut conn: Connection, now: Time) {
         conn.gate().disarm();
         conn.last_alive = now;
+        conn.is_used = true;
         if conn.is_closed() {
             return;
         }
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -494,6 +494,34 @@
     }
 }
 
+/// The mark in the paths of requests after whose answer an upstream writes a refusal without an id.
+const STRAY: &str = "/stray/";
+
+/// Guards against a booking that has run and is told as not run: bytes after an earlier answer on the
+/// connection, which look like a refusal, count as the answer to it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_refusal_without_an_id_proves_nothing_on_a_used_connection() {
+    let upstream = SigningUpstream::start("u-1", move |head| {
+        static HAS_STRAYED: AtomicBool = AtomicBool::new(false);
+        // The bytes arrive where the answer to the next request is expected.
+        let stray = match HAS_STRAYED.swap(head.contains(STRAY), Ordering::SeqCst) {
+            true => not_executed(head),
+            false => String::new(),
+        };
+        format!("{stray}{}", signed(head))
+    });
+    let fleet = Fleet::start(&[("u-1", &upstream)]).await;
+    for n in 0..20 {
+        assert_eq!(fleet.status("POST", &format!("/book{STRAY}{n}")).await, 200);
+        let runs = upstream.runs();
+        let res = fleet.call("POST", "/book/7").await;
+        if upstream.runs() > runs {
+            assert_ne!(res.status().as_u16(), 503, "it has run");
+            assert_ne!(header_text(&res, "x-cornelferry-outcome"), "not-run", "it has run");
+        }
+    }
+}
+
 /// Guards against interim responses that keep the host busy until the deadline of each request: they
 /// are a malformed answer at once.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
