--- a/src/decide/poison.rs
+++ b/src/decide/poison.rs
@@ -475,9 +475,9 @@
     }
 }
 
-/// Returns the hash by which reports name the end of an upstream under a copy of a request. `copy` differs
-/// for each copy and host: the low half tells the upstream, whose later processes may bear the same name, and the high
-/// half the copy.
+/// Returns the hash by which reports name the end of an upstream under a copy of a request: the low half
+/// tells the upstream, whose later processes may bear the same name, and the high half the copy. `copy`
+/// differs for each copy and host.
 pub fn crash_hash(service: &str, upstream: &str, copy: &str) -> u64 {
     let upstream = XxHash64::oneshot(XxHash64::oneshot(0, service.as_bytes()), upstream.as_bytes());
     XxHash64::oneshot(0, copy.as_bytes()) << 32 | u64::from(upstream as u32)
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -124,13 +124,13 @@
         true => relayed_address(&parts.headers),
         false => caller.address(),
     };
-    let whose = match &team {
+    let sender = match &team {
         Some(team) => Caller::Team(&team.name),
         None if routes.keys().teams().is_some() => Caller::Keyless(caller_address),
         None => Caller::Nameless(caller_address),
     };
     let fingerprints =
-        Fingerprints::new(whose, parts.method.as_str(), &target.host, &target.path, &body);
+        Fingerprints::new(sender, parts.method.as_str(), &target.host, &target.path, &body);
     let mut headers = upstream_headers(&node.header_names, parts.headers, id);
     if !matches!(routes.keys(), Keys::NotNeeded) {
         set_team(&node.header_names, &mut headers, team.as_deref());
--- a/src/forward/connection.rs
+++ b/src/forward/connection.rs
@@ -52,7 +52,7 @@
 pub(crate) struct Connection {
     tx: SendRequest<Full<Bytes>>,
     gate: Arc<SendGate>,
-    /// Whether it has delivered a response.
+    /// Whether it was idle in the pool before, so that it may have delivered a response.
     pub(crate) is_used: bool,
     /// When the connection was opened or last delivered a complete response.
     pub(crate) last_alive: Time,
