Read the registry for unclear keys on a host that has never read it

Callers with a key would get 503 from a host for as long as hosts of the release before tell it a config without a list of teams, if it has started while the registry refused it.

Cause: the host reads again some time after its own last read; without one, it left the reading to its peers, whose copies were current. Found by a trial with a host of each release.

Before: a_host_reads_for_itself_while_keys_are_unclear failed on a host without a read of its own.

--- a/src/registry/follower.rs
+++ b/src/registry/follower.rs
@@ -190,9 +190,9 @@
         let Some(as_of) = freshness.as_of() else { return now };
         let rank = self.node.members.lock().rank(READ_DUTY, now);
         let due = freshness.schedule.due(as_of, rank, self.age_factor);
-        match self.last_read {
-            Some((_, at)) if matches!(self.node.routes().keys(), Keys::Unclear) => {
-                due.min(at + UNCLEAR_KEYS_INTERVAL)
+        match self.node.routes().keys() {
+            Keys::Unclear => {
+                due.min(self.last_read.map_or(now, |(_, at)| at + UNCLEAR_KEYS_INTERVAL))
             }
             _ => due,
         }
--- a/src/registry/follower/tests.rs
+++ b/src/registry/follower/tests.rs
@@ -178,6 +178,9 @@
     let told = now + UNCLEAR_KEYS_INTERVAL * 2;
     node.registry_freshness.advance_to(told);
     assert!(follower.next_read(told) <= told);
+    // A host that has started from a peer's word has never read.
+    follower.last_read = None;
+    assert!(follower.next_read(told) <= told);
 }
 
 /// Guards against hosts of two releases that compare their catalogs as long as both run.
