--- a/review/standin-3/case11.rs
+++ b/review/standin-3/case11.rs
@@ -100,7 +100,7 @@
     let _targets: Vec<Target> = (0..TARGETS)
         .map(|i| Target::start(&store, &format!("i-{i:02}"), "huvo11a", "zone-a", SLOTS, handler.clone()))
         .collect();
-    let fleet = Daemon::start_fleet(&folder, &store, HOSTS, "");
+    let fleet = Daemon::start_fleet(&folder, &store, HOSTS as u8, "");
     if !fleet.iter().all(|d| d.wait_ready(Duration::from_secs(10))) {
         println!("the hosts didn't become ready");
         exit(2);
--- a/review/standin-3/platform.rs
+++ b/review/standin-3/platform.rs
@@ -410,6 +410,25 @@
     }
 }
 
+/// Replaces addresses by others of the same length, as the two sides of a cut call each other.
+pub type Names = Arc<Vec<(String, String)>>;
+
+/// Replaces each address in `bytes`.
+pub fn replace(names: &Names, bytes: &[u8]) -> Vec<u8> {
+    let mut out = bytes.to_vec();
+    let mut at = 0;
+    while at < out.len() {
+        match names.iter().find(|(from, _)| out[at..].starts_with(from.as_bytes())) {
+            Some((from, to)) => {
+                out[at..at + from.len()].copy_from_slice(to.as_bytes());
+                at += from.len();
+            }
+            None => at += 1,
+        }
+    }
+    out
+}
+
 /// The platform's store.
 #[derive(Clone)]
 pub struct Store {
@@ -422,8 +441,6 @@
 
 impl Store {
     pub fn start() -> Store {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-        let address = listener.local_addr().expect("bound");
         let state = StoreState {
             revision: 100,
             items: BTreeMap::new(),
@@ -431,20 +448,28 @@
             leases: BTreeMap::new(),
             next_lease: 77_000,
         };
-        let store = Store {
-            address,
+        let mut store = Store {
+            address: SocketAddr::from(([127, 0, 0, 1], 0)),
             state: Arc::new(Mutex::new(state)),
             busy: Arc::default(),
             calls: Arc::default(),
         };
-        let served = store.clone();
+        store.address = store.listen(Names::default());
+        store
+    }
+
+    /// Serves the store at a new address, at which addresses in values are called as `names` has them.
+    pub fn listen(&self, names: Names) -> SocketAddr {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("bound");
+        let served = self.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let store = served.clone();
-                thread::spawn(move || store.serve(stream));
+                let (store, names) = (served.clone(), names.clone());
+                thread::spawn(move || store.serve(stream, &names));
             }
         });
-        store
+        address
     }
 
     pub fn put(&self, key: &str, value: &str) {
@@ -461,13 +486,13 @@
         }
     }
 
-    fn serve(&self, stream: TcpStream) {
+    fn serve(&self, stream: TcpStream, names: &Names) {
         let mut conn = Conn::new(stream);
         while let Ok(Some(req)) = conn.read_message() {
             self.calls.fetch_add(1, Ordering::Relaxed);
             let (status, body) = match self.busy.load(Ordering::Relaxed) {
                 true => ("503 Service Unavailable", "{}".to_owned()),
-                false => self.answer(&req),
+                false => self.answer(&req, names),
             };
             let fields = [("Content-Type", "application/json")];
             if respond(&mut conn.stream, status, &fields, body.as_bytes()).is_err() {
@@ -476,7 +501,7 @@
         }
     }
 
-    fn answer(&self, req: &Message) -> (&'static str, String) {
+    fn answer(&self, req: &Message, names: &Names) -> (&'static str, String) {
         let (path, query) = req.target().split_once('?').unwrap_or((req.target(), ""));
         let param = |name: &str| {
             let of_name = |p: &str| p.split_once('=').filter(|(n, _)| *n == name).map(|(_, v)| url_decoded(v));
@@ -488,7 +513,7 @@
                 let mut state = self.state.lock().unwrap();
                 state.expire();
                 match state.items.get(&param("key")) {
-                    Some(item) => ("200 OK", item_json(&param("key"), item, Some(state.revision))),
+                    Some(item) => ("200 OK", item_json(&param("key"), item, Some(state.revision), names)),
                     None => ("404 Not Found", format!("{{\"currentRev\":{}}}", state.revision)),
                 }
             }
@@ -497,14 +522,14 @@
                 state.expire();
                 let (prefix, after) = (param("pathPrefix"), param("after"));
                 let rows = state.items.iter().filter(|(k, _)| k.starts_with(&prefix) && **k > after);
-                let rows: Vec<String> = rows.map(|(k, i)| item_json(k, i, None)).collect();
+                let rows: Vec<String> = rows.map(|(k, i)| item_json(k, i, None, names)).collect();
                 let has_more = rows.len() > 500;
                 let rows = rows[..rows.len().min(500)].join(",");
                 let rev = state.revision;
                 ("200 OK", format!("{{\"items\":[{rows}],\"hasMore\":{has_more},\"currentRev\":{rev}}}"))
             }
-            ("GET", "/api/kv-watch") => self.watch(&param("pathPrefix"), &param("after"), &param("waitMs")),
-            ("POST", "/api/kv-txn") => self.txn(&body),
+            ("GET", "/api/kv-watch") => self.watch(&param("pathPrefix"), &param("after"), &param("waitMs"), names),
+            ("POST", "/api/kv-txn") => self.txn(&body, names),
             ("POST", "/api/kv-lease") => {
                 let mut state = self.state.lock().unwrap();
                 let ttl = Duration::from_secs_f64(body.get("ttlS_time").number().clamp(1.0, 600.0));
@@ -538,7 +563,7 @@
         }
     }
 
-    fn watch(&self, prefix: &str, after: &str, wait_ms: &str) -> (&'static str, String) {
+    fn watch(&self, prefix: &str, after: &str, wait_ms: &str, names: &Names) -> (&'static str, String) {
         let after: u64 = after.parse().unwrap_or(0);
         let wait = Duration::from_millis(wait_ms.parse::<u64>().unwrap_or(0).min(30_000));
         let until = Instant::now() + wait;
@@ -551,7 +576,7 @@
             let rows = state.history.iter().filter(|(rev, k, _)| *rev > after && k.starts_with(prefix));
             let rows: Vec<String> = rows
                 .map(|(rev, key, item)| match item {
-                    Some(item) => item_json(key, item, None),
+                    Some(item) => item_json(key, item, None, names),
                     None => format!("{{\"key\":\"{key}\",\"revision\":{rev},\"deleted\":true}}"),
                 })
                 .collect();
@@ -564,7 +589,7 @@
         }
     }
 
-    fn txn(&self, body: &Json) -> (&'static str, String) {
+    fn txn(&self, body: &Json, names: &Names) -> (&'static str, String) {
         let mut state = self.state.lock().unwrap();
         state.expire();
         let is_reserved = |key: &str| key.starts_with("op/") || key.starts_with("servers/");
@@ -579,7 +604,7 @@
         if !holds {
             let rows = body.get("expected").list().iter().filter_map(|row| {
                 let key = row.get("key").text();
-                state.items.get(key).map(|i| item_json(key, i, None))
+                state.items.get(key).map(|i| item_json(key, i, None, names))
             });
             return ("412 Precondition Failed", format!("{{\"items\":[{}]}}", rows.collect::<Vec<_>>().join(",")));
         }
@@ -600,11 +625,11 @@
     }
 }
 
-fn item_json(key: &str, item: &Item, current_rev: Option<u64>) -> String {
+fn item_json(key: &str, item: &Item, current_rev: Option<u64>, names: &Names) -> String {
     let current = current_rev.map_or(String::new(), |r| format!(",\"currentRev\":{r}"));
     format!(
         "{{\"key\":\"{key}\",\"value\":\"{}\",\"revision\":{},\"createRev\":{},\"lease\":{}{current}}}",
-        base64(&item.value),
+        base64(&replace(names, &item.value)),
         item.revision,
         item.create_rev,
         item.lease
@@ -801,46 +826,64 @@
     }
 }
 
-/// How the daemons of a case are set up.
-pub struct Fleet {
-    pub hosts: usize,
-    pub zone: &'static str,
-    pub memory_mb: u64,
+/// What the settings of one host say.
+pub struct HostSettings {
+    pub name: String,
+    pub ip: Ipv4Addr,
+    pub peer_port: u16,
+    pub relay_port: u16,
+    pub seeds: Vec<String>,
+    pub store: SocketAddr,
+}
+
+/// Returns loopback addresses for a run, which end with the numbers from 1 on.
+pub fn host_addresses(count: u8) -> Vec<Ipv4Addr> {
+    let run = 10 + (std::process::id() % 200) as u8;
+    (1..=count).map(|i| Ipv4Addr::new(127, 77, run, i)).collect()
 }
 
 impl Daemon {
     /// Starts the daemons of a fleet, each on a loopback address of its own.
-    pub fn start_fleet(folder: &Path, store: &Store, hosts: usize, extra_limits: &str) -> Vec<Daemon> {
-        let base = 10 + (std::process::id() % 200) as u8;
-        let ips: Vec<Ipv4Addr> =
-            (0..hosts).map(|i| Ipv4Addr::new(127, 77, base, i as u8 + 1)).collect();
-        let relay_port = common_port(&ips);
-        let peer_port = common_port(&ips);
-        let seeds: Vec<String> = ips.iter().take(3).map(|ip| format!("\"{ip}:{peer_port}\"")).collect();
+    pub fn start_fleet(folder: &Path, store: &Store, hosts: u8, extra_limits: &str) -> Vec<Daemon> {
+        let ips = host_addresses(hosts);
+        let (relay_port, peer_port) = (common_port(&ips), common_port(&ips));
+        let seeds: Vec<String> = ips.iter().take(3).map(|ip| format!("{ip}:{peer_port}")).collect();
         let start = |(i, ip): (usize, &Ipv4Addr)| {
-            let name = format!("edge-a-{}", i + 1);
-            let (caller, admin) = (free_address(*ip), free_address(*ip));
-            let metrics = free_address(*ip);
-            let text = format!(
-                "{{\"host\":\"{name}\",\"data_centre\":\"zone-a\",\"caller\":\"{caller}\",\
-                 \"admin\":\"{admin}\",\"peer\":\"{ip}:{peer_port}\",\"metrics\":\"{metrics}\",\
-                 \"relay_port\":{relay_port},\"link_mbps\":1000.0,\"prefer_open_connections\":true,\
-                 \"stop_s\":6,\"seeds\":[{}],\"limits\":{{{extra_limits}\"events\":512}},\
-                 \"registry\":{{\"retry_share\":0.2,\"retry_slack\":62,\"retry_window_s\":10,\
-                 \"probes_per_second\":60,\"apply_s\":2,\"address\":\"{}\"}}}}",
-                seeds.join(","),
-                store.address
-            );
-            let own = folder.join(&name);
-            fs::create_dir_all(&own).expect("a folder of its own");
-            let (settings, log) = (own.join("boot.json"), own.join("log"));
-            fs::write(&settings, text).expect("settings can be written");
-            let child = spawn(&settings, &log);
-            Daemon { name, caller, admin, folder: own, settings, log, child }
+            let settings = HostSettings {
+                name: format!("edge-a-{}", i + 1),
+                ip: *ip,
+                peer_port,
+                relay_port,
+                seeds: seeds.clone(),
+                store: store.address,
+            };
+            Daemon::start(folder, settings, extra_limits)
         };
         ips.iter().enumerate().map(start).collect()
     }
 
+    /// Starts a daemon with its settings file in a folder of its own.
+    pub fn start(folder: &Path, settings: HostSettings, extra_limits: &str) -> Daemon {
+        let HostSettings { name, ip, peer_port, relay_port, seeds, store } = settings;
+        let (caller, admin, metrics) = (free_address(ip), free_address(ip), free_address(ip));
+        let seeds: Vec<String> = seeds.iter().map(|s| format!("\"{s}\"")).collect();
+        let text = format!(
+            "{{\"host\":\"{name}\",\"data_centre\":\"zone-a\",\"caller\":\"{caller}\",\
+             \"admin\":\"{admin}\",\"peer\":\"{ip}:{peer_port}\",\"metrics\":\"{metrics}\",\
+             \"relay_port\":{relay_port},\"link_mbps\":1000.0,\"prefer_open_connections\":true,\
+             \"stop_s\":6,\"seeds\":[{}],\"limits\":{{{extra_limits}\"events\":512}},\
+             \"registry\":{{\"retry_share\":0.2,\"retry_slack\":62,\"retry_window_s\":10,\
+             \"probes_per_second\":60,\"apply_s\":2,\"address\":\"{store}\"}}}}",
+            seeds.join(",")
+        );
+        let own = folder.join(&name);
+        fs::create_dir_all(&own).expect("a folder of its own");
+        let (settings, log) = (own.join("boot.json"), own.join("log"));
+        fs::write(&settings, text).expect("settings can be written");
+        let child = spawn(&settings, &log);
+        Daemon { name, caller, admin, folder: own, settings, log, child }
+    }
+
     pub fn pid(&self) -> u32 {
         self.child.id()
     }
