--- a/review/standin-3/platform.rs
+++ b/review/standin-3/platform.rs
@@ -437,6 +437,15 @@
     /// While set, every call is answered with 503.
     pub busy: Arc<AtomicBool>,
     pub calls: Arc<AtomicU64>,
+    /// The value of `Store-Era`.
+    pub era: Arc<AtomicU64>,
+}
+
+/// A copy of the store.
+pub struct Copy {
+    revision: u64,
+    items: BTreeMap<String, Item>,
+    leases: BTreeMap<u64, Duration>,
 }
 
 impl Store {
@@ -453,6 +462,7 @@
             state: Arc::new(Mutex::new(state)),
             busy: Arc::default(),
             calls: Arc::default(),
+            era: Arc::new(AtomicU64::new(1)),
         };
         store.address = store.listen(Names::default());
         store
@@ -472,6 +482,28 @@
         address
     }
 
+    pub fn copy(&self) -> Copy {
+        let state = self.state.lock().unwrap();
+        let leases = state.leases.iter().map(|(id, lease)| (*id, lease.ttl)).collect();
+        Copy { revision: state.revision, items: state.items.clone(), leases }
+    }
+
+    /// Goes back to a copy, as after a drill. Revisions are given out again.
+    pub fn go_back(&self, copy: Copy) {
+        let mut state = self.state.lock().unwrap();
+        state.history.retain(|(revision, ..)| *revision <= copy.revision);
+        let until = |ttl: Duration| Lease { ttl, until: Instant::now() + ttl };
+        state.leases = copy.leases.into_iter().map(|(id, ttl)| (id, until(ttl))).collect();
+        (state.revision, state.items) = (copy.revision, copy.items);
+        self.era.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Returns the keys that begin with a prefix.
+    pub fn keys(&self, prefix: &str) -> Vec<String> {
+        let state = self.state.lock().unwrap();
+        state.items.keys().filter(|k| k.starts_with(prefix)).cloned().collect()
+    }
+
     pub fn put(&self, key: &str, value: &str) {
         let mut state = self.state.lock().unwrap();
         state.revision += 1;
@@ -494,7 +526,8 @@
                 true => ("503 Service Unavailable", "{}".to_owned()),
                 false => self.answer(&req, names),
             };
-            let fields = [("Content-Type", "application/json")];
+            let era = self.era.load(Ordering::Relaxed).to_string();
+            let fields = [("Content-Type", "application/json"), ("Store-Era", era.as_str())];
             if respond(&mut conn.stream, status, &fields, body.as_bytes()).is_err() {
                 return;
             }
